--- /dev/null
+++ b/crates/flaxstand-drill/src/wire.rs
@@ -0,0 +1,474 @@
+//! The wire's messages, and their translation to and from the module's interface.
+
+use flaxstand::api::{
+    Action, Arrival, AttemptNo, Budget, Class, ClassId, Effect, Ended, Event, Key, ListScope, NodeEntry,
+    NodeId, Outcome, Plan, PlanId, Readiness, RepeatGroup, RequestId, Settings, ShardId, VolumeId, ZoneId,
+};
+use serde::{Deserialize, Serialize};
+
+/// A message from the bench.
+#[derive(Deserialize)]
+#[serde(tag = "cmd", rename_all = "camelCase", rename_all_fields = "camelCase")]
+pub enum Inbound {
+    Mark { at_time_ms: f64 },
+    Eob,
+    Spawn { i: String, init_seed: u64, params: Box<Params> },
+    PowerOff { i: String },
+    Endpoints(Named<Endpoints>),
+    Knock(Named<Knock>),
+    Headers(Named<Headers>),
+    Resolved(Named<Resolved>),
+    ClientLeft(Named<ClientLeft>),
+    Reminder(Named<Reminder>),
+    ProbeDone(Named<ProbeDone>),
+    PeerData(Named<PeerData>),
+}
+
+/// An event with the instance that it belongs to.
+#[derive(Deserialize)]
+pub struct Named<T> {
+    i: String,
+    #[serde(flatten)]
+    body: T,
+}
+
+/// An event's own part.
+pub enum Body {
+    Endpoints(Endpoints),
+    Knock(Knock),
+    Headers(Headers),
+    Resolved(Resolved),
+    ClientLeft(ClientLeft),
+    /// Tells nothing beyond that time has passed, or nothing that the module asked for.
+    Idle,
+}
+
+#[derive(Deserialize)]
+pub struct Endpoints {
+    scope: Scope,
+    #[serde(default)]
+    elements: Option<Vec<Element>>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+enum Scope {
+    D,
+    F,
+    C,
+    X,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Element {
+    target: String,
+    readiness: WireReadiness,
+    boot_time_ms: Option<f64>,
+    #[serde(default)]
+    area: Option<String>,
+    pod: Option<i64>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+enum WireReadiness {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Knock {
+    op_id: u64,
+    class: String,
+    valid_until_ms: f64,
+    plan: Option<String>,
+    extent: Option<String>,
+    volume: Option<String>,
+    price_units: Option<f64>,
+    shard: Option<i64>,
+    writers: Option<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Headers {
+    op_id: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Resolved {
+    op_id: u64,
+    go: u32,
+    outcome: u8,
+    lag_ms: f64,
+    complete: bool,
+    used: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ClientLeft {
+    op_id: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Reminder {
+    #[serde(rename = "token")]
+    _token: u64,
+}
+
+#[derive(Deserialize)]
+pub struct ProbeDone {
+    #[serde(rename = "target")]
+    _target: String,
+}
+
+#[derive(Deserialize)]
+pub struct PeerData {
+    #[serde(rename = "contents")]
+    _contents: String,
+}
+
+impl Inbound {
+    /// Parts an instance's event into its name and body. Messages without one yield no instance.
+    pub fn split(self) -> (String, Body) {
+        match self {
+            Inbound::Endpoints(n) => (n.i, Body::Endpoints(n.body)),
+            Inbound::Knock(n) => (n.i, Body::Knock(n.body)),
+            Inbound::Headers(n) => (n.i, Body::Headers(n.body)),
+            Inbound::Resolved(n) => (n.i, Body::Resolved(n.body)),
+            Inbound::ClientLeft(n) => (n.i, Body::ClientLeft(n.body)),
+            Inbound::Reminder(n) => (n.i, Body::Idle),
+            Inbound::ProbeDone(n) => (n.i, Body::Idle),
+            Inbound::PeerData(n) => (n.i, Body::Idle),
+            Inbound::Spawn { i, .. } | Inbound::PowerOff { i } => (i, Body::Idle),
+            Inbound::Mark { .. } | Inbound::Eob => (String::new(), Body::Idle),
+        }
+    }
+}
+
+impl Body {
+    /// The module's event, or none where the module has no use for it.
+    pub fn read(
+        self,
+        params: &Params,
+        settings: &Settings,
+        mut node: impl FnMut(&str) -> NodeId,
+        mut zone: impl FnMut(&str) -> u32,
+    ) -> Result<Option<Event>, String> {
+        Ok(Some(match self {
+            Body::Endpoints(list) => {
+                let scope = match list.scope {
+                    Scope::D => ListScope::Changes,
+                    Scope::F => ListScope::Full,
+                    Scope::C => ListScope::Saved,
+                    Scope::X => ListScope::Failed,
+                };
+                let entries = list.elements.unwrap_or_default().into_iter().map(|e| NodeEntry {
+                    node: node(&e.target),
+                    readiness: match e.readiness {
+                        WireReadiness::Serving => Readiness::Serving,
+                        WireReadiness::Draining => Readiness::Draining,
+                        WireReadiness::Deleted => Readiness::Gone,
+                    },
+                    booted_at: e.boot_time_ms.filter(|at| *at > 0.0),
+                    zone: ZoneId(zone(e.area.as_deref().unwrap_or(""))),
+                    shard: ShardId(e.pod.unwrap_or(-1)),
+                });
+                Event::List(scope, entries.collect())
+            }
+            Body::Knock(k) => {
+                let class = params.classes.iter().position(|c| c.name == k.class);
+                let class = class.ok_or_else(|| format!("unknown class {}", k.class))?;
+                let plan = match &k.plan {
+                    Some(name) => params.grades.iter().position(|g| g.name == *name),
+                    None => Some(0),
+                };
+                let plan = plan.ok_or_else(|| format!("unknown plan {:?}", k.plan))?;
+                Event::Arrived(Arrival {
+                    id: RequestId(k.op_id),
+                    class: ClassId(class),
+                    plan: PlanId(plan.min(settings.plans.len().saturating_sub(1))),
+                    key: k.extent.as_deref().filter(|e| !e.is_empty()).map(hex).transpose()?.map(Key),
+                    valid_until: k.valid_until_ms,
+                    volume: VolumeId(k.volume.as_deref().filter(|v| !v.is_empty()).map_or(Ok(0), hex)?),
+                    units: k.price_units.unwrap_or(1.0),
+                    shard: k.shard.filter(|s| *s >= 0).map(ShardId),
+                    writers: k.writers.unwrap_or(1).max(1),
+                })
+            }
+            Body::Headers(h) => Event::AnswerStarted(RequestId(h.op_id)),
+            Body::Resolved(r) => Event::Ended(Ended {
+                request: RequestId(r.op_id),
+                attempt: AttemptNo(r.go),
+                outcome: outcome(r.outcome)?,
+                lag: r.lag_ms,
+                complete: r.complete,
+                used_percent: r.used.filter(|u| *u > 0.0).map(|u| u - 1.0),
+            }),
+            Body::ClientLeft(c) => Event::ClientGone(RequestId(c.op_id)),
+            Body::Idle => return Ok(None),
+        }))
+    }
+}
+
+fn hex(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| format!("not a key of hex digits: {text:?}"))
+}
+
+fn outcome(code: u8) -> Result<Outcome, String> {
+    Ok(match code {
+        1 => Outcome::Served,
+        2 => Outcome::Error,
+        3 => Outcome::Full,
+        4 => Outcome::TimedOut,
+        5 => Outcome::ConnectFailed,
+        6 => Outcome::Reset,
+        7 => Outcome::Cancelled,
+        8 => Outcome::Moot,
+        _ => return Err(format!("unknown outcome {code}")),
+    })
+}
+
+/// The settings as the wire tells them; keys that the module has no use for are left unread.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Params {
+    balancers: u32,
+    classes: Vec<WireClass>,
+    #[serde(default)]
+    grades: Vec<WirePlan>,
+    caps: WireCaps,
+    rules: WireRules,
+    #[serde(default)]
+    family_info: WireFamily,
+    registry_mode: RegistryMode,
+    #[serde(default)]
+    tick_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RegistryMode {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireClass {
+    name: String,
+    aim_ms: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline_ms: f64,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default)]
+    worth: f64,
+    semantics: Semantics,
+    #[serde(default)]
+    group: WireGroup,
+    #[serde(default)]
+    dedup_window_ms: f64,
+    #[serde(default)]
+    in_order: bool,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Semantics {
+    Repeatable,
+    ByKey,
+    Once,
+}
+
+#[derive(Deserialize, Clone, Copy, Default)]
+#[serde(rename_all = "snake_case")]
+enum WireGroup {
+    All,
+    Zone,
+    #[default]
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct WirePlan {
+    name: String,
+    base_rate: f64,
+    floor_rate: f64,
+    ceiling_rate: f64,
+    most_at_once: f64,
+    cap_slack: f64,
+    weight: f64,
+    price: f64,
+}
+
+impl Default for WirePlan {
+    fn default() -> Self {
+        let name = String::new();
+        let (base_rate, floor_rate, ceiling_rate, most_at_once, cap_slack) = Default::default();
+        WirePlan {
+            name,
+            base_rate,
+            floor_rate,
+            ceiling_rate,
+            most_at_once,
+            cap_slack,
+            weight: 1.0,
+            price: 1.0,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireCaps {
+    #[serde(default)]
+    cancel: bool,
+    max_attempts: u32,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    second_copies: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireRules {
+    ask_within_ms: f64,
+    cold_from: f64,
+    cold_ms: f64,
+    fall_ms: f64,
+    fall_multiple: f64,
+    extra_floor: Option<f64>,
+    further_ratio: Option<f64>,
+    budget_span_ms: Option<f64>,
+    key_rest_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireFamily {
+    cold_bears: f64,
+    unit_mean: f64,
+    most_units: f64,
+    fair_worth: f64,
+    idle_worth: f64,
+}
+
+impl Params {
+    /// The module's settings.
+    pub fn settings(&self) -> Result<Settings, String> {
+        if self.classes.is_empty() {
+            return Err("settings name no class".into());
+        }
+        let classes = self.classes.iter().map(|c| Class {
+            aim: c.aim_ms,
+            aim_stretch: c.aim_stretch,
+            deadline: c.deadline_ms,
+            late_value: c.late_value,
+            worth: c.worth,
+            effect: match (c.semantics, c.group) {
+                (Semantics::Repeatable, _) => Effect::Repeatable,
+                (Semantics::Once, _) => Effect::Once,
+                (Semantics::ByKey, group) => Effect::Keyed {
+                    group: match group {
+                        WireGroup::All => RepeatGroup::All,
+                        WireGroup::Zone => RepeatGroup::Zone,
+                        WireGroup::Cell => RepeatGroup::Cell,
+                    },
+                    window: c.dedup_window_ms,
+                },
+            },
+            in_order: c.in_order,
+        });
+        let plan = |g: &WirePlan| Plan {
+            base_rate: g.base_rate,
+            reserve_rate: g.floor_rate,
+            limit_rate: g.ceiling_rate,
+            limit_burst: g.most_at_once,
+            limit_slack: g.cap_slack,
+            weight: g.weight,
+            price: g.price,
+        };
+        let mut plans: Vec<Plan> = self.grades.iter().map(plan).collect();
+        if plans.is_empty() {
+            plans.push(plan(&WirePlan::default()));
+        }
+        let rules = &self.rules;
+        let budget = match (rules.extra_floor, rules.further_ratio, rules.budget_span_ms) {
+            (None, None, None) => None,
+            (floor, ratio, Some(span)) => {
+                Some(Budget { floor: floor.unwrap_or(0.0), ratio: ratio.unwrap_or(0.0), span })
+            }
+            _ => return Err("a budget of attempts without its span".into()),
+        };
+        Ok(Settings {
+            initiators: self.balancers.max(1),
+            classes: classes.collect(),
+            plans,
+            list_on_request: matches!(self.registry_mode, RegistryMode::OnRequest),
+            ask_within: rules.ask_within_ms,
+            may_cancel: self.caps.cancel,
+            second_copies: self.caps.second_copies,
+            max_attempts: self.caps.max_attempts,
+            max_retry_after: if self.caps.retry_after { self.caps.max_retry_after_ms } else { 0.0 },
+            cold_from: rules.cold_from,
+            cold_time: rules.cold_ms,
+            fall_multiple: rules.fall_multiple,
+            fall_time: rules.fall_ms,
+            cold_bears: self.family_info.cold_bears,
+            key_rest: rules.key_rest_ms,
+            budget,
+            unit_mean: self.family_info.unit_mean,
+            unit_most: self.family_info.most_units,
+            share_worth: self.family_info.fair_worth,
+            spare_worth: self.family_info.idle_worth,
+            tick: self.tick_ms,
+        })
+    }
+}
+
+/// A message to the bench.
+#[derive(Serialize)]
+#[serde(tag = "cmd", rename_all = "camelCase", rename_all_fields = "camelCase")]
+pub enum Outbound<'a> {
+    Assign { i: &'a str, op_id: u64, target: &'a str },
+    DropAttempt { i: &'a str, op_id: u64, go: u32 },
+    Reject { i: &'a str, op_id: u64, backoff_ms: f64 },
+    DropRequest { i: &'a str, op_id: u64 },
+    Timer { i: &'a str, in_ms: f64, token: u64 },
+    Observe { i: &'a str, active: bool },
+    Next,
+}
+
+impl<'a> Outbound<'a> {
+    /// The wire's form of an action.
+    pub fn from_action(
+        i: &'a str,
+        action: &Action,
+        name_of: impl Fn(NodeId) -> Result<&'a str, String>,
+    ) -> Result<Self, String> {
+        Ok(match *action {
+            Action::Send { request, node } => {
+                Outbound::Assign { i, op_id: request.0, target: name_of(node)? }
+            }
+            Action::Cancel { request, attempt } => {
+                Outbound::DropAttempt { i, op_id: request.0, go: attempt.0 }
+            }
+            Action::Refuse { request, retry_after } => {
+                Outbound::Reject { i, op_id: request.0, backoff_ms: retry_after }
+            }
+            Action::Fail { request } => Outbound::DropRequest { i, op_id: request.0 },
+            Action::Wake { after } => Outbound::Timer { i, in_ms: after, token: 0 },
+            Action::Subscribe => Outbound::Observe { i, active: true },
+        })
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-drill/tests/wire.rs
@@ -0,0 +1,84 @@
+//! The built adapter, fed batches on standard input.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const SPAWN: &str = r#"{"cmd":"spawn","i":"initiator-0","initSeed":7,"params":{"balancers":1,"unknownKey":[1],"caps":{"cancel":true,"maxAttempts":3,"maxRetryAfterMs":500.0,"retryAfter":true,"secondCopies":false},"classes":[{"aimMs":250.0,"deadlineMs":1500.0,"dedupWindowMs":5000.0,"group":"all","lateValue":0.15,"name":"read","semantics":"repeatable","stream":false,"worth":3.0}],"familyInfo":{"coldBears":5.0,"fairWorth":0.35,"idleWorth":0.1,"mostUnits":8,"unitMean":2.14},"grades":[{"baseRate":3.6,"floorRate":0.0,"name":"basic","price":0.8,"weight":1.0}],"registryMode":"pushed","rules":{"askWithinMs":10000.0,"coldFrom":0.16,"coldMs":15000.0,"fallMs":1000.0,"fallMultiple":4.0},"tickMs":2.0}}"#;
+const LIST: &str = r#"{"cmd":"endpoints","i":"initiator-0","serial":1,"scope":"C","elements":[{"bootTimeMs":null,"target":"10.0.0.1:80","readiness":"SERVING","size":1,"area":"room","kind":"std","pod":0}]}"#;
+const KNOCK: &str = r#"{"cmd":"knock","i":"initiator-0","opId":2669718875574724,"class":"read","plan":"basic","extent":"91f03b7c55d20a64","validUntilMs":2500.0,"volume":"2b8e6401d9f37c10","priceUnits":2,"shard":0,"writers":1,"opts":1}"#;
+const MARK: &str = r#"{"cmd":"mark","atTimeMs":1000.0}"#;
+const EOB: &str = r#"{"cmd":"eob"}"#;
+const NEXT: &str = r#"{"cmd":"next"}"#;
+
+fn play(lines: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_flaxstand-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    let mut text = lines.join("\n");
+    text.push('\n');
+    // A refused line may close the pipe before all is written.
+    let _ = child.stdin.take().expect("a pipe").write_all(text.as_bytes());
+    child.wait_with_output().expect("the adapter ends")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).expect("UTF-8")
+}
+
+#[test]
+fn a_batch_gets_its_actions_and_one_next() {
+    let output = play(&[MARK, SPAWN, LIST, KNOCK, EOB, MARK, EOB]);
+    assert!(output.status.success());
+    let text = stdout(&output);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines[0],
+        r#"{"cmd":"assign","i":"initiator-0","opId":2669718875574724,"target":"10.0.0.1:80"}"#
+    );
+    assert_eq!(lines.iter().filter(|line| **line == NEXT).count(), 2);
+    assert_eq!(lines.last(), Some(&NEXT));
+}
+
+#[test]
+fn the_end_of_input_ends_the_adapter_well() {
+    let output = play(&[MARK, EOB]);
+    assert!(output.status.success());
+    assert_eq!(stdout(&output), format!("{NEXT}\n"));
+}
+
+#[test]
+fn a_restart_in_one_batch_forgets_everything() {
+    let off = r#"{"cmd":"powerOff","i":"initiator-0"}"#;
+    let output = play(&[MARK, SPAWN, LIST, KNOCK, off, SPAWN, EOB]);
+    assert!(output.status.success());
+    assert_eq!(stdout(&output), format!("{NEXT}\n"));
+}
+
+#[test]
+fn malformed_input_is_told_on_standard_error_without_a_panic() {
+    let other = KNOCK.replace("initiator-0", "initiator-5");
+    let no_id = KNOCK.replace(r#""opId":2669718875574724,"#, "");
+    let strange = KNOCK.replace(r#""class":"read""#, r#""class":"scan""#);
+    let bad_key = KNOCK.replace("91f03b7c55d20a64", "not hex");
+    let cases: [(&str, Vec<&str>); 9] = [
+        ("not JSON", vec![MARK, "{"]),
+        ("unknown command", vec![MARK, r#"{"cmd":"dance","i":"initiator-0"}"#]),
+        ("missing field", vec![MARK, SPAWN, &no_id, EOB]),
+        ("unknown instance", vec![MARK, SPAWN, &other, EOB]),
+        ("unknown class", vec![MARK, SPAWN, &strange, EOB]),
+        ("a key that is none", vec![MARK, SPAWN, &bad_key, EOB]),
+        ("missing eob", vec![MARK, SPAWN]),
+        ("outside a batch", vec![EOB]),
+        ("mark in a batch", vec![MARK, MARK, EOB]),
+    ];
+    for (what, lines) in cases {
+        let output = play(&lines);
+        let message = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{what}: {message}");
+        assert!(message.starts_with("flaxstand-drill: "), "{what}: {message}");
+        assert!(!message.contains("panicked"), "{what}: {message}");
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! flaxstand: a host-side scheduler for a shared disk pool.
+//!
+//! [`api`] is the interface (settings, events, actions, ids); [`brain`] holds every decision.
+//! Neither does I/O, reads a clock or keeps global state.
+#![forbid(unsafe_code)]
+
+pub mod api;
+pub mod brain;
--- /dev/null
+++ b/tests/health.rs
@@ -0,0 +1,129 @@
+//! Health judged from own attempts, the bound under a long queue, and what gives way under overload.
+
+mod common;
+
+use common::*;
+use flaxstand::api::*;
+
+#[test]
+fn a_silent_node_gets_no_more_and_its_new_objects_are_drawn_again() {
+    let mut host = Host::new(settings(), 2);
+    host.warm_up(100, 0, 20.0);
+    host.warm_up(101, 1, 20.0);
+    host.arrive(arrival(1, None, host.now + 1500.0));
+    let node = host.sends()[0].1;
+    host.pass(150.0);
+    assert_eq!(host.take(), [], "a usual pause is not a hang");
+    host.pass(100.0);
+    let call_off = Action::Cancel { request: RequestId(1), attempt: AttemptNo(0) };
+    assert!(host.take().contains(&call_off));
+    host.arrive(arrival(2, Some(i64::from(node)), host.now + 1500.0));
+    assert_eq!(host.sends(), [], "what is bound to it waits");
+    // Another attempt keeps the node silent while the first comes back and is drawn again.
+    host.end(1, 0, Outcome::Cancelled, 250.0);
+    assert!(host.sends().iter().any(|(id, at)| (*id, *at) == (1, 1 - node)) || node == 0);
+}
+
+#[test]
+fn a_failing_node_gets_single_canaries_and_recovers_on_an_answer() {
+    let mut host = Host::new(Settings { max_attempts: 1, ..settings() }, 1);
+    for id in 0..2 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+        host.end(id, 0, Outcome::ConnectFailed, 1.0);
+    }
+    host.take();
+    for id in 10..15 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+    }
+    assert_eq!(host.sends(), []);
+    host.pass(200.0);
+    let canary = host.sends();
+    assert_eq!(canary.len(), 1, "one canary");
+    host.end(canary[0].0, 0, Outcome::Served, 5.0);
+    assert!(host.sends().len() > 1, "an answer lets the rest go");
+}
+
+#[test]
+fn new_objects_keep_away_from_suspects_unless_all_are() {
+    let mut host = Host::new(Settings { max_attempts: 1, ..settings() }, 2);
+    for id in 0..2 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+        host.end(id, 0, Outcome::ConnectFailed, 1.0);
+    }
+    host.take();
+    for id in 10..30 {
+        host.arrive(arrival(id, None, host.now + 1500.0));
+        for (id, node) in host.sends() {
+            assert_eq!(node, 1);
+            host.end(id, 0, Outcome::Served, 5.0);
+        }
+    }
+    for id in 40..42 {
+        host.arrive(arrival(id, Some(1), host.now + 1500.0));
+        host.end(id, 0, Outcome::ConnectFailed, 1.0);
+    }
+    host.take();
+    host.arrive(arrival(50, None, host.now + 1500.0));
+    host.pass(500.0);
+    assert_eq!(host.sends().len(), 1, "all suspect: placed as if none were");
+}
+
+#[test]
+fn the_bound_shrinks_when_the_nodes_queue_grows() {
+    let mut host = Host::new(settings(), 1);
+    for id in 0..40 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+    }
+    let mut out: std::collections::VecDeque<u64> = host.sends().into_iter().map(|(id, _)| id).collect();
+    let before = out.len();
+    for round in 0..20 {
+        let Some(id) = out.pop_front() else { break };
+        host.now += 190.0;
+        host.end(id, 0, Outcome::Served, if round == 0 { 10.0 } else { 180.0 });
+        out.extend(host.sends().into_iter().map(|(id, _)| id));
+        host.arrive(arrival(100 + round, Some(0), host.now + 1500.0));
+        out.extend(host.sends().into_iter().map(|(id, _)| id));
+    }
+    assert!(out.len() < before && !out.is_empty(), "{} of {before}", out.len());
+}
+
+#[test]
+fn under_overload_what_is_inside_the_reserve_goes_first() {
+    let mut s = settings();
+    s.plans.push(plan(40.0));
+    let mut host = Host::new(s, 1);
+    for id in 1000..1010 {
+        host.warm_up(id, 0, 40.0);
+    }
+    // More of a volume without a reserve than can make its aim, then one request inside a reserve.
+    for id in 0..30 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+    }
+    host.now += 1.0;
+    let reserved =
+        Arrival { plan: PlanId(1), volume: VolumeId(2), ..arrival(99, Some(0), host.now + 1500.0) };
+    host.arrive(reserved);
+    let first: Vec<u64> = host.sends().into_iter().map(|(id, _)| id).collect();
+    let mut sent = vec![];
+    for id in first {
+        host.now += 40.0;
+        host.end(id, 0, Outcome::Served, 40.0);
+        sent.extend(host.sends().into_iter().map(|(id, _)| id));
+    }
+    assert!(sent.contains(&99), "{sent:?}");
+}
+
+#[test]
+fn what_cannot_be_served_in_its_clients_time_is_refused_at_once_with_advice() {
+    let mut host = Host::new(settings(), 1);
+    for id in 1000..1010 {
+        host.warm_up(id, 0, 100.0);
+    }
+    for id in 0..60 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+    }
+    host.end(0, 0, Outcome::Served, 100.0);
+    let actions = host.take();
+    let advised = |a: &&Action| matches!(a, Action::Refuse { retry_after, .. } if *retry_after > 0.0);
+    assert!(actions.iter().filter(advised).count() > 10);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,254 @@
+//! Each rule that the module keeps: a test fails when its guard is taken out.
+
+mod common;
+
+use common::*;
+use flaxstand::api::*;
+
+fn keyed(group: RepeatGroup, window: Ms) -> Settings {
+    let mut s = settings();
+    s.classes[0].effect = Effect::Keyed { group, window };
+    s
+}
+
+#[test]
+fn a_held_request_is_answered_before_its_client_leaves() {
+    let mut host = Host::new(settings(), 0);
+    host.arrive(arrival(1, Some(0), host.now + 400.0));
+    host.pass(370.0);
+    assert_eq!(host.take(), []);
+    host.pass(29.0);
+    assert!(refused(&host.take(), 1));
+    host.pass(500.0);
+    assert_eq!(host.take(), [], "one final answer, nothing after it");
+}
+
+#[test]
+fn a_time_out_at_the_clients_deadline_is_answered_at_once() {
+    let mut host = Host::new(settings(), 1);
+    host.arrive(arrival(1, Some(0), host.now + 400.0));
+    assert_eq!(host.sends(), [(1, 0)]);
+    host.now += 400.0;
+    host.end(1, 0, Outcome::TimedOut, 400.0);
+    assert_eq!(host.take(), [Action::Fail { request: RequestId(1) }]);
+}
+
+#[test]
+fn nothing_is_sent_for_a_request_that_its_client_left() {
+    let mut host = Host::new(settings(), 1);
+    host.tell(Event::Arrived(arrival(1, Some(0), host.now + 400.0)));
+    host.tell(Event::ClientGone(RequestId(1)));
+    host.pass(500.0);
+    assert_eq!(host.take(), []);
+}
+
+#[test]
+fn attempts_of_a_request_are_never_out_together_and_stay_within_the_cap() {
+    let mut host = Host::new(settings(), 1);
+    host.arrive(arrival(1, Some(0), host.now + 1500.0));
+    for attempt in 0..3 {
+        host.pass(100.0);
+        assert_eq!(host.sends(), [(1, 0)], "attempt {attempt}");
+        host.end(1, attempt, Outcome::Error, 5.0);
+    }
+    assert!(refused(&host.take(), 1), "no attempt is left: the answer comes at once");
+}
+
+#[test]
+fn a_draining_or_absent_node_gets_nothing_new() {
+    let mut host = Host::new(settings(), 2);
+    host.list(ListScope::Changes, vec![entry(0, Readiness::Draining, None)]);
+    host.arrive(arrival(1, Some(0), host.now + 300.0));
+    assert_eq!(host.sends(), []);
+    host.list(ListScope::Full, vec![entry(0, Readiness::Serving, None)]);
+    host.arrive(arrival(2, Some(1), host.now + 300.0));
+    assert_eq!(host.sends(), [(1, 0)], "back in the list; node 1 is absent from it");
+    host.list(ListScope::Failed, vec![]);
+    host.end(1, 0, Outcome::Served, 20.0);
+    host.arrive(arrival(3, Some(0), host.now + 300.0));
+    assert_eq!(host.sends(), [(3, 0)], "a failed call changes nothing");
+}
+
+#[test]
+fn a_successor_takes_over_its_shard() {
+    let mut host = Host::new(settings(), 1);
+    let successor =
+        NodeEntry { shard: ShardId(0), ..entry(9, Readiness::Serving, Some(host.now - 50_000.0)) };
+    host.list(ListScope::Changes, vec![entry(0, Readiness::Gone, None), successor]);
+    host.arrive(arrival(1, Some(0), host.now + 300.0));
+    assert_eq!(host.sends(), [(1, 9)]);
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_and_again_after_a_failure() {
+    let mut s = settings();
+    s.list_on_request = true;
+    let mut host = Host::new(s, 1);
+    host.tell(Event::Decide);
+    assert_eq!(host.take(), [Action::Subscribe]);
+    host.pass(1000.0);
+    assert_eq!(host.take(), []);
+    host.list(ListScope::Failed, vec![]);
+    host.pass(5000.0);
+    assert_eq!(host.take(), [Action::Subscribe]);
+}
+
+/// Plays a cold node that answers each attempt with `outcome` after `lag`, and returns the most units
+/// that this host sent it within any second.
+fn most_sent_cold(outcome: Outcome, lag: Ms) -> f64 {
+    let mut host = Host::new(settings(), 2);
+    for id in 0..20 {
+        host.warm_up(1000 + id, 1, 20.0);
+    }
+    host.list(ListScope::Changes, vec![entry(0, Readiness::Serving, Some(host.now))]);
+    let (mut sends, mut out): (Vec<Ms>, Vec<(Ms, u64, u32)>) = (vec![], vec![]);
+    let mut attempts = std::collections::BTreeMap::new();
+    for id in 0..600 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+        host.pass(5.0);
+        for (id, node) in host.sends() {
+            assert_eq!(node, 0);
+            let attempt = attempts.entry(id).or_insert(0);
+            sends.push(host.now);
+            out.push((host.now + lag, id, *attempt));
+            *attempt += 1;
+        }
+        let now = host.now;
+        for (_, id, attempt) in out.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
+            host.end(id, attempt, outcome, lag);
+        }
+    }
+    let within = |at: &Ms| sends.iter().filter(|s| *s >= at && **s < at + 1000.0).count();
+    sends.iter().map(within).max().unwrap_or(0) as f64
+}
+
+#[test]
+fn a_cold_node_gets_at_most_this_hosts_part_even_when_it_rejects_fast() {
+    for (outcome, lag) in [(Outcome::Served, 4.0), (Outcome::Full, 1.0)] {
+        let most = most_sent_cold(outcome, lag);
+        // 4 x its capacity three seconds after the start (0.44), at 20 ms a unit, halved for two hosts.
+        assert!(most > 1.0 && most <= 4.0 * 0.44 * 1000.0 / 20.0 / 2.0, "{outcome:?}: {most}");
+    }
+}
+
+#[test]
+fn a_once_request_goes_again_only_when_it_never_ran() {
+    let mut s = settings();
+    s.classes[0].effect = Effect::Once;
+    let mut host = Host::new(s, 1);
+    host.arrive(arrival(1, Some(0), host.now + 1500.0));
+    host.end(1, 0, Outcome::Full, 1.0);
+    host.pass(100.0);
+    assert_eq!(host.sends(), [(1, 0), (1, 0)]);
+    host.end(1, 1, Outcome::Error, 5.0);
+    host.pass(300.0);
+    assert_eq!(host.take(), [Action::Fail { request: RequestId(1) }], "not refused: it may have run");
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_window() {
+    let mut host = Host::new(keyed(RepeatGroup::Cell, 300.0), 4);
+    host.arrive(arrival(1, None, host.now + 1500.0));
+    let first = host.sends()[0].1;
+    host.end(1, 0, Outcome::Error, 5.0);
+    host.pass(100.0);
+    assert_eq!(host.sends(), [(1, first)], "the same cell");
+    host.pass(150.0);
+    host.end(1, 1, Outcome::Error, 250.0);
+    host.pass(60.0);
+    host.take();
+    host.end(1, 2, Outcome::Error, 5.0);
+    host.pass(2000.0);
+    assert_eq!(host.sends(), [], "the window has passed");
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_is_refused_only_if_all_nodes_drop_repeats() {
+    for (group, refuse) in [(RepeatGroup::All, true), (RepeatGroup::Zone, false), (RepeatGroup::Cell, false)]
+    {
+        let mut host = Host::new(keyed(group, 50.0), 2);
+        host.arrive(arrival(1, Some(0), host.now + 400.0));
+        host.end(1, 0, Outcome::Reset, 5.0);
+        host.pass(100.0);
+        host.pass(290.0);
+        let actions = host.take();
+        assert_eq!((refused(&actions, 1), failed(&actions, 1)), (refuse, !refuse), "{group:?}");
+    }
+}
+
+#[test]
+fn requests_of_a_key_take_turns_and_the_key_rests_after_a_time_out() {
+    let mut s = settings();
+    s.classes[0].in_order = true;
+    s.key_rest = 200.0;
+    s.max_attempts = 1;
+    let mut host = Host::new(s, 1);
+    let with_key = |id, until| Arrival { key: Some(Key(5)), ..arrival(id, Some(0), until) };
+    for id in [1, 2, 3] {
+        host.arrive(with_key(id, host.now + 1500.0));
+    }
+    assert_eq!(host.sends(), [(1, 0)]);
+    host.end(1, 0, Outcome::Served, 20.0);
+    assert_eq!(host.sends(), [(2, 0)]);
+    // The client leaves, but the attempt has no outcome yet: the turn does not pass on.
+    host.tell(Event::ClientGone(RequestId(2)));
+    host.pass(100.0);
+    assert_eq!(host.sends(), []);
+    host.end(2, 0, Outcome::Reset, 150.0);
+    host.pass(195.0);
+    assert_eq!(host.sends(), [], "the key rests");
+    host.pass(10.0);
+    assert_eq!(host.sends(), [(3, 0)]);
+}
+
+#[test]
+fn further_attempts_stay_within_the_budget() {
+    let mut s = settings();
+    s.budget = Some(Budget { floor: 2.0, ratio: 0.1, span: 5000.0 });
+    s.max_attempts = 50;
+    let mut host = Host::new(s, 1);
+    let mut further = 0;
+    for id in 0..10 {
+        host.arrive(arrival(id, Some(0), host.now + 1500.0));
+        for attempt in 0.. {
+            host.pass(20.0);
+            let sends = host.sends();
+            if sends.is_empty() {
+                break;
+            }
+            further += usize::from(attempt > 0);
+            host.end(id, attempt, Outcome::Full, 1.0);
+        }
+        host.tell(Event::ClientGone(RequestId(id)));
+    }
+    assert_eq!(further, 3, "2 and a tenth of 10 requests");
+}
+
+#[test]
+fn a_limit_is_kept_by_an_even_part_from_empty() {
+    let mut s = settings();
+    s.plans[0].limit_rate = 20.0;
+    s.plans[0].limit_burst = 32.0;
+    let mut host = Host::new(s, 1);
+    let mut sent = 0.0;
+    for id in 0..200 {
+        host.arrive(Arrival { writers: 2, ..arrival(id, Some(0), host.now + 1500.0) });
+        host.pass(20.0);
+        for (id, _) in host.sends() {
+            sent += 1.0;
+            host.end(id, 0, Outcome::Served, 10.0);
+        }
+    }
+    // Four seconds at half of 20 units a second.
+    assert!((30.0..=40.0).contains(&sent), "{sent}");
+}
+
+#[test]
+fn a_streamed_answer_that_started_belongs_to_the_client() {
+    let mut host = Host::new(settings(), 1);
+    host.arrive(arrival(1, Some(0), host.now + 300.0));
+    host.take();
+    host.tell(Event::AnswerStarted(RequestId(1)));
+    host.pass(2000.0);
+    assert_eq!(host.take(), [], "neither called off nor answered");
+}
