--- a/src/brain.rs
+++ b/src/brain.rs
@@ -90,6 +90,8 @@
     /// Time between units of this host leaving the node while it is kept busy, ms.
     drain: Option<f64>,
     lag: Option<f64>,
+    /// Part of the lag that was wait in the node's queue, ms.
+    queued: Option<f64>,
     fails: u32,
     next_canary: Ms,
     /// Units sent lately, for the usage term.
@@ -113,6 +115,7 @@
             unit_time: None,
             drain: None,
             lag: None,
+            queued: None,
             fails: 0,
             next_canary: Ms::MIN,
             sent: Fading::default(),
@@ -206,6 +209,7 @@
                 self.drain = blend(self.drain, ended.lag / out.ahead.max(1.0), NEWEST);
                 self.lag = blend(self.lag, ended.lag, NEWEST);
                 let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
+                self.queued = blend(self.queued, queued.max(0.0), NEWEST);
                 if queued <= queue_target {
                     if filled {
                         self.depth = (self.depth + 1.0 / self.depth).min(DEPTH_MOST);
@@ -332,7 +336,9 @@
 struct Waiting {
     id: RequestId,
     due: Ms,
+    /// Time that it takes of the node's pace, and time from its sending to its answer.
     cost: Ms,
+    lag: Ms,
     /// Worth a unit if served in time, and if late.
     worth: f64,
     late: f64,
@@ -708,33 +714,32 @@
     ) -> Option<RequestId> {
         let mut queue = self.rank(ids, at, now);
         queue.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.id.cmp(&y.id)));
-        let node = &self.nodes[&at];
-        let start = now + node.units_out() * node.drain.unwrap_or(0.0);
-        let mut clock = start;
-        let (mut kept, mut late): (Vec<Waiting>, Vec<Waiting>) = (Vec::new(), Vec::new());
+        let (mut wait, mut kept, mut late) = (0.0, Vec::<Waiting>::new(), Vec::<Waiting>::new());
         for w in queue {
-            if start + w.cost > w.due {
+            if now + w.lag > w.due {
                 late.push(w);
                 continue;
             }
-            clock += w.cost;
+            let lateness = now + wait + w.lag - w.due;
+            wait += w.cost;
             kept.push(w);
-            if clock > w.due
+            if lateness > 0.0
                 && let Some(least) = (0..kept.len()).min_by(|x, y| kept[*x].worth.total_cmp(&kept[*y].worth))
             {
                 let gone = kept.remove(least);
-                clock -= gone.cost;
+                wait -= gone.cost;
                 late.push(gone);
             }
         }
         late.sort_by(|x, y| y.late.total_cmp(&x.late).then(x.due.total_cmp(&y.due)).then(x.id.cmp(&y.id)));
-        let first_late = if kept.is_empty() { late.first().map(|w| w.id) } else { None };
+        let in_time = |w: &&Waiting| now + w.lag <= w.valid_until;
+        let first_late = if kept.is_empty() { late.iter().find(in_time).map(|w| w.id) } else { None };
         for w in &late {
-            clock += w.cost;
-            if clock > w.valid_until && Some(w.id) != first_late {
-                clock -= w.cost;
+            if now + wait + w.lag > w.valid_until {
                 self.finish(w.id, false, actions);
                 ids.retain(|id| *id != w.id);
+            } else {
+                wait += w.cost;
             }
         }
         kept.first().map(|w| w.id).or(first_late)
@@ -744,6 +749,8 @@
     fn rank(&self, ids: &[RequestId], at: NodeId, now: Ms) -> Vec<Waiting> {
         let node = &self.nodes[&at];
         let drain = node.drain.unwrap_or_else(|| self.usual_unit_time());
+        let unit_time = node.unit_time.unwrap_or_else(|| self.usual_unit_time());
+        let queued = node.queued.unwrap_or(0.0);
         let weight = |v: &VolumeId| self.volumes.get(v).map_or(1.0, |v| self.s.plans[v.plan.0].weight);
         let beyond: f64 = node.beyond.values().map(|f| f.get(now)).sum();
         let weights: f64 = node.beyond.iter().filter(|(_, f)| f.get(now) > 0.5).map(|(v, _)| weight(v)).sum();
@@ -771,6 +778,7 @@
                     id: r.a.id,
                     due: r.due,
                     cost: r.a.units * drain,
+                    lag: queued + r.a.units * unit_time,
                     worth: worth * tier,
                     late: worth * tier * class.late_value,
                     valid_until: r.a.valid_until,
