--- a/src/brain.rs
+++ b/src/brain.rs
@@ -205,7 +205,7 @@
                 self.fails = 0;
                 let pace = ended.lag / out.units.max(1.0);
                 let falling = self.unit_time.is_none_or(|t| pace < t);
-                self.unit_time = blend(self.unit_time, pace, if falling { NEWEST } else { NEWEST / 20.0 });
+                self.unit_time = blend(self.unit_time, pace, if falling { NEWEST } else { NEWEST / 100.0 });
                 self.drain = blend(self.drain, ended.lag / out.ahead.max(1.0), NEWEST);
                 self.lag = blend(self.lag, ended.lag, NEWEST);
                 let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
