Requests are due by their client's leaving; hurried time-outs are no failure

Should also hold against requests that reach a host late; may refuse too much where a node's lag is overestimated for long.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -162,8 +162,11 @@
     /// Whether the oldest attempt has been out far longer than usual: the node hangs, died unheard,
     /// or lost its power to something else. No more is sent until it answers.
     fn silent(&self, tightest_aim: Ms, now: Ms) -> bool {
-        let patience = (SUSPECT_LAGS * self.lag.unwrap_or(0.0)).max(tightest_aim);
-        self.out.iter().any(|o| now - o.sent > patience)
+        self.out.iter().any(|o| now - o.sent > self.patience(tightest_aim))
+    }
+
+    fn patience(&self, tightest_aim: Ms) -> Ms {
+        (SUSPECT_LAGS * self.lag.unwrap_or(0.0)).max(tightest_aim)
     }
 
     fn suspect(&self, tightest_aim: Ms, now: Ms) -> bool {
@@ -187,13 +190,12 @@
         self.out.push(Out { request, attempt, sent: now, units, ahead });
         self.sent.add(units, now);
         self.cold_sends.push_back((now, units));
-        while self.cold_sends.front().is_some_and(|(at, _)| now - at >= fall_time) {
-            self.cold_sends.pop_front();
-        }
+        self.cold_sends.retain(|(at, _)| now - at < fall_time);
     }
 
     /// Learns from an attempt's end: health from failures in a row, pace and depth from the lag.
-    fn note_ended(&mut self, ended: &Ended, queue_target: Ms, now: Ms) {
+    fn note_ended(&mut self, ended: &Ended, tightest_aim: Ms, now: Ms) {
+        let patience = self.patience(tightest_aim);
         let at = |o: &Out| o.request == ended.request && o.attempt == ended.attempt;
         let Some(index) = self.out.iter().position(at) else {
             return;
@@ -210,7 +212,7 @@
                 self.lag = blend(self.lag, ended.lag, NEWEST);
                 let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
                 self.queued = blend(self.queued, queued.max(0.0), NEWEST);
-                if queued <= queue_target {
+                if queued <= QUEUE_SHARE * tightest_aim {
                     if filled {
                         self.depth = (self.depth + 1.0 / self.depth).min(DEPTH_MOST);
                     }
@@ -221,6 +223,8 @@
             }
             Outcome::Full => self.depth = (self.depth * CUT).max(DEPTH_LEAST),
             Outcome::Cancelled | Outcome::Moot => {}
+            // An impatient client says nothing about the node.
+            Outcome::TimedOut if ended.lag < patience => {}
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
                 self.fails = (self.fails + 1).min(16);
                 let wait = CANARY_FIRST * f64::from(1 << self.fails.saturating_sub(TRIP).min(8));
@@ -391,9 +395,7 @@
             Event::List(scope, entries) => self.listed(scope, &entries, now),
             Event::Arrived(arrival) => self.arrived(arrival, now),
             Event::AnswerStarted(id) => {
-                if let Some(r) = self.requests.get_mut(&id) {
-                    r.streaming = true;
-                }
+                self.requests.entry(id).and_modify(|r| r.streaming = true);
             }
             Event::Ended(ended) => self.ended(&ended, now, actions),
             Event::ClientGone(id) => self.over(id),
@@ -411,9 +413,7 @@
         }
         self.asks_failed = 0;
         if scope != ListScope::Changes {
-            for node in self.nodes.values_mut() {
-                node.readiness = Readiness::Gone;
-            }
+            self.nodes.values_mut().for_each(|n| n.readiness = Readiness::Gone);
         }
         for entry in entries {
             self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry)).told(entry);
@@ -424,7 +424,8 @@
         self.taken.push_back(now);
         let class = &self.s.classes[a.class.0];
         let stretch = class.aim_stretch * a.units * self.usual_unit_time();
-        let due = now + (class.aim + stretch).min(class.deadline);
+        // A client that leaves before the aim has passed must be answered before it leaves.
+        let due = (now + (class.aim + stretch).min(class.deadline)).min(a.valid_until);
         if let (true, Some(key)) = (class.in_order, a.key) {
             self.lines.entry(key).or_default().waiting.push_back(a.id);
         }
@@ -443,7 +444,6 @@
     }
 
     fn ended(&mut self, ended: &Ended, now: Ms, actions: &mut Vec<Action>) {
-        let queue_target = QUEUE_SHARE * self.tightest_aim;
         let Some(r) = self.requests.get_mut(&ended.request) else {
             return;
         };
@@ -456,7 +456,7 @@
         };
         let (class, id) = (&self.s.classes[r.a.class.0], ended.request);
         if let Some(node) = self.nodes.get_mut(&attempt.node) {
-            node.note_ended(ended, queue_target, now);
+            node.note_ended(ended, self.tightest_aim, now);
         }
         if ended.outcome == Outcome::Moot {
             self.further.retain(|(_, request, no)| (*request, *no) != (id, ended.attempt));
@@ -484,9 +484,7 @@
     }
 
     fn over(&mut self, id: RequestId) {
-        if let Some(r) = self.requests.get_mut(&id) {
-            r.over = true;
-        }
+        self.requests.entry(id).and_modify(|r| r.over = true);
         self.forget(id);
     }
 
@@ -523,19 +521,15 @@
             self.ask_at = None;
             actions.push(Action::Subscribe);
         }
-        for volume in self.volumes.values_mut() {
-            volume.fill(&self.s, now);
-        }
+        self.volumes.values_mut().for_each(|v| v.fill(&self.s, now));
         self.lines.retain(|_, line| !line.waiting.is_empty() || now < line.rest_until);
         self.expire(now, actions);
         self.call_off(now, actions);
         self.place(now);
         self.release(now, actions);
         if !self.requests.is_empty() || self.ask_at.is_some() {
-            let mut at = now + LOOK;
-            if self.requests.values().all(|r| !r.held()) {
-                at = now + self.tightest_aim / 4.0;
-            }
+            let waits = self.requests.values().any(Request::held);
+            let at = now + if waits { LOOK } else { self.tightest_aim / 4.0 };
             if self.wake_at.is_none_or(|w| w <= now || w > at) {
                 self.wake_at = Some(at);
                 actions.push(Action::Wake { after: at - now });
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -127,3 +127,26 @@
     let advised = |a: &&Action| matches!(a, Action::Refuse { retry_after, .. } if *retry_after > 0.0);
     assert!(actions.iter().filter(advised).count() > 10);
 }
+
+#[test]
+fn a_client_with_too_little_time_left_is_refused_at_once_and_nothing_is_sent() {
+    let mut host = Host::new(settings(), 1);
+    for id in 1000..1020 {
+        host.warm_up(id, 0, 100.0);
+    }
+    host.arrive(arrival(1, Some(0), host.now + 60.0));
+    assert_eq!(host.take(), [Action::Refuse { request: RequestId(1), retry_after: 500.0 }]);
+}
+
+#[test]
+fn impatient_clients_do_not_make_a_node_suspect() {
+    let mut host = Host::new(settings(), 1);
+    for id in 0..4 {
+        host.arrive(arrival(id, Some(0), host.now + 40.0));
+        host.now += 40.0;
+        host.end(id, 0, Outcome::TimedOut, 40.0);
+    }
+    host.take();
+    host.arrive(arrival(10, Some(0), host.now + 1500.0));
+    assert_eq!(host.sends(), [(10, 0)]);
+}
