--- a/src/brain.rs
+++ b/src/brain.rs
@@ -751,10 +751,7 @@
         let fair = if weights > 0.0 { beyond / weights } else { 0.0 };
         let mut left: BTreeMap<VolumeId, (f64, f64)> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
-        let worth = |r: &Request| self.s.classes[r.a.class.0].worth;
-        order.sort_by(|x, y| {
-            worth(y).total_cmp(&worth(x)).then(x.due.total_cmp(&y.due)).then(x.a.id.cmp(&y.a.id))
-        });
+        order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
         order
             .into_iter()
             .map(|r| {
@@ -762,10 +759,7 @@
                 let volume = &self.volumes[&r.a.volume];
                 let used = node.beyond.get(&r.a.volume).map_or(0.0, |f| f.get(now));
                 let (reserve, extra) = left.entry(r.a.volume).or_insert((volume.reserve, used));
-                let dearest = self.s.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
-                let plan = &self.s.plans[volume.plan.0];
-                let keep = (1.0 - class.worth / dearest) * plan.reserve_rate;
-                let tier = if *reserve >= r.a.units + keep {
+                let tier = if *reserve >= r.a.units {
                     *reserve -= r.a.units;
                     1.0
                 } else {
