--- a/src/brain.rs
+++ b/src/brain.rs
@@ -727,7 +727,8 @@
         }
         late.sort_by(|x, y| y.late.total_cmp(&x.late).then(x.due.total_cmp(&y.due)).then(x.id.cmp(&y.id)));
         let in_time = |w: &&Waiting| now + w.lag <= w.valid_until;
-        let first_late = if kept.is_empty() { late.iter().find(in_time).map(|w| w.id) } else { None };
+        let idle = kept.is_empty() && self.nodes[&at].out.is_empty();
+        let first_late = if idle { late.iter().find(in_time).map(|w| w.id) } else { None };
         for w in &late {
             if now + wait + w.lag > w.valid_until {
                 self.finish(w.id, false, actions);
