--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 const LATELY: Ms = 2000.0;
 /// Wait in a node's own queue that is let be, as a share of the tightest aim: the rest of the aim is
 /// for the work itself and for the wait in this host, where order still can be chosen.
-const QUEUE_SHARE: f64 = 0.12;
+const QUEUE_SHARE: f64 = 0.06;
 /// What a node's bound keeps of itself when its queue was longer than that.
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
