--- a/tests/health.rs
+++ b/tests/health.rs
@@ -36,7 +36,7 @@
         host.arrive(arrival(id, Some(0), host.now + 1500.0));
     }
     assert_eq!(host.sends(), []);
-    host.pass(200.0);
+    host.pass(100.0);
     let canary = host.sends();
     assert_eq!(canary.len(), 1, "one canary");
     host.end(canary[0].0, 0, Outcome::Served, 5.0);
