A bound below one request where hosts are many, kept by waiting

Should also hold for cold and slowed nodes; may leave a node idle where many hosts are configured but few use it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -7,7 +7,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     };
 }
@@ -155,18 +155,19 @@
 }
 
 /// A node's state in the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
     /// Takes work.
     Serving,
     /// Finishes its work; nothing new.
     Draining,
     /// Removed.
+    #[default]
     Gone,
 }
 
 /// An entry of the node list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct NodeEntry {
     /// The node.
     pub node: NodeId,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,8 +11,9 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
-/// Requests out at one node that always may be, so that its pace stays known.
-const DEPTH_LEAST: f64 = 1.0;
+/// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
+/// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
+const DEPTH_LEAST_ALL: f64 = 4.0;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Least fitness of a node that may be drawn (design page).
@@ -77,14 +78,14 @@
 }
 
 /// One storage node: readiness, warmth, health, requests out, pace.
+#[derive(Default)]
 struct Node {
-    readiness: Readiness,
-    shard: ShardId,
-    zone: ZoneId,
-    booted_at: Option<Ms>,
+    entry: NodeEntry,
     out: Vec<Out>,
     depth: f64,
     last_cut: Ms,
+    /// Where the bound is below 1: when the next request may leave.
+    next_send: Ms,
     /// Unloaded time of a unit, ms: falls fast, rises slowly.
     unit_time: Option<f64>,
     /// Time between units of this host leaving the node while it is kept busy, ms.
@@ -104,39 +105,21 @@
 
 impl Node {
     fn new(entry: &NodeEntry) -> Self {
-        Node {
-            readiness: entry.readiness,
-            shard: entry.shard,
-            zone: entry.zone,
-            booted_at: entry.booted_at,
-            out: Vec::new(),
-            depth: DEPTH_MOST / 2.0,
-            last_cut: Ms::MIN,
-            unit_time: None,
-            drain: None,
-            lag: None,
-            queued: None,
-            fails: 0,
-            next_canary: Ms::MIN,
-            sent: Fading::default(),
-            cold_sends: VecDeque::new(),
-            beyond: BTreeMap::new(),
-        }
+        Node { entry: entry.clone(), depth: DEPTH_MOST / 2.0, ..Node::default() }
     }
 
     /// The list speaks; a fresh start makes all that was learned of the old process void.
     fn told(&mut self, entry: &NodeEntry) {
-        if entry.booted_at.is_some() && entry.booted_at != self.booted_at {
+        if entry.booted_at.is_some() && entry.booted_at != self.entry.booted_at {
             let out = std::mem::take(&mut self.out);
-            *self = Node { out, depth: DEPTH_LEAST, ..Node::new(entry) };
+            *self = Node { out, depth: 1.0, ..Node::new(entry) };
         }
-        self.readiness = entry.readiness;
-        (self.shard, self.zone) = (entry.shard, entry.zone);
+        self.entry = entry.clone();
     }
 
     /// Share of its capacity that the node surely has; 1 once warm.
     fn warmth(&self, s: &Settings, now: Ms) -> f64 {
-        match self.booted_at {
+        match self.entry.booted_at {
             Some(at) if now < at + s.cold_time => {
                 s.cold_from + (1.0 - s.cold_from) * ((now - at).max(0.0) / s.cold_time)
             }
@@ -178,7 +161,9 @@
         if self.fails >= TRIP {
             return self.out.is_empty() && now >= self.next_canary;
         }
-        (self.out.len() as f64) < self.depth.floor() && !self.silent(tightest_aim, now)
+        (self.depth >= 1.0 || now >= self.next_send)
+            && (self.out.len() as f64) < self.depth.floor().max(1.0)
+            && !self.silent(tightest_aim, now)
     }
 
     fn units_out(&self) -> f64 {
@@ -194,7 +179,7 @@
     }
 
     /// Learns from an attempt's end: health from failures in a row, pace and depth from the lag.
-    fn note_ended(&mut self, ended: &Ended, tightest_aim: Ms, now: Ms) {
+    fn note_ended(&mut self, ended: &Ended, tightest_aim: Ms, least: f64, now: Ms) {
         let patience = self.patience(tightest_aim);
         let at = |o: &Out| o.request == ended.request && o.attempt == ended.attempt;
         let Some(index) = self.out.iter().position(at) else {
@@ -214,14 +199,15 @@
                 self.queued = blend(self.queued, queued.max(0.0), NEWEST);
                 if queued <= QUEUE_SHARE * tightest_aim {
                     if filled {
-                        self.depth = (self.depth + 1.0 / self.depth).min(DEPTH_MOST);
+                        self.depth = (self.depth + self.depth.min(1.0 / self.depth)).min(DEPTH_MOST);
                     }
                 } else if now - self.last_cut > ended.lag {
-                    self.depth = (self.depth * CUT).max(DEPTH_LEAST);
+                    self.depth = (self.depth * CUT).max(least);
                     self.last_cut = now;
                 }
+                self.next_send = now + ended.lag * (1.0 / self.depth - 1.0);
             }
-            Outcome::Full => self.depth = (self.depth * CUT).max(DEPTH_LEAST),
+            Outcome::Full => self.depth = (self.depth * CUT).max(least),
             Outcome::Cancelled | Outcome::Moot => {}
             // An impatient client says nothing about the node.
             Outcome::TimedOut if ended.lag < patience => {}
@@ -312,8 +298,8 @@
             Effect::Keyed { group, window } => {
                 let inside = match group {
                     RepeatGroup::All => true,
-                    RepeatGroup::Zone => first.zone == node.zone,
-                    RepeatGroup::Cell => first.shard == node.shard,
+                    RepeatGroup::Zone => first.zone == node.entry.zone,
+                    RepeatGroup::Cell => first.shard == node.entry.shard,
                 };
                 inside && now + tick < first.sent + window
             }
@@ -413,7 +399,7 @@
         }
         self.asks_failed = 0;
         if scope != ListScope::Changes {
-            self.nodes.values_mut().for_each(|n| n.readiness = Readiness::Gone);
+            self.nodes.values_mut().for_each(|n| n.entry.readiness = Readiness::Gone);
         }
         for entry in entries {
             self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry)).told(entry);
@@ -456,7 +442,8 @@
         };
         let (class, id) = (&self.s.classes[r.a.class.0], ended.request);
         if let Some(node) = self.nodes.get_mut(&attempt.node) {
-            node.note_ended(ended, self.tightest_aim, now);
+            let least = (DEPTH_LEAST_ALL / f64::from(self.s.initiators)).min(1.0);
+            node.note_ended(ended, self.tightest_aim, least, now);
         }
         if ended.outcome == Outcome::Moot {
             self.further.retain(|(_, request, no)| (*request, *no) != (id, ended.attempt));
@@ -581,9 +568,9 @@
     /// Gives every held request the node it waits for: its shard's, or one drawn by fitness.
     fn place(&mut self, now: Ms) {
         let mut by_shard: BTreeMap<ShardId, NodeId> = BTreeMap::new();
-        for (id, node) in self.nodes.iter().filter(|(_, n)| n.readiness == Readiness::Serving) {
-            let newest = by_shard.entry(node.shard).or_insert(*id);
-            if self.nodes[newest].booted_at.unwrap_or(0.0) < node.booted_at.unwrap_or(0.0) {
+        for (id, node) in self.nodes.iter().filter(|(_, n)| n.entry.readiness == Readiness::Serving) {
+            let newest = by_shard.entry(node.entry.shard).or_insert(*id);
+            if self.nodes[newest].entry.booted_at.unwrap_or(0.0) < node.entry.booted_at.unwrap_or(0.0) {
                 *newest = *id;
             }
         }
@@ -612,7 +599,8 @@
     /// The design's draw: proportional to queue term x usage term over the ready, allowed nodes.
     /// Suspects are left out unless all are; a cold node weighs what it surely can do.
     fn draw(&mut self, waiting: &BTreeMap<NodeId, f64>, now: Ms) -> Option<NodeId> {
-        let ready: Vec<_> = self.nodes.iter().filter(|(_, n)| n.readiness == Readiness::Serving).collect();
+        let ready: Vec<_> =
+            self.nodes.iter().filter(|(_, n)| n.entry.readiness == Readiness::Serving).collect();
         let well: Vec<_> =
             ready.iter().filter(|(_, n)| !n.suspect(self.tightest_aim, now)).copied().collect();
         let allowed = if well.is_empty() { ready } else { well };
@@ -625,22 +613,20 @@
         let heard: Vec<f64> =
             allowed.iter().filter(|(_, n)| n.lag.is_some()).map(|(id, n)| fitness(id, n)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let weights: Vec<(NodeId, f64)> = allowed
-            .iter()
-            .map(|(id, n)| {
-                let unheard = n.lag.is_none() && !heard.is_empty();
-                let plain = if unheard { average.min(fitness(id, n)) } else { fitness(id, n) };
-                (**id, plain * n.warmth(&self.s, now))
-            })
-            .collect();
+        let weigh = |(id, n): &(&NodeId, &Node)| {
+            let unheard = n.lag.is_none() && !heard.is_empty();
+            (
+                **id,
+                if unheard { average.min(fitness(id, n)) } else { fitness(id, n) } * n.warmth(&self.s, now),
+            )
+        };
+        let weights: Vec<(NodeId, f64)> = allowed.iter().map(weigh).collect();
         let mut point = self.random() * weights.iter().map(|(_, w)| w).sum::<f64>();
-        for (id, weight) in &weights {
+        let passes = |(_, weight): &&(NodeId, f64)| {
             point -= weight;
-            if point < 0.0 {
-                return Some(*id);
-            }
-        }
-        weights.last().map(|(id, _)| *id)
+            point < 0.0
+        };
+        weights.iter().find(passes).or(weights.last()).map(|(id, _)| *id)
     }
 
     fn release(&mut self, now: Ms, actions: &mut Vec<Action>) {
@@ -676,7 +662,7 @@
         };
         let volume = &self.volumes[&r.a.volume];
         let limited = self.s.plans[volume.plan.0].limit_rate > 0.0 && first;
-        node.readiness == Readiness::Serving
+        node.entry.readiness == Readiness::Serving
             && r.held()
             && now < r.a.valid_until
             && node.room(self.tightest_aim, now)
@@ -801,7 +787,13 @@
         let span = self.s.budget.map_or(0.0, |b| b.span) + self.s.tick;
         self.taken.retain(|at| now - at <= span);
         self.further.retain(|(at, ..)| now - at <= span);
-        r.attempts.push(Attempt { node: at, shard: node.shard, zone: node.zone, sent: now, ran: Ran::Out });
+        r.attempts.push(Attempt {
+            node: at,
+            shard: node.entry.shard,
+            zone: node.entry.zone,
+            sent: now,
+            ran: Ran::Out,
+        });
         node.note_sent(id, attempt, r.a.units, self.s.fall_time, now);
         actions.push(Action::Send { request: id, node: at });
     }
