--- a/tests/health.rs
+++ b/tests/health.rs
@@ -151,17 +151,17 @@
     assert_eq!(host.sends(), [(10, 0)]);
 }
 
-/// Sends to one node that answers every request late, in two seconds, with `initiators` hosts.
+/// Sends in two seconds to one node that long has answered every request late, with `initiators` hosts.
 fn sends_to_a_full_node(initiators: u32) -> usize {
     let mut host = Host::new(Settings { initiators, ..settings() }, 1);
     host.warm_up(1000, 0, 10.0);
     let (mut out, mut sent) = (Vec::new(), 0);
-    for id in 0..400 {
+    for id in 0..800 {
         host.arrive(arrival(id, Some(0), host.now + 1500.0));
         host.pass(5.0);
-        for (id, _) in host.sends() {
-            sent += 1;
-            out.push((host.now + 100.0, id));
+        for (sent_id, _) in host.sends() {
+            sent += usize::from(id >= 400);
+            out.push((host.now + 100.0, sent_id));
         }
         let now = host.now;
         for (_, id) in out.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
@@ -175,5 +175,5 @@
 fn with_many_hosts_each_sends_less_than_one_at_a_time_to_a_full_node() {
     let (few, many) = (sends_to_a_full_node(3), sends_to_a_full_node(16));
     assert!(few >= 18, "a few hosts keep one out each: {few}");
-    assert!(many <= 14 && many >= 5, "many hosts wait between sends: {many}");
+    assert!((3..=10).contains(&many), "many hosts wait between sends: {many}");
 }
