--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,7 +13,7 @@
 const DEPTH_MOST: f64 = 8.0;
 /// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
 /// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
-const DEPTH_LEAST_ALL: f64 = 2.0;
+const DEPTH_LEAST_ALL: f64 = 4.0;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Least fitness of a node that may be drawn (design page).
