--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,7 @@
 const LATELY: Ms = 2000.0;
 /// Wait in a node's own queue that is let be, as a share of the tightest aim: the rest of the aim is
 /// for the work itself and for the wait in this host, where order still can be chosen.
-const QUEUE_SHARE: f64 = 0.10;
+const QUEUE_SHARE: f64 = 0.06;
 /// What a node's bound keeps of itself when its queue was longer than that.
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
@@ -93,7 +93,6 @@
     lag: Option<f64>,
     /// Part of the lag that was wait in the node's queue, ms.
     queued: Option<f64>,
-    control: Option<f64>,
     fails: u32,
     next_canary: Ms,
     /// Units sent lately, for the usage term.
@@ -198,8 +197,7 @@
                 self.lag = blend(self.lag, ended.lag, NEWEST);
                 let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
                 self.queued = blend(self.queued, queued.max(0.0), NEWEST);
-                self.control = blend(self.control, queued, NEWEST);
-                if self.control.unwrap_or(0.0) <= QUEUE_SHARE * tightest_aim {
+                if queued <= QUEUE_SHARE * tightest_aim {
                     if filled {
                         self.depth = (self.depth + self.depth.min(1.0 / self.depth)).min(DEPTH_MOST);
                     }
