--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,8 +39,6 @@
 /// Share of the cold rule's allowance that is used: the rest is for what the estimate misses
 /// (handshakes, probes, a host that restarted and forgot what it sent).
 const COLD_SHARE: f64 = 0.7;
-/// Share of the requests lately whose clients left early, above which clients count as hurried.
-const HURRIED: f64 = 0.1;
 /// Longest wait between two looks at what is held, ms.
 const LOOK: Ms = 10.0;
 /// A held request is ended this long before its client leaves, ms, beyond one look and one tick.
@@ -271,7 +269,6 @@
 /// One request: attempts, due time, what may have run.
 struct Request {
     a: Arrival,
-    arrived: Ms,
     due: Ms,
     attempts: Vec<Attempt>,
     /// Where it waits: its fixed node, or for a new object the one drawn.
@@ -354,10 +351,6 @@
     wake_at: Option<Ms>,
     ask_at: Option<Ms>,
     asks_failed: u32,
-    /// Requests that came and clients that left early, lately; and how long these stayed, ms.
-    came: Fading,
-    left: Fading,
-    patience: Option<f64>,
 }
 
 impl Brain {
@@ -378,9 +371,6 @@
             wake_at: None,
             ask_at: settings.list_on_request.then_some(now),
             asks_failed: 0,
-            came: Fading::default(),
-            left: Fading::default(),
-            patience: None,
             s: settings,
         }
     }
@@ -394,7 +384,7 @@
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
             }
             Event::Ended(ended) => self.ended(&ended, now, actions),
-            Event::ClientGone(id) => self.gone(id, now),
+            Event::ClientGone(id) => self.over(id),
             Event::Decide => self.decide(now, actions),
         }
     }
@@ -418,7 +408,6 @@
 
     fn arrived(&mut self, a: Arrival, now: Ms) {
         self.taken.push_back(now);
-        self.came.add(1.0, now);
         let class = &self.s.classes[a.class.0];
         let stretch = class.aim_stretch * a.units * self.usual_unit_time();
         // A client that leaves before the aim has passed must be answered before it leaves.
@@ -437,8 +426,7 @@
         });
         volume.writers = volume.writers.max(f64::from(a.writers));
         let (attempts, node) = (Vec::new(), None);
-        self.requests
-            .insert(a.id, Request { a, arrived: now, due, attempts, node, over: false, streaming: false });
+        self.requests.insert(a.id, Request { a, due, attempts, node, over: false, streaming: false });
     }
 
     fn ended(&mut self, ended: &Ended, now: Ms, actions: &mut Vec<Action>) {
@@ -482,23 +470,6 @@
         self.forget(id);
     }
 
-    /// Learns how long clients stay that leave before they said they would.
-    fn gone(&mut self, id: RequestId, now: Ms) {
-        if let Some(r) = self.requests.get(&id).filter(|r| now + END_MARGIN < r.a.valid_until) {
-            self.left.add(1.0, now);
-            self.patience = blend(self.patience, now - r.arrived, NEWEST);
-        }
-        self.over(id);
-    }
-
-    /// When a request is due: while many clients leave early lately, a young one by the time they stay. One
-    /// whose client has stayed longer than that has a patient client.
-    fn due(&self, r: &Request, now: Ms) -> Ms {
-        let hurried = self.left.get(now) > HURRIED * self.came.get(now);
-        let leaves = r.arrived + self.patience.unwrap_or(Ms::INFINITY);
-        if hurried && now < leaves { r.due.min(leaves) } else { r.due }
-    }
-
     fn over(&mut self, id: RequestId) {
         self.requests.entry(id).and_modify(|r| r.over = true);
         self.forget(id);
@@ -786,7 +757,7 @@
                 let worth = class.worth * self.s.plans[volume.plan.0].price;
                 Waiting {
                     id: r.a.id,
-                    due: self.due(r, now),
+                    due: r.due,
                     cost: r.a.units * drain,
                     lag: queued + r.a.units * unit_time,
                     worth: worth * tier,
