--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,6 +11,8 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
+/// A bound at which a node counts as having room to spare for late requests.
+const SPARE_DEPTH: f64 = 2.0;
 /// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
 /// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
 const DEPTH_LEAST_ALL: f64 = 4.0;
@@ -713,7 +715,8 @@
         }
         late.sort_by(|x, y| y.late.total_cmp(&x.late).then(x.due.total_cmp(&y.due)).then(x.id.cmp(&y.id)));
         let in_time = |w: &&Waiting| now + w.lag <= w.valid_until;
-        let idle = kept.is_empty() && self.nodes[&at].out.is_empty();
+        let node = &self.nodes[&at];
+        let idle = kept.is_empty() && node.out.is_empty() && node.depth >= SPARE_DEPTH;
         let first_late = if idle { late.iter().find(in_time).map(|w| w.id) } else { None };
         for w in &late {
             if now + wait + w.lag > w.valid_until {
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -177,3 +177,21 @@
     assert!(few >= 18, "a few hosts keep one out each: {few}");
     assert!((3..=10).contains(&many), "many hosts wait between sends: {many}");
 }
+
+#[test]
+fn late_requests_leave_only_where_the_bound_shows_room_to_spare() {
+    let slow_then_late = |lag: Ms| {
+        let mut host = Host::new(settings(), 1);
+        host.warm_up(1000, 0, 10.0);
+        for id in 1001..1012 {
+            host.warm_up(id, 0, lag);
+        }
+        host.list(ListScope::Changes, vec![entry(0, Readiness::Draining, None)]);
+        host.arrive(arrival(1, Some(0), host.now + 1500.0));
+        host.pass(300.0);
+        host.list(ListScope::Changes, vec![entry(0, Readiness::Serving, None)]);
+        host.sends()
+    };
+    assert_eq!(slow_then_late(10.0), [(1, 0)], "past its aim, but the node has room");
+    assert_eq!(slow_then_late(120.0), [], "past its aim at a node with a queue");
+}
