--- a/src/brain.rs
+++ b/src/brain.rs
@@ -334,6 +334,8 @@
     /// Worth a unit if served in time, and if late.
     worth: f64,
     late: f64,
+    /// Beyond its volume's reserve and share.
+    spare: bool,
     valid_until: Ms,
 }
 
@@ -698,8 +700,9 @@
         queue.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.id.cmp(&y.id)));
         let (mut wait, mut kept, mut late) = (0.0, Vec::<Waiting>::new(), Vec::<Waiting>::new());
         for w in queue {
-            if now + w.lag > w.due {
-                late.push(w);
+            let timely = now + w.lag <= w.due;
+            if !timely || w.spare {
+                late.push(Waiting { late: if timely { w.worth } else { w.late }, ..w });
                 continue;
             }
             let lateness = now + wait + w.lag - w.due;
@@ -765,6 +768,7 @@
                     lag: queued + r.a.units * unit_time,
                     worth: worth * tier,
                     late: worth * tier * class.late_value,
+                    spare: tier <= self.s.spare_worth,
                     valid_until: r.a.valid_until,
                 }
             })
