--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,6 +11,8 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
+/// A volume is beyond its share where it was sent more than this many times the mean by weight lately.
+const FAIR_MEANS: f64 = 2.0;
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
 /// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
@@ -741,7 +743,7 @@
         let weight = |v: &VolumeId| self.volumes.get(v).map_or(1.0, |v| self.s.plans[v.plan.0].weight);
         let beyond: f64 = node.beyond.values().map(|f| f.get(now)).sum();
         let weights: f64 = node.beyond.iter().filter(|(_, f)| f.get(now) > 0.5).map(|(v, _)| weight(v)).sum();
-        let fair = if weights > 0.0 { beyond / weights } else { 0.0 };
+        let fair = if weights > 0.0 { FAIR_MEANS * beyond / weights } else { 0.0 };
         let mut left: BTreeMap<VolumeId, (f64, f64)> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
         order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
