--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,6 +15,8 @@
 const FAIR_MEANS: f64 = 2.0;
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
+/// A node that this host sent nothing for so many of its lags has room too, or a low bound never rises.
+const IDLE_LAGS: f64 = 2.0;
 /// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
 /// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
 const DEPTH_LEAST_ALL: f64 = 4.0;
@@ -88,6 +90,7 @@
     out: Vec<Out>,
     depth: f64,
     last_cut: Ms,
+    last_sent: Ms,
     /// Where the bound is below 1: when the next request may leave.
     next_send: Ms,
     /// Unloaded time of a unit, ms: falls fast, rises slowly.
@@ -178,6 +181,7 @@
         let ahead = self.units_out() + units;
         self.out.push(Out { request, attempt, sent: now, units, ahead });
         self.sent.add(units, now);
+        self.last_sent = now;
         self.cold_sends.push_back((now, units));
         self.cold_sends.retain(|(at, _)| now - at < fall_time);
     }
@@ -721,7 +725,8 @@
         late.sort_by(|x, y| y.late.total_cmp(&x.late).then(x.due.total_cmp(&y.due)).then(x.id.cmp(&y.id)));
         let in_time = |w: &&Waiting| now + w.lag <= w.valid_until;
         let node = &self.nodes[&at];
-        let idle = kept.is_empty() && node.out.is_empty() && node.depth >= SPARE_DEPTH;
+        let quiet = now - node.last_sent > IDLE_LAGS * node.lag.unwrap_or(0.0);
+        let idle = kept.is_empty() && node.out.is_empty() && (node.depth >= SPARE_DEPTH || quiet);
         let first_late = if idle { late.iter().find(in_time).map(|w| w.id) } else { None };
         for w in &late {
             if now + wait + w.lag > w.valid_until {
