--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,8 +15,8 @@
 const FAIR_MEANS: f64 = 2.0;
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
-/// A node that this host sent nothing for so many of its lags has room too, or a low bound never rises.
-const IDLE_LAGS: f64 = 2.0;
+/// A node left alone for so many lags may get timely units beyond the share, or no bound would rise.
+const IDLE_LAGS: f64 = 4.0;
 /// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
 /// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
 const DEPTH_LEAST_ALL: f64 = 4.0;
@@ -26,15 +26,13 @@
 const FITNESS_FLOOR: f64 = 0.01;
 /// How far back "lately" reaches for the usage term, ms: many requests, yet shorter than a trouble.
 const LATELY: Ms = 2000.0;
-/// Wait in a node's own queue that is let be, as a share of the tightest aim: the rest of the aim is
-/// for the work itself and for the wait in this host, where order still can be chosen.
+/// Wait in a node's queue that is let be, in tightest aims: waiting belongs here, where order is chosen.
 const QUEUE_SHARE: f64 = 0.06;
 /// What a node's bound keeps of itself when its queue was longer than that.
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
 const NEWEST: f64 = 0.2;
-/// An attempt out for this many times the node's usual lag, and no less than the tightest aim, makes
-/// the node suspect. Usual pauses stay below it.
+/// An attempt out for so many usual lags, and the tightest aim, makes a node suspect; pauses stay below.
 const SUSPECT_LAGS: f64 = 4.0;
 /// Failures in a row after which a node gets single canaries only.
 const TRIP: u32 = 2;
@@ -42,8 +40,7 @@
 const CANARY_FIRST: Ms = 50.0;
 /// Longest wait between canaries, ms.
 const CANARY_MOST: Ms = 400.0;
-/// Share of the cold rule's allowance that is used: the rest is for what the estimate misses
-/// (handshakes, probes, a host that restarted and forgot what it sent).
+/// Share used of the cold rule's allowance; the rest is for handshakes and what a restarted host forgot.
 const COLD_SHARE: f64 = 0.7;
 /// Longest wait between two looks at what is held, ms.
 const LOOK: Ms = 10.0;
@@ -459,7 +456,7 @@
             self.further.retain(|(_, request, no)| (*request, *no) != (id, ended.attempt));
         }
         let unsure = matches!(ended.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-        if let (true, true, Some(key)) = (class.in_order, unsure, r.a.key) {
+        if let (true, Some(key)) = (class.in_order && unsure, r.a.key) {
             self.lines.entry(key).or_default().rest_until = now + self.s.key_rest;
         }
         if let (Some(used), Some(v)) = (ended.used_percent, self.volumes.get_mut(&r.a.volume)) {
@@ -702,13 +699,12 @@
         now: Ms,
         actions: &mut Vec<Action>,
     ) -> Option<RequestId> {
-        let mut queue = self.rank(ids, at, now);
-        queue.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.id.cmp(&y.id)));
+        let queue = self.rank(ids, at, now);
         let (mut wait, mut kept, mut late) = (0.0, Vec::<Waiting>::new(), Vec::<Waiting>::new());
         for w in queue {
             let timely = now + w.lag <= w.due;
             if !timely || w.spare {
-                late.push(Waiting { late: if timely { w.worth } else { w.late }, ..w });
+                late.push(Waiting { late: if timely { w.worth } else { w.late }, spare: timely, ..w });
                 continue;
             }
             let lateness = now + wait + w.lag - w.due;
@@ -723,11 +719,11 @@
             }
         }
         late.sort_by(|x, y| y.late.total_cmp(&x.late).then(x.due.total_cmp(&y.due)).then(x.id.cmp(&y.id)));
-        let in_time = |w: &&Waiting| now + w.lag <= w.valid_until;
         let node = &self.nodes[&at];
         let quiet = now - node.last_sent > IDLE_LAGS * node.lag.unwrap_or(0.0);
-        let idle = kept.is_empty() && node.out.is_empty() && (node.depth >= SPARE_DEPTH || quiet);
-        let first_late = if idle { late.iter().find(in_time).map(|w| w.id) } else { None };
+        let room = |w: &&Waiting| node.depth >= SPARE_DEPTH || quiet && w.spare;
+        let fills = |w: &&Waiting| now + w.lag <= w.valid_until && node.out.is_empty() && room(w);
+        let filler = late.iter().find(fills).map(|w| w.id);
         for w in &late {
             if now + wait + w.lag > w.valid_until {
                 self.finish(w.id, false, actions);
@@ -736,10 +732,10 @@
                 wait += w.cost;
             }
         }
-        kept.first().map(|w| w.id).or(first_late)
+        kept.first().map(|w| w.id).or(filler)
     }
 
-    /// What each held request would earn a unit, by the tier of its volume that it falls into.
+    /// Earliest due first, what each held request would earn a unit, by the tier of its volume that it falls into.
     fn rank(&self, ids: &[RequestId], at: NodeId, now: Ms) -> Vec<Waiting> {
         let node = &self.nodes[&at];
         let drain = node.drain.unwrap_or_else(|| self.usual_unit_time());
