--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,10 +36,8 @@
 const SUSPECT_LAGS: f64 = 4.0;
 /// Failures in a row after which a node gets single canaries only.
 const TRIP: u32 = 2;
-/// First wait between canaries, ms; doubles up to the longest, about the time in which a list notices.
-const CANARY_FIRST: Ms = 50.0;
-/// Longest wait between canaries, ms.
-const CANARY_MOST: Ms = 400.0;
+/// First and longest wait between canaries, ms; it doubles up to about the time in which a list notices.
+const CANARY: (Ms, Ms) = (50.0, 400.0);
 /// Share used of the cold rule's allowance; the rest is for handshakes and what a restarted host forgot.
 const COLD_SHARE: f64 = 0.7;
 /// Longest wait between two looks at what is held, ms.
@@ -218,8 +216,8 @@
             Outcome::TimedOut if ended.lag < patience => {}
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
                 self.fails = (self.fails + 1).min(16);
-                let wait = CANARY_FIRST * f64::from(1 << self.fails.saturating_sub(TRIP).min(8));
-                self.next_canary = now + wait.min(CANARY_MOST);
+                let wait = CANARY.0 * f64::from(1 << self.fails.saturating_sub(TRIP).min(8));
+                self.next_canary = now + wait.min(CANARY.1);
             }
         }
     }
@@ -735,7 +733,7 @@
         kept.first().map(|w| w.id).or(filler)
     }
 
-    /// Earliest due first, what each held request would earn a unit, by the tier of its volume that it falls into.
+    /// Earliest due first, what each held request would earn a unit, by its volume's tier.
     fn rank(&self, ids: &[RequestId], at: NodeId, now: Ms) -> Vec<Waiting> {
         let node = &self.nodes[&at];
         let drain = node.drain.unwrap_or_else(|| self.usual_unit_time());
