--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,8 +11,8 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
-/// A volume is beyond its share above so many times the fair level: its estimate is coarse.
-const FAIR_SLACK: f64 = 1.25;
+/// A volume is beyond its share where it was sent more than this many times the mean by weight lately.
+const FAIR_MEANS: f64 = 2.0;
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
 /// A node left alone for so many lags may get timely units beyond the share, or no bound would rise.
@@ -63,19 +63,6 @@
     }
 }
 
-/// The level by weight at which `given` units, dealt out fairly among `(asked, weight)`, run out.
-fn fair_level(mut asked: Vec<(f64, f64)>, mut given: f64) -> f64 {
-    asked.sort_by(|x, y| (x.0 / x.1).total_cmp(&(y.0 / y.1)));
-    let mut weights: f64 = asked.iter().map(|(_, w)| w).sum();
-    for (units, weight) in asked {
-        if units / weight * weights >= given {
-            return given / weights;
-        }
-        (given, weights) = (given - units, weights - weight);
-    }
-    f64::INFINITY
-}
-
 /// A running mean; `None` until first told.
 fn blend(old: Option<f64>, new: f64, weight: f64) -> Option<f64> {
     Some(old.map_or(new, |o| o + weight * (new - o)))
@@ -116,8 +103,6 @@
     cold_sends: VecDeque<(Ms, f64)>,
     /// Units beyond the reserve sent for each volume lately.
     beyond: BTreeMap<VolumeId, Fading>,
-    /// Units given up unsent for each volume lately.
-    missed: BTreeMap<VolumeId, Fading>,
 }
 
 impl Node {
@@ -739,7 +724,6 @@
         let filler = late.iter().find(fills).map(|w| w.id);
         for w in &late {
             if now + wait + w.lag > w.valid_until {
-                self.miss(w.id, at, now);
                 self.finish(w.id, false, actions);
                 ids.retain(|id| *id != w.id);
             } else {
@@ -756,14 +740,9 @@
         let unit_time = node.unit_time.unwrap_or_else(|| self.usual_unit_time());
         let queued = node.queued.unwrap_or(0.0);
         let weight = |v: &VolumeId| self.volumes.get(v).map_or(1.0, |v| self.s.plans[v.plan.0].weight);
-        let mut asked: BTreeMap<VolumeId, f64> = BTreeMap::new();
-        let requests = ids.iter().filter_map(|id| self.requests.get(id));
-        requests.for_each(|r| *asked.entry(r.a.volume).or_default() += r.a.units);
-        for (v, sent) in node.beyond.iter().chain(&node.missed) {
-            *asked.entry(*v).or_default() += sent.get(now);
-        }
-        let given: f64 = node.beyond.values().map(|f| f.get(now)).sum();
-        let fair = FAIR_SLACK * fair_level(asked.iter().map(|(v, a)| (*a, weight(v))).collect(), given);
+        let beyond: f64 = node.beyond.values().map(|f| f.get(now)).sum();
+        let weights: f64 = node.beyond.iter().filter(|(_, f)| f.get(now) > 0.5).map(|(v, _)| weight(v)).sum();
+        let fair = if weights > 0.0 { FAIR_MEANS * beyond / weights } else { 0.0 };
         let mut left: BTreeMap<VolumeId, (f64, f64)> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
         order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
@@ -797,12 +776,6 @@
             .collect()
     }
 
-    fn miss(&mut self, id: RequestId, at: NodeId, now: Ms) {
-        if let (Some(r), Some(node)) = (self.requests.get(&id), self.nodes.get_mut(&at)) {
-            node.missed.entry(r.a.volume).or_default().add(r.a.units, now);
-        }
-    }
-
     fn send(&mut self, id: RequestId, at: NodeId, now: Ms, actions: &mut Vec<Action>) {
         let (Some(r), Some(node)) = (self.requests.get_mut(&id), self.nodes.get_mut(&at)) else {
             return;
