--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,7 +12,7 @@
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
 /// A volume is beyond its share where it was sent more than this many times the mean by weight lately.
-const FAIR_MEANS: f64 = 2.0;
+const FAIR_MEANS: f64 = 1.0;
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
 /// A node left alone for so many lags may get timely units beyond the share, or no bound would rise.
