--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 /// How far back "lately" reaches for the usage term, ms: many requests, yet shorter than a trouble.
 const LATELY: Ms = 2000.0;
 /// Wait in a node's queue that is let be, in tightest aims: waiting belongs here, where order is chosen.
-const QUEUE_SHARE: f64 = 0.06;
+const QUEUE_SHARE: f64 = 0.12;
 /// What a node's bound keeps of itself when its queue was longer than that.
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
