--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
 /// A node left alone for so many lags may get timely units beyond the share, or no bound would rise.
-const IDLE_LAGS: f64 = 2.0;
+const IDLE_LAGS: f64 = 3.0;
 /// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
 /// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
 const DEPTH_LEAST_ALL: f64 = 4.0;
