--- a/src/brain.rs
+++ b/src/brain.rs
@@ -610,10 +610,8 @@
             ready.iter().filter(|(_, n)| !n.suspect(self.tightest_aim, now)).copied().collect();
         let allowed = if well.is_empty() { ready } else { well };
         let total: f64 = self.nodes.values().map(|n| n.sent.get(now)).sum();
-        let queue = |id: &NodeId, n: &Node| n.out.len() as f64 + waiting.get(id).copied().unwrap_or(0.0);
-        let least = allowed.iter().map(|(id, n)| queue(id, n)).fold(f64::INFINITY, f64::min);
         let fitness = |id: &NodeId, n: &Node| {
-            let q = queue(id, n) - least;
+            let q = n.out.len() as f64 + waiting.get(id).copied().unwrap_or(0.0);
             let usage = if total > 0.0 { 100.0 * n.sent.get(now) / total } else { 0.0 };
             ((1.0 - q / DEPTH_MOST).max(0.0) / AGGRESSION.powf(usage)).max(FITNESS_FLOOR)
         };
