--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,8 @@
 const LATELY: Ms = 2000.0;
 /// Wait in a node's queue that is let be, in tightest aims: waiting belongs here, where order is chosen.
 const QUEUE_SHARE: f64 = 0.06;
+/// Part of its own work by which an attempt may last longer unqueued: works differ by themselves.
+const NOISE: f64 = 0.5;
 /// What a node's bound keeps of itself when its queue was longer than that.
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
@@ -129,8 +131,7 @@
         }
     }
 
-    /// Guards the rule on cold nodes: in every window this host sends at most its part of what all
-    /// may send, counted in units against the pace of a single core of a usual node.
+    /// Guards the rule on cold nodes: each window, this host's part, at one core's pace of a usual node.
     fn cold_allows(&self, units: f64, usual_unit_time: f64, s: &Settings, now: Ms) -> bool {
         let warmth = self.warmth(s, now);
         if warmth >= 1.0 || s.fall_time <= 0.0 {
@@ -181,7 +182,7 @@
         self.cold_sends.retain(|(at, _)| now - at < fall_time);
     }
 
-    /// Learns from an attempt's end: health from failures in a row, pace and depth from the lag.
+    /// Learns from an attempt's end: health from failures, pace and depth from the lag.
     fn note_ended(&mut self, ended: &Ended, tightest_aim: Ms, least: f64, now: Ms) {
         let patience = self.patience(tightest_aim);
         let at = |o: &Out| o.request == ended.request && o.attempt == ended.attempt;
@@ -200,7 +201,7 @@
                 self.lag = blend(self.lag, ended.lag, NEWEST);
                 let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
                 self.queued = blend(self.queued, queued.max(0.0), NEWEST);
-                if queued <= QUEUE_SHARE * tightest_aim {
+                if queued <= QUEUE_SHARE * tightest_aim + NOISE * (ended.lag - queued) {
                     if filled {
                         self.depth = (self.depth + self.depth.min(1.0 / self.depth)).min(DEPTH_MOST);
                     }
@@ -601,8 +602,7 @@
         }
     }
 
-    /// The design's draw: proportional to queue term x usage term over the ready, allowed nodes.
-    /// Suspects are left out unless all are; a cold node weighs what it surely can do.
+    /// The design's draw over ready nodes; suspects only if all are, a cold node by what it surely can do.
     fn draw(&mut self, waiting: &BTreeMap<NodeId, f64>, now: Ms) -> Option<NodeId> {
         let ready: Vec<_> =
             self.nodes.iter().filter(|(_, n)| n.entry.readiness == Readiness::Serving).collect();
