--- a/crates/flaxstand-drill/src/wire.rs
+++ b/crates/flaxstand-drill/src/wire.rs
@@ -303,7 +303,6 @@
     floor_rate: f64,
     ceiling_rate: f64,
     most_at_once: f64,
-    cap_slack: f64,
     weight: f64,
     price: f64,
 }
@@ -311,17 +310,8 @@
 impl Default for WirePlan {
     fn default() -> Self {
         let name = String::new();
-        let (base_rate, floor_rate, ceiling_rate, most_at_once, cap_slack) = Default::default();
-        WirePlan {
-            name,
-            base_rate,
-            floor_rate,
-            ceiling_rate,
-            most_at_once,
-            cap_slack,
-            weight: 1.0,
-            price: 1.0,
-        }
+        let (base_rate, floor_rate, ceiling_rate, most_at_once) = Default::default();
+        WirePlan { name, base_rate, floor_rate, ceiling_rate, most_at_once, weight: 1.0, price: 1.0 }
     }
 }
 
@@ -335,8 +325,6 @@
     max_retry_after_ms: f64,
     #[serde(default)]
     retry_after: bool,
-    #[serde(default)]
-    second_copies: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -394,7 +382,6 @@
             reserve_rate: g.floor_rate,
             limit_rate: g.ceiling_rate,
             limit_burst: g.most_at_once,
-            limit_slack: g.cap_slack,
             weight: g.weight,
             price: g.price,
         };
@@ -417,7 +404,6 @@
             list_on_request: matches!(self.registry_mode, RegistryMode::OnRequest),
             ask_within: rules.ask_within_ms,
             may_cancel: self.caps.cancel,
-            second_copies: self.caps.second_copies,
             max_attempts: self.caps.max_attempts,
             max_retry_after: if self.caps.retry_after { self.caps.max_retry_after_ms } else { 0.0 },
             cold_from: rules.cold_from,
--- a/src/api.rs
+++ b/src/api.rs
@@ -88,8 +88,6 @@
     pub limit_rate: f64,
     /// Most units the limit's store holds.
     pub limit_burst: f64,
-    /// How far the store may drop below 0.
-    pub limit_slack: f64,
     /// Proportion in which spare capacity is due.
     pub weight: f64,
     /// Worth factor.
@@ -122,8 +120,6 @@
     pub ask_within: Ms,
     /// Attempts may be called off.
     pub may_cancel: bool,
-    /// A request may have two attempts out.
-    pub second_copies: bool,
     /// Attempts a request may have.
     pub max_attempts: u32,
     /// Longest advised wait that clients honour; 0: advice does not reach them.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,8 +11,6 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
-/// A volume is beyond its share where it was sent more than this many times the mean by weight lately.
-const FAIR_MEANS: f64 = 1.0;
 /// A bound at which a node counts as having room to spare for late requests.
 const SPARE_DEPTH: f64 = 2.0;
 /// A node left alone for so many lags may get timely units beyond the share, or no bound would rise.
@@ -132,14 +130,14 @@
     }
 
     /// Guards the rule on cold nodes: each window, this host's part, at one core's pace of a usual node.
-    fn cold_allows(&self, units: f64, usual_unit_time: f64, s: &Settings, now: Ms) -> bool {
+    fn cold_allows(&self, units: f64, unit_time: impl Fn() -> f64, s: &Settings, now: Ms) -> bool {
         let warmth = self.warmth(s, now);
         if warmth >= 1.0 || s.fall_time <= 0.0 {
             return true;
         }
         let recent: f64 =
             self.cold_sends.iter().filter(|(at, _)| now - at < s.fall_time).map(|(_, u)| u).sum();
-        let borne = (s.fall_multiple * warmth * s.fall_time / usual_unit_time).max(s.cold_bears);
+        let borne = (s.fall_multiple * warmth * s.fall_time / unit_time()).max(s.cold_bears);
         let part = COLD_SHARE * borne / f64::from(s.initiators);
         // One request always may go into an empty window, or large ones would never leave.
         recent + units <= part || recent == 0.0
@@ -473,7 +471,6 @@
         } else if !streaming && (expired || spent || !repeat) {
             self.finish(id, expired, actions);
         }
-        self.forget(id);
     }
 
     fn over(&mut self, id: RequestId) {
@@ -620,10 +617,8 @@
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let weigh = |(id, n): &(&NodeId, &Node)| {
             let unheard = n.lag.is_none() && !heard.is_empty();
-            (
-                **id,
-                if unheard { average.min(fitness(id, n)) } else { fitness(id, n) } * n.warmth(&self.s, now),
-            )
+            let plain = if unheard { average.min(fitness(id, n)) } else { fitness(id, n) };
+            (**id, plain * n.warmth(&self.s, now))
         };
         let weights: Vec<(NodeId, f64)> = allowed.iter().map(weigh).collect();
         let mut point = self.random() * weights.iter().map(|(_, w)| w).sum::<f64>();
@@ -671,7 +666,7 @@
             && r.held()
             && now < r.a.valid_until
             && node.room(self.tightest_aim, now)
-            && node.cold_allows(r.a.units, self.usual_unit_time(), &self.s, now)
+            && node.cold_allows(r.a.units, || self.usual_unit_time(), &self.s, now)
             && r.attempts.len() < self.s.max_attempts as usize
             && turn
             && (!limited || volume.limit >= r.a.units)
@@ -742,7 +737,8 @@
         let weight = |v: &VolumeId| self.volumes.get(v).map_or(1.0, |v| self.s.plans[v.plan.0].weight);
         let beyond: f64 = node.beyond.values().map(|f| f.get(now)).sum();
         let weights: f64 = node.beyond.iter().filter(|(_, f)| f.get(now) > 0.5).map(|(v, _)| weight(v)).sum();
-        let fair = if weights > 0.0 { FAIR_MEANS * beyond / weights } else { 0.0 };
+        // Beyond its share is a volume that was sent more than the mean by weight here lately.
+        let fair = if weights > 0.0 { beyond / weights } else { 0.0 };
         let mut left: BTreeMap<VolumeId, (f64, f64)> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
         order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,15 +9,7 @@
 }
 
 pub fn plan(reserve_rate: f64) -> Plan {
-    Plan {
-        base_rate: 10.0,
-        reserve_rate,
-        limit_rate: 0.0,
-        limit_burst: 0.0,
-        limit_slack: 0.0,
-        weight: 1.0,
-        price: 1.0,
-    }
+    Plan { base_rate: 10.0, reserve_rate, limit_rate: 0.0, limit_burst: 0.0, weight: 1.0, price: 1.0 }
 }
 
 pub fn settings() -> Settings {
@@ -31,7 +23,6 @@
         list_on_request: false,
         ask_within: 10_000.0,
         may_cancel: true,
-        second_copies: false,
         max_attempts: 3,
         max_retry_after: 500.0,
         cold_from: 0.2,
