Hundreds of hosts: queues from pooled word, joined by worth; cold guard by the hosts that use a node

Each host now keeps word of each node's queue (answers, weighted by age; attempts out; the median of all nodes where it is old) and a unit joins a queue only as far as its part of full worth allows. The cold rule's allowance is divided by the hosts that use a node.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,15 +11,15 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
-/// A bound at which a node counts as having room to spare for late requests.
-const SPARE_DEPTH: f64 = 2.0;
-/// A node left alone for so many lags may get timely units beyond the share, or no bound would rise.
-const IDLE_LAGS: f64 = 3.0;
-/// Requests out at one node, over all hosts together, that every bound leaves: enough to keep a node of
-/// a few cores at work. With more hosts than this each host's part is below 1, kept by waiting.
-const DEPTH_LEAST_ALL: f64 = 4.0;
+/// Queue that a unit of full worth may join, in tightest aims, were its host alone; what earns less joins
+/// shorter ones, and so does a host of many, since as many act on the same word.
+const QUEUE_JOINED: f64 = 12.0;
+/// The least that division leaves of it: a part of the aim that uneven works do not reach by themselves.
+const QUEUE_JOINED_LEAST: f64 = 0.5;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
+/// Units sent lately that make a node one this host uses: a unit counts for about five seconds.
+const USED: f64 = 0.1;
 /// Least fitness of a node that may be drawn (design page).
 const FITNESS_FLOOR: f64 = 0.01;
 /// How far back "lately" reaches for the usage term, ms: many requests, yet shorter than a trouble.
@@ -32,6 +32,9 @@
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
 const NEWEST: f64 = 0.2;
+/// Word of a node's queue fades with this time constant, ms: a host of many hears of a node seldom, and
+/// a queue that nobody feeds is gone within a second or so.
+const WORD_FADES: Ms = 1000.0;
 /// An attempt out for so many usual lags, and the tightest aim, makes a node suspect; pauses stay below.
 const SUSPECT_LAGS: f64 = 4.0;
 /// Failures in a row after which a node gets single canaries only.
@@ -68,14 +71,16 @@
     Some(old.map_or(new, |o| o + weight * (new - o)))
 }
 
+fn random(rng: &mut Pcg64Mcg) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// An attempt that is out.
 struct Out {
     request: RequestId,
     attempt: AttemptNo,
     sent: Ms,
     units: f64,
-    /// Own units out at the node with this one, at its sending.
-    ahead: f64,
 }
 
 /// One storage node: readiness, warmth, health, requests out, pace.
@@ -86,35 +91,33 @@
     depth: f64,
     last_cut: Ms,
     last_sent: Ms,
-    /// Where the bound is below 1: when the next request may leave.
-    next_send: Ms,
+    /// When the list first named the process that runs now.
+    told_at: Ms,
     /// Unloaded time of a unit, ms: falls fast, rises slowly.
     unit_time: Option<f64>,
-    /// Time between units of this host leaving the node while it is kept busy, ms.
-    drain: Option<f64>,
-    lag: Option<f64>,
-    /// Part of the lag that was wait in the node's queue, ms.
-    queued: Option<f64>,
+    /// When the latest sent of the attempts that were answered had been sent.
+    answered: Ms,
+    /// Part of the lag that was wait in the node's queue, ms, and when that was heard.
+    queued: Ms,
+    queued_at: Ms,
     fails: u32,
     next_canary: Ms,
     /// Units sent lately, for the usage term.
     sent: Fading,
     /// Sends while cold: when, units.
     cold_sends: VecDeque<(Ms, f64)>,
-    /// Units beyond the reserve sent for each volume lately.
-    beyond: BTreeMap<VolumeId, Fading>,
 }
 
 impl Node {
-    fn new(entry: &NodeEntry) -> Self {
-        Node { entry: entry.clone(), depth: DEPTH_MOST / 2.0, ..Node::default() }
+    fn new(entry: &NodeEntry, now: Ms) -> Self {
+        Node { entry: entry.clone(), depth: DEPTH_MOST / 2.0, told_at: now, ..Node::default() }
     }
 
     /// The list speaks; a fresh start makes all that was learned of the old process void.
-    fn told(&mut self, entry: &NodeEntry) {
+    fn told(&mut self, entry: &NodeEntry, now: Ms) {
         if entry.booted_at.is_some() && entry.booted_at != self.entry.booted_at {
             let out = std::mem::take(&mut self.out);
-            *self = Node { out, depth: 1.0, ..Node::new(entry) };
+            *self = Node { out, depth: 1.0, ..Node::new(entry, now) };
         }
         self.entry = entry.clone();
     }
@@ -130,50 +133,98 @@
     }
 
     /// Guards the rule on cold nodes: each window, this host's part, at one core's pace of a usual node.
-    fn cold_allows(&self, units: f64, unit_time: impl Fn() -> f64, s: &Settings, now: Ms) -> bool {
+    /// A request larger than the part waits as many windows as it fills parts; the first wait begins at
+    /// a `phase` of its own, or hundreds of hosts would send their first together.
+    fn cold_allows(&self, units: f64, usual: &Usual, s: &Settings, now: Ms) -> bool {
         let warmth = self.warmth(s, now);
         if warmth >= 1.0 || s.fall_time <= 0.0 {
             return true;
         }
         let recent: f64 =
             self.cold_sends.iter().filter(|(at, _)| now - at < s.fall_time).map(|(_, u)| u).sum();
-        let borne = (s.fall_multiple * warmth * s.fall_time / unit_time()).max(s.cold_bears);
-        let part = COLD_SHARE * borne / f64::from(s.initiators);
-        // One request always may go into an empty window, or large ones would never leave.
-        recent + units <= part || recent == 0.0
+        let borne = (s.fall_multiple * warmth * s.fall_time / usual.unit_time).max(s.cold_bears);
+        let part = COLD_SHARE * borne / usual.hosts;
+        let wait = s.fall_time * units / part;
+        recent + units <= part
+            || now >= self.last_sent + wait && now >= self.told_at + usual.phase * wait && recent == 0.0
+    }
+
+    /// Whether an attempt not overtaken has been out far longer than usual: the node hangs, died unheard,
+    /// lost its power to something else, or an answer was lost.
+    fn silent(&self, usual: &Usual, now: Ms) -> bool {
+        self.out.iter().any(|o| now - o.sent > self.patience(o, usual) && o.sent >= self.answered)
     }
 
-    /// Whether the oldest attempt has been out far longer than usual: the node hangs, died unheard,
-    /// or lost its power to something else. No more is sent until it answers.
-    fn silent(&self, tightest_aim: Ms, now: Ms) -> bool {
-        self.out.iter().any(|o| now - o.sent > self.patience(tightest_aim))
+    /// A silent node gets canaries, ever more rarely.
+    fn canary_due(&self, now: Ms) -> bool {
+        let oldest = self.out.iter().map(|o| o.sent).fold(now, Ms::min);
+        now - self.last_sent >= (self.last_sent - oldest).max(CANARY.1)
     }
 
-    fn patience(&self, tightest_aim: Ms) -> Ms {
-        (SUSPECT_LAGS * self.lag.unwrap_or(0.0)).max(tightest_aim)
+    fn patience(&self, out: &Out, usual: &Usual) -> Ms {
+        (SUSPECT_LAGS * (self.own(out, usual) + self.queued.max(usual.queue))).max(usual.aim)
     }
 
-    fn suspect(&self, tightest_aim: Ms, now: Ms) -> bool {
-        self.fails >= TRIP || self.silent(tightest_aim, now)
+    fn suspect(&self, usual: &Usual, now: Ms) -> bool {
+        self.fails >= TRIP || self.silent(usual, now)
     }
 
     /// Depth bound and health: room for one more attempt.
-    fn room(&self, tightest_aim: Ms, now: Ms) -> bool {
+    fn room(&self, usual: &Usual, now: Ms) -> bool {
         if self.fails >= TRIP {
             return self.out.is_empty() && now >= self.next_canary;
         }
-        (self.depth >= 1.0 || now >= self.next_send)
-            && (self.out.len() as f64) < self.depth.floor().max(1.0)
-            && !self.silent(tightest_aim, now)
+        (self.out.len() as f64) < self.depth.floor() && (!self.silent(usual, now) || self.canary_due(now))
+    }
+
+    /// Wait in the node's queue, ms, as last heard and as the attempts that are out show it. Guards against
+    /// queues that others make: old word fades to what is heard of all nodes. An attempt out far longer
+    /// than that shows a sick node or a lost answer, no queue.
+    fn queue(&self, usual: &Usual, now: Ms) -> Ms {
+        let heard = usual.queue + (self.queued - usual.queue) * self.fresh(now);
+        let queued = |o: &&Out| now - o.sent < SUSPECT_LAGS * (self.own(o, usual) + usual.queue);
+        self.out.iter().filter(queued).map(|o| self.shown_by(o, usual, now)).fold(heard, f64::max)
     }
 
-    fn units_out(&self) -> f64 {
-        self.out.iter().map(|o| o.units).sum()
+    /// Word of the queue from the last attempt sent, if it was sent lately and says anything yet. One word
+    /// a node: what long stays out without an answer must not outvote what was answered.
+    fn word(&self, usual: &Usual, now: Ms) -> Option<Ms> {
+        let lately = now - self.last_sent < 2.0 * LATELY;
+        let last = self.out.iter().find(|o| o.sent == self.last_sent);
+        let word = last.map_or(self.queued, |o| self.shown_by(o, usual, now));
+        (lately && (last.is_none() || word > 0.0)).then_some(word)
+    }
+
+    /// How much the last word of the queue still says.
+    fn fresh(&self, now: Ms) -> f64 {
+        (-(now - self.queued_at) / WORD_FADES).exp()
+    }
+
+    /// Unloaded time of a unit here, ms; a usual node's as long as none was served.
+    fn pace(&self, usual: &Usual) -> Ms {
+        self.unit_time.unwrap_or(usual.unit_time)
+    }
+
+    /// The most of its own work that an attempt may take without a queue.
+    fn own(&self, out: &Out, usual: &Usual) -> Ms {
+        (1.0 + NOISE) * out.units * self.pace(usual)
+    }
+
+    /// The wait that an attempt without an answer shows; none where one sent later was answered, since
+    /// nodes take work in turn: that one is lost or long, not queued.
+    fn shown_by(&self, out: &Out, usual: &Usual, now: Ms) -> Ms {
+        if out.sent < self.answered { 0.0 } else { now - out.sent - self.own(out, usual) }
+    }
+
+    /// Word of a wait in the node's queue; the older the last word, the more the new one counts.
+    fn heard_queue(&mut self, wait: Ms, now: Ms) {
+        let weight = (1.0 - self.fresh(now)).max(NEWEST);
+        self.queued += weight * (wait - self.queued);
+        self.queued_at = now;
     }
 
     fn note_sent(&mut self, request: RequestId, attempt: AttemptNo, units: f64, fall_time: Ms, now: Ms) {
-        let ahead = self.units_out() + units;
-        self.out.push(Out { request, attempt, sent: now, units, ahead });
+        self.out.push(Out { request, attempt, sent: now, units });
         self.sent.add(units, now);
         self.last_sent = now;
         self.cold_sends.push_back((now, units));
@@ -181,39 +232,43 @@
     }
 
     /// Learns from an attempt's end: health from failures, pace and depth from the lag.
-    fn note_ended(&mut self, ended: &Ended, tightest_aim: Ms, least: f64, now: Ms) {
-        let patience = self.patience(tightest_aim);
+    fn note_ended(&mut self, ended: &Ended, usual: &Usual, now: Ms) {
         let at = |o: &Out| o.request == ended.request && o.attempt == ended.attempt;
         let Some(index) = self.out.iter().position(at) else {
             return;
         };
         let filled = self.out.len() as f64 + 1.0 > self.depth;
+        let shown = self.queue(usual, now);
+        let patience = self.patience(&self.out[index], usual);
         let out = self.out.swap_remove(index);
         match ended.outcome {
             Outcome::Served => {
                 self.fails = 0;
+                self.answered = self.answered.max(out.sent);
                 let pace = ended.lag / out.units.max(1.0);
                 let falling = self.unit_time.is_none_or(|t| pace < t);
                 self.unit_time = blend(self.unit_time, pace, if falling { NEWEST } else { NEWEST / 100.0 });
-                self.drain = blend(self.drain, ended.lag / out.ahead.max(1.0), NEWEST);
-                self.lag = blend(self.lag, ended.lag, NEWEST);
                 let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
-                self.queued = blend(self.queued, queued.max(0.0), NEWEST);
-                if queued <= QUEUE_SHARE * tightest_aim + NOISE * (ended.lag - queued) {
+                self.heard_queue((queued - NOISE * (ended.lag - queued)).max(0.0), now);
+                if queued <= QUEUE_SHARE * usual.aim + NOISE * (ended.lag - queued) {
                     if filled {
-                        self.depth = (self.depth + self.depth.min(1.0 / self.depth)).min(DEPTH_MOST);
+                        self.depth = (self.depth + 1.0 / self.depth).min(DEPTH_MOST);
                     }
                 } else if now - self.last_cut > ended.lag {
-                    self.depth = (self.depth * CUT).max(least);
+                    self.depth = (self.depth * CUT).max(1.0);
                     self.last_cut = now;
                 }
-                self.next_send = now + ended.lag * (1.0 / self.depth - 1.0);
             }
-            Outcome::Full => self.depth = (self.depth * CUT).max(least),
-            Outcome::Cancelled | Outcome::Moot => {}
-            // An impatient client says nothing about the node.
-            Outcome::TimedOut if ended.lag < patience => {}
-            Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+            // Its queue holds more than any aim allows.
+            Outcome::Full => {
+                self.depth = (self.depth * CUT).max(1.0);
+                (self.queued, self.queued_at) = (shown.max(usual.aim), now);
+            }
+            Outcome::Moot => {}
+            // An impatient client says nothing about the node's health, nor does an answer lost.
+            Outcome::TimedOut if ended.lag < patience => (self.queued, self.queued_at) = (shown, now),
+            Outcome::TimedOut | Outcome::Cancelled if out.sent < self.answered => {}
+            _ => {
                 self.fails = (self.fails + 1).min(16);
                 let wait = CANARY.0 * f64::from(1 << self.fails.saturating_sub(TRIP).min(8));
                 self.next_canary = now + wait.min(CANARY.1);
@@ -231,9 +286,8 @@
     /// Limit units that may still be sent.
     limit: f64,
     filled_at: Ms,
-    sent: Fading,
-    /// Units a second served through other hosts, as last heard.
-    others: Option<f64>,
+    /// Units sent beyond the reserve lately.
+    beyond: Fading,
 }
 
 impl Volume {
@@ -244,12 +298,20 @@
         let plan = &s.plans[self.plan.0];
         let seconds = (now - self.filled_at) / 1000.0;
         self.filled_at = now;
-        let even = plan.reserve_rate / self.writers;
-        let rate = self.others.map_or(even, |others| (plan.reserve_rate - others).max(even));
+        let rate = plan.reserve_rate / self.writers;
         self.reserve = (self.reserve + rate * seconds).min(rate + s.unit_most);
         let burst = plan.limit_burst / self.writers;
         self.limit = (self.limit + plan.limit_rate / self.writers * seconds).min(burst);
     }
+
+    /// Worth of a unit that would be `ahead` units beyond the reserve: the share's as long as the volume
+    /// takes no more than it is sized for, then falling to the least as it takes more. How much the
+    /// node's queue lets pass of that ends up as the level of the shares.
+    fn beyond_worth(&self, ahead: f64, s: &Settings, now: Ms) -> f64 {
+        let sized = s.plans[self.plan.0].base_rate * LATELY / 1000.0;
+        let part = (sized / (self.beyond.get(now) + ahead).max(sized)).min(1.0);
+        s.spare_worth + (s.share_worth - s.spare_worth) * part
+    }
 }
 
 /// What is known of an attempt's effect.
@@ -324,26 +386,35 @@
 }
 
 /// A held request as the release sees it.
-#[derive(Clone, Copy)]
 struct Waiting {
     id: RequestId,
     due: Ms,
-    /// Time that it takes of the node's pace, and time from its sending to its answer.
+    valid_until: Ms,
+    /// Time that it takes the node, and time from its sending to its answer.
     cost: Ms,
     lag: Ms,
-    /// Worth a unit if served in time, and if late.
-    worth: f64,
-    late: f64,
-    /// Beyond its volume's reserve and share.
-    spare: bool,
-    valid_until: Ms,
+    /// Longest queue at the node that it may join, ms: by its part of full worth, in time or late.
+    joins: Ms,
+}
+
+/// What holds of a usual node, pooled over those heard from: a host of many hears of each seldom.
+struct Usual {
+    /// The tightest aim, ms.
+    aim: Ms,
+    /// Wait in its queue, ms.
+    queue: Ms,
+    /// Unloaded time of a unit, ms.
+    unit_time: Ms,
+    /// Hosts that send to it, and this host's place among them in time, 0 to 1.
+    hosts: f64,
+    phase: f64,
 }
 
 /// The decisions of one initiator.
 pub struct Brain {
     s: Settings,
     rng: Pcg64Mcg,
-    tightest_aim: Ms,
+    usual: Usual,
     nodes: BTreeMap<NodeId, Node>,
     volumes: BTreeMap<VolumeId, Volume>,
     requests: BTreeMap<RequestId, Request>,
@@ -360,11 +431,15 @@
 impl Brain {
     /// A brain that has just started and knows nothing.
     pub fn new(settings: Settings, seed: u64, now: Ms) -> Self {
-        let tightest_aim = settings.classes.iter().map(|c| c.aim).fold(Ms::INFINITY, Ms::min);
+        let aim = settings.classes.iter().map(|c| c.aim).fold(Ms::INFINITY, Ms::min);
         let (nodes, volumes, requests, lines, taken, further) = Default::default();
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let unit_time = aim / settings.unit_mean.max(1.0) / 4.0;
+        let (hosts, phase) = (f64::from(settings.initiators), random(&mut rng));
+        let usual = Usual { aim, queue: 0.0, unit_time, hosts, phase };
         Brain {
-            rng: Pcg64Mcg::seed_from_u64(seed),
-            tightest_aim,
+            rng,
+            usual,
             nodes,
             volumes,
             requests,
@@ -398,7 +473,7 @@
             // Ask again, ever more rarely: the list service may be what is overloaded.
             self.asks_failed += 1;
             let wait = ASK_AGAIN * f64::from(1 << self.asks_failed.min(5));
-            self.ask_at = Some(now + wait.min(self.s.ask_within / 2.0) * (0.5 + 0.5 * self.random()));
+            self.ask_at = Some(now + wait.min(self.s.ask_within / 2.0) * (0.5 + 0.5 * random(&mut self.rng)));
             return;
         }
         self.asks_failed = 0;
@@ -406,14 +481,14 @@
             self.nodes.values_mut().for_each(|n| n.entry.readiness = Readiness::Gone);
         }
         for entry in entries {
-            self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry)).told(entry);
+            self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry, now)).told(entry, now);
         }
     }
 
     fn arrived(&mut self, a: Arrival, now: Ms) {
         self.taken.push_back(now);
         let class = &self.s.classes[a.class.0];
-        let stretch = class.aim_stretch * a.units * self.usual_unit_time();
+        let stretch = class.aim_stretch * a.units * self.usual.unit_time;
         // A client that leaves before the aim has passed must be answered before it leaves.
         let due = (now + (class.aim + stretch).min(class.deadline)).min(a.valid_until);
         if let (true, Some(key)) = (class.in_order, a.key) {
@@ -425,8 +500,7 @@
             reserve: self.s.unit_most,
             limit: 0.0,
             filled_at: self.started,
-            sent: Fading::default(),
-            others: None,
+            beyond: Fading::default(),
         });
         volume.writers = volume.writers.max(f64::from(a.writers));
         let (attempts, node) = (Vec::new(), None);
@@ -446,8 +520,7 @@
         };
         let (class, id) = (&self.s.classes[r.a.class.0], ended.request);
         if let Some(node) = self.nodes.get_mut(&attempt.node) {
-            let least = (DEPTH_LEAST_ALL / f64::from(self.s.initiators)).min(1.0);
-            node.note_ended(ended, self.tightest_aim, least, now);
+            node.note_ended(ended, &self.usual, now);
         }
         if ended.outcome == Outcome::Moot {
             self.further.retain(|(_, request, no)| (*request, *no) != (id, ended.attempt));
@@ -456,11 +529,6 @@
         if let (true, Some(key)) = (class.in_order && unsure, r.a.key) {
             self.lines.entry(key).or_default().rest_until = now + self.s.key_rest;
         }
-        if let (Some(used), Some(v)) = (ended.used_percent, self.volumes.get_mut(&r.a.volume)) {
-            let own = v.sent.get(now) / (LATELY / 1000.0);
-            let others = (used / 100.0 * self.s.plans[v.plan.0].base_rate - own).max(0.0);
-            v.others = blend(v.others, others, NEWEST);
-        }
         let spent = r.attempts.len() >= self.s.max_attempts as usize;
         let (over, streaming, expired) = (r.over, r.streaming, now >= r.a.valid_until);
         let repeat = class.effect != Effect::Once || r.may_have_run().is_none();
@@ -511,15 +579,15 @@
             self.ask_at = None;
             actions.push(Action::Subscribe);
         }
+        self.look_at_all(now);
         self.volumes.values_mut().for_each(|v| v.fill(&self.s, now));
         self.lines.retain(|_, line| !line.waiting.is_empty() || now < line.rest_until);
         self.expire(now, actions);
-        self.call_off(now, actions);
         self.place(now);
         self.release(now, actions);
         if !self.requests.is_empty() || self.ask_at.is_some() {
             let waits = self.requests.values().any(Request::held);
-            let at = now + if waits { LOOK } else { self.tightest_aim / 4.0 };
+            let at = now + if waits { LOOK } else { self.usual.aim / 4.0 };
             if self.wake_at.is_none_or(|w| w <= now || w > at) {
                 self.wake_at = Some(at);
                 actions.push(Action::Wake { after: at - now });
@@ -535,37 +603,20 @@
         ids.into_iter().for_each(|id| self.finish(id, false, actions));
     }
 
-    /// New objects out at a silent node are called off, to be drawn again, where a repeat elsewhere is
-    /// harmless: guards against hangs and deaths that no list knows of.
-    fn call_off(&mut self, now: Ms, actions: &mut Vec<Action>) {
-        if !self.s.may_cancel || self.nodes.values().all(|n| n.suspect(self.tightest_aim, now)) {
-            return;
-        }
-        for node in self.nodes.values().filter(|n| n.silent(self.tightest_aim, now)) {
-            for out in &node.out {
-                let Some(r) = self.requests.get(&out.request) else {
-                    continue;
-                };
-                let movable = self.s.classes[r.a.class.0].effect == Effect::Repeatable;
-                let again = r.attempts.len() < self.s.max_attempts as usize;
-                if r.a.shard.is_none() && movable && again && !r.over && !r.streaming {
-                    actions.push(Action::Cancel { request: out.request, attempt: out.attempt });
-                }
-            }
-        }
-    }
-
-    fn random(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    /// Unloaded time of a unit at a usual node, ms, over the nodes heard from.
-    fn usual_unit_time(&self) -> f64 {
-        let known: Vec<f64> = self.nodes.values().filter_map(|n| n.unit_time).collect();
-        if known.is_empty() {
-            return self.tightest_aim / self.s.unit_mean.max(1.0) / 4.0;
+    /// What the nodes show together. A host that sends to a part of the nodes takes it that so large a
+    /// part of the hosts sends to each: over all hosts these guesses add up. At its start it counts all.
+    fn look_at_all(&mut self, now: Ms) {
+        let mut words: Vec<Ms> = self.nodes.values().filter_map(|n| n.word(&self.usual, now)).collect();
+        words.sort_by(f64::total_cmp);
+        self.usual.queue = words.get(words.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
+        let known: Vec<Ms> = self.nodes.values().filter_map(|n| n.unit_time).collect();
+        if !known.is_empty() {
+            self.usual.unit_time = known.iter().sum::<Ms>() / known.len() as f64;
         }
-        known.iter().sum::<f64>() / known.len() as f64
+        let ready = self.nodes.values().filter(|n| n.entry.readiness == Readiness::Serving);
+        let used = ready.clone().filter(|n| n.sent.get(now) > USED).count().max(1) as f64;
+        let share = if now < self.started + 2.0 * LATELY { 1.0 } else { used / ready.count().max(1) as f64 };
+        self.usual.hosts = (share * f64::from(self.s.initiators)).max(1.0);
     }
 
     /// Gives every held request the node it waits for: its shard's, or one drawn by fitness.
@@ -603,25 +654,25 @@
     fn draw(&mut self, waiting: &BTreeMap<NodeId, f64>, now: Ms) -> Option<NodeId> {
         let ready: Vec<_> =
             self.nodes.iter().filter(|(_, n)| n.entry.readiness == Readiness::Serving).collect();
-        let well: Vec<_> =
-            ready.iter().filter(|(_, n)| !n.suspect(self.tightest_aim, now)).copied().collect();
+        let well: Vec<_> = ready.iter().filter(|(_, n)| !n.suspect(&self.usual, now)).copied().collect();
         let allowed = if well.is_empty() { ready } else { well };
         let total: f64 = self.nodes.values().map(|n| n.sent.get(now)).sum();
         let fitness = |id: &NodeId, n: &Node| {
-            let q = n.out.len() as f64 + waiting.get(id).copied().unwrap_or(0.0);
+            let others = n.queue(&self.usual, now) / n.pace(&self.usual) / self.s.unit_mean.max(1.0);
+            let q = n.out.len() as f64 + waiting.get(id).copied().unwrap_or(0.0) + others;
             let usage = if total > 0.0 { 100.0 * n.sent.get(now) / total } else { 0.0 };
             ((1.0 - q / DEPTH_MOST).max(0.0) / AGGRESSION.powf(usage)).max(FITNESS_FLOOR)
         };
         let heard: Vec<f64> =
-            allowed.iter().filter(|(_, n)| n.lag.is_some()).map(|(id, n)| fitness(id, n)).collect();
+            allowed.iter().filter(|(_, n)| n.unit_time.is_some()).map(|(id, n)| fitness(id, n)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let weigh = |(id, n): &(&NodeId, &Node)| {
-            let unheard = n.lag.is_none() && !heard.is_empty();
+            let unheard = n.unit_time.is_none() && !heard.is_empty();
             let plain = if unheard { average.min(fitness(id, n)) } else { fitness(id, n) };
             (**id, plain * n.warmth(&self.s, now))
         };
         let weights: Vec<(NodeId, f64)> = allowed.iter().map(weigh).collect();
-        let mut point = self.random() * weights.iter().map(|(_, w)| w).sum::<f64>();
+        let mut point = random(&mut self.rng) * weights.iter().map(|(_, w)| w).sum::<f64>();
         let passes = |(_, weight): &&(NodeId, f64)| {
             point -= weight;
             point < 0.0
@@ -637,7 +688,7 @@
             }
         }
         for (node, mut ids) in held {
-            while !ids.is_empty() && self.nodes[&node].room(self.tightest_aim, now) {
+            while !ids.is_empty() && self.nodes[&node].room(&self.usual, now) {
                 ids.retain(|id| self.may_send(*id, node, now));
                 let Some(next) = self.choose(&mut ids, node, now, actions) else {
                     break;
@@ -665,8 +716,8 @@
         node.entry.readiness == Readiness::Serving
             && r.held()
             && now < r.a.valid_until
-            && node.room(self.tightest_aim, now)
-            && node.cold_allows(r.a.units, || self.usual_unit_time(), &self.s, now)
+            && node.room(&self.usual, now)
+            && node.cold_allows(r.a.units, &self.usual, &self.s, now)
             && r.attempts.len() < self.s.max_attempts as usize
             && turn
             && (!limited || volume.limit >= r.a.units)
@@ -682,9 +733,9 @@
         further + 1.0 <= b.floor + b.ratio * taken
     }
 
-    /// Earliest due first. When not all that wait at the node can make their aim at its pace, the
-    /// exception: what earns least for a unit gives way until the rest can. What gave way leaves when
-    /// nothing else waits, best first, and is refused once even its client's time will not do.
+    /// Earliest due first, of what can make its aim. The exception: a request that earns less joins only
+    /// shorter queues at the node, and a late one only if nothing of this host is out there. What can no
+    /// more be answered in its client's time is refused at once.
     fn choose(
         &mut self,
         ids: &mut Vec<RequestId>,
@@ -692,32 +743,15 @@
         now: Ms,
         actions: &mut Vec<Action>,
     ) -> Option<RequestId> {
-        let queue = self.rank(ids, at, now);
-        let (mut wait, mut kept, mut late) = (0.0, Vec::<Waiting>::new(), Vec::<Waiting>::new());
-        for w in queue {
-            let timely = now + w.lag <= w.due;
-            if !timely || w.spare {
-                late.push(Waiting { late: if timely { w.worth } else { w.late }, spare: timely, ..w });
-                continue;
-            }
-            let lateness = now + wait + w.lag - w.due;
-            wait += w.cost;
-            kept.push(w);
-            if lateness > 0.0
-                && let Some(least) = (0..kept.len()).min_by(|x, y| kept[*x].worth.total_cmp(&kept[*y].worth))
-            {
-                let gone = kept.remove(least);
-                wait -= gone.cost;
-                late.push(gone);
-            }
-        }
-        late.sort_by(|x, y| y.late.total_cmp(&x.late).then(x.due.total_cmp(&y.due)).then(x.id.cmp(&y.id)));
+        let (timely, mut late): (Vec<_>, Vec<_>) =
+            self.rank(ids, at, now).into_iter().partition(|w| now + w.lag <= w.due);
+        late.sort_by(|x, y| y.joins.total_cmp(&x.joins));
         let node = &self.nodes[&at];
-        let quiet = now - node.last_sent > IDLE_LAGS * node.lag.unwrap_or(0.0);
-        let room = |w: &&Waiting| node.depth >= SPARE_DEPTH || quiet && w.spare;
-        let fills = |w: &&Waiting| now + w.lag <= w.valid_until && node.out.is_empty() && room(w);
-        let filler = late.iter().find(fills).map(|w| w.id);
-        for w in &late {
+        let queue = node.queue(&self.usual, now);
+        let fills = |w: &&Waiting| now + w.lag <= w.valid_until && node.out.is_empty() && queue <= w.joins;
+        let next = timely.iter().find(|w| queue <= w.joins).or(late.iter().find(fills)).map(|w| w.id);
+        let mut wait = 0.0;
+        for w in timely.iter().chain(&late) {
             if now + wait + w.lag > w.valid_until {
                 self.finish(w.id, false, actions);
                 ids.retain(|id| *id != w.id);
@@ -725,51 +759,29 @@
                 wait += w.cost;
             }
         }
-        kept.first().map(|w| w.id).or(filler)
+        next
     }
 
-    /// Earliest due first, what each held request would earn a unit, by its volume's tier.
+    /// Earliest due first, with the queue that each may join by its volume's tier.
     fn rank(&self, ids: &[RequestId], at: NodeId, now: Ms) -> Vec<Waiting> {
         let node = &self.nodes[&at];
-        let drain = node.drain.unwrap_or_else(|| self.usual_unit_time());
-        let unit_time = node.unit_time.unwrap_or_else(|| self.usual_unit_time());
-        let queued = node.queued.unwrap_or(0.0);
-        let weight = |v: &VolumeId| self.volumes.get(v).map_or(1.0, |v| self.s.plans[v.plan.0].weight);
-        let beyond: f64 = node.beyond.values().map(|f| f.get(now)).sum();
-        let weights: f64 = node.beyond.iter().filter(|(_, f)| f.get(now) > 0.5).map(|(v, _)| weight(v)).sum();
-        // Beyond its share is a volume that was sent more than the mean by weight here lately.
-        let fair = if weights > 0.0 { beyond / weights } else { 0.0 };
-        let mut left: BTreeMap<VolumeId, (f64, f64)> = BTreeMap::new();
+        let queue = node.queue(&self.usual, now);
+        let aims = (QUEUE_JOINED / self.usual.hosts).max(QUEUE_JOINED_LEAST);
+        let mut left: BTreeMap<VolumeId, f64> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
         order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
-        order
-            .into_iter()
-            .map(|r| {
-                let class = &self.s.classes[r.a.class.0];
-                let volume = &self.volumes[&r.a.volume];
-                let used = node.beyond.get(&r.a.volume).map_or(0.0, |f| f.get(now));
-                let (reserve, extra) = left.entry(r.a.volume).or_insert((volume.reserve, used));
-                let tier = if *reserve >= r.a.units {
-                    *reserve -= r.a.units;
-                    1.0
-                } else {
-                    let inside = *extra / weight(&r.a.volume) <= fair;
-                    *extra += r.a.units;
-                    if inside { self.s.share_worth } else { self.s.spare_worth }
-                };
-                let worth = class.worth * self.s.plans[volume.plan.0].price;
-                Waiting {
-                    id: r.a.id,
-                    due: r.due,
-                    cost: r.a.units * drain,
-                    lag: queued + r.a.units * unit_time,
-                    worth: worth * tier,
-                    late: worth * tier * class.late_value,
-                    spare: tier <= self.s.spare_worth,
-                    valid_until: r.a.valid_until,
-                }
-            })
-            .collect()
+        let waiting = |r: &Request| {
+            let volume = &self.volumes[&r.a.volume];
+            let reserve = left.entry(r.a.volume).or_insert(volume.reserve);
+            *reserve -= r.a.units;
+            let tier = if *reserve >= 0.0 { 1.0 } else { volume.beyond_worth(-*reserve, &self.s, now) };
+            let cost = r.a.units * node.pace(&self.usual);
+            let lag = queue + cost;
+            let late = if now + lag > r.due { self.s.classes[r.a.class.0].late_value } else { 1.0 };
+            let joins = aims * self.usual.aim * tier * late;
+            Waiting { id: r.a.id, due: r.due, valid_until: r.a.valid_until, cost, lag, joins }
+        };
+        order.into_iter().map(waiting).collect()
     }
 
     fn send(&mut self, id: RequestId, at: NodeId, now: Ms, actions: &mut Vec<Action>) {
@@ -780,12 +792,11 @@
         if attempt.0 > 0 {
             self.further.push_back((now, id, attempt));
         } else if let Some(volume) = self.volumes.get_mut(&r.a.volume) {
-            volume.sent.add(r.a.units, now);
             volume.limit -= r.a.units;
             if volume.reserve >= r.a.units {
                 volume.reserve -= r.a.units;
             } else {
-                node.beyond.entry(r.a.volume).or_default().add(r.a.units, now);
+                volume.beyond.add(r.a.units, now);
             }
         }
         let span = self.s.budget.map_or(0.0, |b| b.span) + self.s.tick;
