--- a/src/brain.rs
+++ b/src/brain.rs
@@ -202,7 +202,7 @@
 
     /// Unloaded time of a unit here, ms; a usual node's as long as none was served.
     fn pace(&self, usual: &Usual) -> Ms {
-        self.unit_time.unwrap_or(usual.unit_time)
+        self.unit_time.map_or(usual.unit_time, |t| t.max(usual.unit_time))
     }
 
     /// The most of its own work that an attempt may take without a queue.
@@ -248,7 +248,7 @@
                 let pace = ended.lag / out.units.max(1.0);
                 let falling = self.unit_time.is_none_or(|t| pace < t);
                 self.unit_time = blend(self.unit_time, pace, if falling { NEWEST } else { NEWEST / 100.0 });
-                let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
+                let queued = ended.lag - out.units * self.pace(usual);
                 self.heard_queue((queued - NOISE * (ended.lag - queued)).max(0.0), now);
                 if queued <= QUEUE_SHARE * usual.aim + NOISE * (ended.lag - queued) {
                     if filled {
