--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,6 +32,9 @@
 const CUT: f64 = 0.75;
 /// Weight of the newest answer in running means.
 const NEWEST: f64 = 0.2;
+/// Word of a node's queue fades with this time constant, ms: a host of many hears of a node seldom, and
+/// a queue that nobody feeds is gone within a second or so.
+const WORD_FADES: Ms = 1000.0;
 /// An attempt out for so many usual lags, and the tightest aim, makes a node suspect; pauses stay below.
 const SUSPECT_LAGS: f64 = 4.0;
 /// Failures in a row after which a node gets single canaries only.
@@ -178,7 +181,7 @@
     /// queues that others make: old word fades to what is heard of all nodes. An attempt out far longer
     /// than that shows a sick node or a lost answer, no queue.
     fn queue(&self, usual: &Usual, now: Ms) -> Ms {
-        let heard = usual.queue + (self.queued - usual.queue) * self.fresh(usual, now);
+        let heard = usual.queue + (self.queued - usual.queue) * self.fresh(now);
         let queued = |o: &&Out| now - o.sent < SUSPECT_LAGS * (self.own(o, usual) + usual.queue);
         self.out.iter().filter(queued).map(|o| self.shown_by(o, usual, now)).fold(heard, f64::max)
     }
@@ -193,13 +196,13 @@
     }
 
     /// How much the last word of the queue still says.
-    fn fresh(&self, usual: &Usual, now: Ms) -> f64 {
-        (-(now - self.queued_at) / (usual.aim + self.queued)).exp()
+    fn fresh(&self, now: Ms) -> f64 {
+        (-(now - self.queued_at) / WORD_FADES).exp()
     }
 
     /// Unloaded time of a unit here, ms; a usual node's as long as none was served.
     fn pace(&self, usual: &Usual) -> Ms {
-        self.unit_time.unwrap_or(usual.unit_time)
+        self.unit_time.map_or(usual.unit_time, |t| t.max((t + usual.unit_time) / 2.0))
     }
 
     /// The most of its own work that an attempt may take without a queue.
@@ -214,8 +217,8 @@
     }
 
     /// Word of a wait in the node's queue; the older the last word, the more the new one counts.
-    fn heard_queue(&mut self, wait: Ms, usual: &Usual, now: Ms) {
-        let weight = (1.0 - self.fresh(usual, now)).max(NEWEST);
+    fn heard_queue(&mut self, wait: Ms, now: Ms) {
+        let weight = (1.0 - self.fresh(now)).max(NEWEST);
         self.queued += weight * (wait - self.queued);
         self.queued_at = now;
     }
@@ -245,8 +248,8 @@
                 let pace = ended.lag / out.units.max(1.0);
                 let falling = self.unit_time.is_none_or(|t| pace < t);
                 self.unit_time = blend(self.unit_time, pace, if falling { NEWEST } else { NEWEST / 100.0 });
-                let queued = ended.lag - out.units * self.unit_time.unwrap_or(0.0);
-                self.heard_queue((queued - NOISE * (ended.lag - queued)).max(0.0), usual, now);
+                let queued = ended.lag - out.units * self.pace(usual);
+                self.heard_queue((queued - NOISE * (ended.lag - queued)).max(0.0), now);
                 if queued <= QUEUE_SHARE * usual.aim + NOISE * (ended.lag - queued) {
                     if filled {
                         self.depth = (self.depth + 1.0 / self.depth).min(DEPTH_MOST);
