--- a/src/brain.rs
+++ b/src/brain.rs
@@ -202,7 +202,7 @@
 
     /// Unloaded time of a unit here, ms; a usual node's as long as none was served.
     fn pace(&self, usual: &Usual) -> Ms {
-        self.unit_time.map_or(usual.unit_time, |t| t.max((t + usual.unit_time) / 2.0))
+        self.unit_time.map_or(usual.unit_time, |t| t.max(usual.unit_time))
     }
 
     /// The most of its own work that an attempt may take without a queue.
