--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,7 +15,7 @@
 /// shorter ones, and so does a host of many, since as many act on the same word.
 const QUEUE_JOINED: f64 = 12.0;
 /// The least that division leaves of it: a part of the aim that uneven works do not reach by themselves.
-const QUEUE_JOINED_LEAST: f64 = 0.5;
+const QUEUE_JOINED_LEAST: f64 = 0.8;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Units sent lately that make a node one this host uses: a unit counts for about five seconds.
@@ -423,6 +423,8 @@
     taken: VecDeque<Ms>,
     further: VecDeque<(Ms, RequestId, AttemptNo)>,
     started: Ms,
+    /// Most worth of a request, for its class and plan.
+    most_worth: f64,
     wake_at: Option<Ms>,
     ask_at: Option<Ms>,
     asks_failed: u32,
@@ -434,6 +436,8 @@
         let aim = settings.classes.iter().map(|c| c.aim).fold(Ms::INFINITY, Ms::min);
         let (nodes, volumes, requests, lines, taken, further) = Default::default();
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let price = settings.plans.iter().map(|p| p.price).fold(0.0, f64::max);
+        let most_worth = settings.classes.iter().map(|c| c.worth * price).fold(0.0, f64::max);
         let unit_time = aim / settings.unit_mean.max(1.0) / 4.0;
         let (hosts, phase) = (f64::from(settings.initiators), random(&mut rng));
         let usual = Usual { aim, queue: 0.0, unit_time, hosts, phase };
@@ -447,6 +451,7 @@
             taken,
             further,
             started: now,
+            most_worth,
             wake_at: None,
             ask_at: settings.list_on_request.then_some(now),
             asks_failed: 0,
@@ -777,8 +782,10 @@
             let tier = if *reserve >= 0.0 { 1.0 } else { volume.beyond_worth(-*reserve, &self.s, now) };
             let cost = r.a.units * node.pace(&self.usual);
             let lag = queue + cost;
-            let late = if now + lag > r.due { self.s.classes[r.a.class.0].late_value } else { 1.0 };
-            let joins = aims * self.usual.aim * tier * late;
+            let class = &self.s.classes[r.a.class.0];
+            let late = if now + lag > r.due { class.late_value } else { 1.0 };
+            let worth = class.worth * self.s.plans[volume.plan.0].price / self.most_worth;
+            let joins = aims * self.usual.aim * tier * late * worth;
             Waiting { id: r.a.id, due: r.due, valid_until: r.a.valid_until, cost, lag, joins }
         };
         order.into_iter().map(waiting).collect()
