--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,11 +11,8 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
-/// Queue that a unit of full worth may join, in tightest aims, were its host alone; what earns less joins
-/// shorter ones, and so does a host of many, since as many act on the same word.
-const QUEUE_JOINED: f64 = 12.0;
-/// The least that division leaves of it: a part of the aim that uneven works do not reach by themselves.
-const QUEUE_JOINED_LEAST: f64 = 0.8;
+/// Queue that a unit of the most worth may join, in tightest aims; what earns less joins shorter ones.
+const QUEUE_JOINED: f64 = 1.5;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Units sent lately that make a node one this host uses: a unit counts for about five seconds.
@@ -693,12 +690,9 @@
             }
         }
         for (node, mut ids) in held {
-            while !ids.is_empty() && self.nodes[&node].room(&self.usual, now) {
+            loop {
                 ids.retain(|id| self.may_send(*id, node, now));
-                let Some(next) = self.choose(&mut ids, node, now, actions) else {
-                    break;
-                };
-                ids.retain(|id| *id != next);
+                let Some(next) = self.choose(&ids, node, now, actions) else { break };
                 self.send(next, node, now, actions);
             }
         }
@@ -743,7 +737,7 @@
     /// more be answered in its client's time is refused at once.
     fn choose(
         &mut self,
-        ids: &mut Vec<RequestId>,
+        ids: &[RequestId],
         at: NodeId,
         now: Ms,
         actions: &mut Vec<Action>,
@@ -759,7 +753,6 @@
         for w in timely.iter().chain(&late) {
             if now + wait + w.lag > w.valid_until {
                 self.finish(w.id, false, actions);
-                ids.retain(|id| *id != w.id);
             } else {
                 wait += w.cost;
             }
@@ -771,7 +764,6 @@
     fn rank(&self, ids: &[RequestId], at: NodeId, now: Ms) -> Vec<Waiting> {
         let node = &self.nodes[&at];
         let queue = node.queue(&self.usual, now);
-        let aims = (QUEUE_JOINED / self.usual.hosts).max(QUEUE_JOINED_LEAST);
         let mut left: BTreeMap<VolumeId, f64> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
         order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
@@ -785,7 +777,7 @@
             let class = &self.s.classes[r.a.class.0];
             let late = if now + lag > r.due { class.late_value } else { 1.0 };
             let worth = class.worth * self.s.plans[volume.plan.0].price / self.most_worth;
-            let joins = aims * self.usual.aim * tier * late * worth;
+            let joins = QUEUE_JOINED * self.usual.aim * tier * late * worth;
             Waiting { id: r.a.id, due: r.due, valid_until: r.a.valid_until, cost, lag, joins }
         };
         order.into_iter().map(waiting).collect()
