--- a/src/brain.rs
+++ b/src/brain.rs
@@ -777,7 +777,7 @@
             let class = &self.s.classes[r.a.class.0];
             let late = if now + lag > r.due { class.late_value } else { 1.0 };
             let worth = class.worth * self.s.plans[volume.plan.0].price / self.most_worth;
-            let joins = (QUEUE_SHARE + QUEUE_JOINED * tier * late * worth) * self.usual.aim;
+            let joins = (QUEUE_SHARE + QUEUE_JOINED * tier * worth) * late * self.usual.aim;
             Waiting { id: r.a.id, due: r.due, valid_until: r.a.valid_until, cost, lag, joins }
         };
         order.into_iter().map(waiting).collect()
