--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,7 +12,7 @@
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
 /// Queue that a unit of the most worth may join, in tightest aims; what earns less joins shorter ones.
-const QUEUE_JOINED: f64 = 1.0;
+const QUEUE_JOINED: f64 = 2.5;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Units sent lately that make a node one this host uses: a unit counts for about five seconds.
