--- a/tests/health.rs
+++ b/tests/health.rs
@@ -98,7 +98,7 @@
 
 #[test]
 fn at_a_queue_what_is_inside_the_reserve_goes_first() {
-    let mut s = Settings { initiators: 200, ..settings() };
+    let mut s = Settings { share_worth: 0.1, ..settings() };
     s.plans.push(plan(40.0));
     let mut host = Host::new(s, 1);
     host.pass(10_000.0);
@@ -184,7 +184,7 @@
 
 /// Sends to node 0, not heard from yet, while the other nodes answer after `lag`.
 fn sends_to_an_unheard_node(lag: Ms) -> usize {
-    let mut host = Host::new(Settings { initiators: 200, ..settings() }, 5);
+    let mut host = Host::new(Settings { share_worth: 0.1, ..settings() }, 5);
     host.pass(10_000.0);
     for id in 0..40 {
         host.warm_up(1000 + id, 1 + (id % 4) as i64, if id < 4 { 10.0 } else { lag });
@@ -201,7 +201,7 @@
 
 #[test]
 fn a_full_node_is_not_asked_again_at_once() {
-    let mut host = Host::new(Settings { initiators: 200, ..settings() }, 1);
+    let mut host = Host::new(settings(), 1);
     host.warm_up(1000, 0, 10.0);
     host.arrive(arrival(1, Some(0), host.now + 1500.0));
     host.take();
