--- a/crates/flaxstand-drill/src/wire.rs
+++ b/crates/flaxstand-drill/src/wire.rs
@@ -105,7 +105,6 @@
     outcome: u8,
     lag_ms: f64,
     complete: bool,
-    used: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -207,7 +206,6 @@
                 outcome: outcome(r.outcome)?,
                 lag: r.lag_ms,
                 complete: r.complete,
-                used_percent: r.used.filter(|u| *u > 0.0).map(|u| u - 1.0),
             }),
             Body::ClientLeft(c) => Event::ClientGone(RequestId(c.op_id)),
             Body::Idle => return Ok(None),
@@ -318,8 +316,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireCaps {
-    #[serde(default)]
-    cancel: bool,
     max_attempts: u32,
     #[serde(default)]
     max_retry_after_ms: f64,
@@ -403,7 +399,6 @@
             plans,
             list_on_request: matches!(self.registry_mode, RegistryMode::OnRequest),
             ask_within: rules.ask_within_ms,
-            may_cancel: self.caps.cancel,
             max_attempts: self.caps.max_attempts,
             max_retry_after: if self.caps.retry_after { self.caps.max_retry_after_ms } else { 0.0 },
             cold_from: rules.cold_from,
@@ -427,7 +422,6 @@
 #[serde(tag = "cmd", rename_all = "camelCase", rename_all_fields = "camelCase")]
 pub enum Outbound<'a> {
     Assign { i: &'a str, op_id: u64, target: &'a str },
-    DropAttempt { i: &'a str, op_id: u64, go: u32 },
     Reject { i: &'a str, op_id: u64, backoff_ms: f64 },
     DropRequest { i: &'a str, op_id: u64 },
     Timer { i: &'a str, in_ms: f64, token: u64 },
@@ -446,9 +440,6 @@
             Action::Send { request, node } => {
                 Outbound::Assign { i, op_id: request.0, target: name_of(node)? }
             }
-            Action::Cancel { request, attempt } => {
-                Outbound::DropAttempt { i, op_id: request.0, go: attempt.0 }
-            }
             Action::Refuse { request, retry_after } => {
                 Outbound::Reject { i, op_id: request.0, backoff_ms: retry_after }
             }
--- a/src/api.rs
+++ b/src/api.rs
@@ -118,8 +118,6 @@
     pub list_on_request: bool,
     /// The initiator must have asked for the list within this.
     pub ask_within: Ms,
-    /// Attempts may be called off.
-    pub may_cancel: bool,
     /// Attempts a request may have.
     pub max_attempts: u32,
     /// Longest advised wait that clients honour; 0: advice does not reach them.
@@ -247,8 +245,6 @@
     pub lag: Ms,
     /// The request is over.
     pub complete: bool,
-    /// Units a second the volume was served everywhere, in percent of its plan's base rate.
-    pub used_percent: Option<f64>,
 }
 
 /// What the brain is told.
@@ -278,13 +274,6 @@
         /// Where to.
         node: NodeId,
     },
-    /// Stop waiting for an attempt.
-    Cancel {
-        /// The request.
-        request: RequestId,
-        /// Which attempt.
-        attempt: AttemptNo,
-    },
     /// Final answer: refused; trying again is harmless.
     Refuse {
         /// The request.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,7 +22,6 @@
         plans: vec![plan(0.0)],
         list_on_request: false,
         ask_within: 10_000.0,
-        may_cancel: true,
         max_attempts: 3,
         max_retry_after: 500.0,
         cold_from: 0.2,
@@ -117,7 +116,6 @@
             outcome,
             lag,
             complete: outcome == Outcome::Served,
-            used_percent: None,
         }));
         self.tell(Event::Decide);
     }
