--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,8 +13,6 @@
 const DEPTH_MOST: f64 = 8.0;
 /// Queue that a unit of the most worth may join, in tightest aims; what earns less joins shorter ones.
 const QUEUE_JOINED: f64 = 2.5;
-/// How much the queue at a usual node adds to a node's own where a request is to join it.
-const ALL_QUEUED: f64 = 2.0;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Units sent lately that make a node one this host uses: a unit counts for about five seconds.
@@ -748,9 +746,7 @@
             self.rank(ids, at, now).into_iter().partition(|w| now + w.lag <= w.due);
         late.sort_by(|x, y| y.joins.total_cmp(&x.joins));
         let node = &self.nodes[&at];
-        // A queue at usual nodes too is no pause of this one: then it takes more worth to join.
-        let usual = (self.usual.queue - QUEUE_SHARE * self.usual.aim).max(0.0);
-        let queue = node.queue(&self.usual, now) + ALL_QUEUED * usual;
+        let queue = node.queue(&self.usual, now);
         let fills = |w: &&Waiting| now + w.lag <= w.valid_until && node.out.is_empty() && queue <= w.joins;
         let next = timely.iter().find(|w| queue <= w.joins).or(late.iter().find(fills)).map(|w| w.id);
         let mut wait = 0.0;
