--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,10 +11,8 @@
 
 /// Requests out at one node, most (design page: q_ceil and the starting bound).
 const DEPTH_MOST: f64 = 8.0;
-/// Queue that a unit of the most worth may join, in tightest aims, where few and where many hosts act on
-/// the same word; what earns less joins shorter ones. So many hosts are few.
-const QUEUE_JOINED: (f64, f64) = (2.5, 1.0);
-const FEW_HOSTS: f64 = 8.0;
+/// Queue that a unit of the most worth may join, in tightest aims; what earns less joins shorter ones.
+const QUEUE_JOINED: f64 = 2.5;
 /// Aggression factor of the usage term (design page).
 const AGGRESSION: f64 = 1.05;
 /// Units sent lately that make a node one this host uses: a unit counts for about five seconds.
@@ -766,8 +764,6 @@
     fn rank(&self, ids: &[RequestId], at: NodeId, now: Ms) -> Vec<Waiting> {
         let node = &self.nodes[&at];
         let queue = node.queue(&self.usual, now);
-        let few = (FEW_HOSTS / self.usual.hosts).min(1.0);
-        let aims = QUEUE_JOINED.1 + (QUEUE_JOINED.0 - QUEUE_JOINED.1) * few;
         let mut left: BTreeMap<VolumeId, f64> = BTreeMap::new();
         let mut order: Vec<&Request> = ids.iter().filter_map(|id| self.requests.get(id)).collect();
         order.sort_by(|x, y| x.due.total_cmp(&y.due).then(x.a.id.cmp(&y.a.id)));
@@ -781,7 +777,7 @@
             let class = &self.s.classes[r.a.class.0];
             let late = if now + lag > r.due { class.late_value } else { 1.0 };
             let worth = class.worth * self.s.plans[volume.plan.0].price / self.most_worth;
-            let joins = (QUEUE_SHARE + aims * tier * worth) * late * self.usual.aim;
+            let joins = (QUEUE_SHARE + QUEUE_JOINED * tier * worth) * late * self.usual.aim;
             Waiting { id: r.a.id, due: r.due, valid_until: r.a.valid_until, cost, lag, joins }
         };
         order.into_iter().map(waiting).collect()
