--- a/crates/flaxstand-drill/src/wire.rs
+++ b/crates/flaxstand-drill/src/wire.rs
@@ -301,7 +301,6 @@
     floor_rate: f64,
     ceiling_rate: f64,
     most_at_once: f64,
-    weight: f64,
     price: f64,
 }
 
@@ -309,7 +308,7 @@
     fn default() -> Self {
         let name = String::new();
         let (base_rate, floor_rate, ceiling_rate, most_at_once) = Default::default();
-        WirePlan { name, base_rate, floor_rate, ceiling_rate, most_at_once, weight: 1.0, price: 1.0 }
+        WirePlan { name, base_rate, floor_rate, ceiling_rate, most_at_once, price: 1.0 }
     }
 }
 
@@ -378,7 +377,6 @@
             reserve_rate: g.floor_rate,
             limit_rate: g.ceiling_rate,
             limit_burst: g.most_at_once,
-            weight: g.weight,
             price: g.price,
         };
         let mut plans: Vec<Plan> = self.grades.iter().map(plan).collect();
--- a/src/api.rs
+++ b/src/api.rs
@@ -88,8 +88,6 @@
     pub limit_rate: f64,
     /// Most units the limit's store holds.
     pub limit_burst: f64,
-    /// Proportion in which spare capacity is due.
-    pub weight: f64,
     /// Worth factor.
     pub price: f64,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,7 +9,7 @@
 }
 
 pub fn plan(reserve_rate: f64) -> Plan {
-    Plan { base_rate: 10.0, reserve_rate, limit_rate: 0.0, limit_burst: 0.0, weight: 1.0, price: 1.0 }
+    Plan { base_rate: 10.0, reserve_rate, limit_rate: 0.0, limit_burst: 0.0, price: 1.0 }
 }
 
 pub fn settings() -> Settings {
