--- a/src/brain.rs
+++ b/src/brain.rs
@@ -288,9 +288,8 @@
 }
 
 impl Volume {
-    /// The reserve and the limit count over all hosts. The rest of the reserve is ours where the meter
-    /// says that others leave it; of the limit only an even part ever is, from empty at our start: what
-    /// this host sent before a restart is unknown.
+    /// The reserve and the limit count over all hosts: an even part of each is ours. The limit's is empty
+    /// at our start, since what this host sent before a restart is unknown.
     fn fill(&mut self, s: &Settings, now: Ms) {
         let plan = &s.plans[self.plan.0];
         let seconds = (now - self.filled_at) / 1000.0;
@@ -690,7 +689,8 @@
             }
         }
         for (node, mut ids) in held {
-            loop {
+            // Nothing passes the gate without room: asked first, so that a full node costs no walk.
+            while self.nodes[&node].room(&self.usual, now) {
                 ids.retain(|id| self.may_send(*id, node, now));
                 let Some(next) = self.choose(&ids, node, now, actions) else { break };
                 self.send(next, node, now, actions);
