--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/backoff.rs
@@ -0,0 +1,58 @@
+//! Waits between calls that failed: each drawn between the first wait and three times the last one
+//! ("decorrelated jitter"), so that hosts whose calls failed together do not call again together.
+
+use crate::machine::Micros;
+use rand_core::RngCore;
+
+/// The waits of one peer.
+#[derive(Debug)]
+pub struct Backoff {
+    first: Micros,
+    longest: Micros,
+    last: Micros,
+}
+
+impl Backoff {
+    /// No wait shorter than `first`, none longer than `longest`.
+    pub fn new(first: Micros, longest: Micros) -> Self {
+        Backoff { first, longest: longest.max(first), last: first }
+    }
+
+    /// The wait after one more failure.
+    pub fn failed(&mut self, rng: &mut impl RngCore) -> Micros {
+        let width = (self.last.0.saturating_mul(3)).saturating_sub(self.first.0).max(1);
+        let drawn = self.first.0 + rng.next_u64() % width;
+        self.last = Micros(drawn.min(self.longest.0));
+        self.last
+    }
+
+    /// A call went well: the next failure waits shortly again.
+    pub fn worked(&mut self) {
+        self.last = self.first;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_core::SeedableRng;
+    use rand_pcg::Pcg64Mcg;
+
+    #[test]
+    fn waits_grow_to_their_bound_and_differ_between_hosts() {
+        let (first, longest) = (Micros(50_000), Micros(2_000_000));
+        let tenth = |seed| {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut backoff = Backoff::new(first, longest);
+            let waits: Vec<Micros> = (0..10).map(|_| backoff.failed(&mut rng)).collect();
+            assert!(waits.iter().all(|w| *w >= first && *w <= longest), "{waits:?}");
+            backoff.worked();
+            assert!(backoff.failed(&mut rng) < Micros(150_000));
+            waits[2]
+        };
+        let mut thirds: Vec<Micros> = (0..100).map(tenth).collect();
+        thirds.sort();
+        thirds.dedup();
+        assert!(thirds.len() > 90, "hosts draw the same waits");
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -0,0 +1,200 @@
+//! Clients: their greeting, their submissions, and the bounds that keep one from harming the others.
+
+use super::requests::Held;
+use super::{Conn, Core, Peer, Phase, Stage, Timer};
+use crate::machine::{Command, ConnId, Micros};
+use flaxstand::api::{Arrival, ClassId, Event, Key, PlanId, RequestId, ShardId, VolumeId};
+use flaxstand_proto::{
+    Frame, Hello, Parting, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, Welcome, encode,
+};
+use std::collections::BTreeMap;
+use tracing::{debug, info, warn};
+
+/// A protocol fault: what is said to the peer before the connection is closed.
+pub(super) type Fault = (Parting, String);
+
+/// A client's connection.
+#[derive(Debug, Default)]
+pub(super) struct Client {
+    /// Its requests that are owed an answer, by its own numbers.
+    pub(super) owed: BTreeMap<u64, RequestId>,
+    /// It is not read until it has read what waits for it.
+    pub(super) paused: bool,
+    /// It sends nothing more; its answers still go out.
+    finished: bool,
+}
+
+impl Core {
+    pub(super) fn client_accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
+        if self.clients >= self.config.bounds.clients || self.phase != Phase::Running {
+            let (parting, text) = match self.phase {
+                Phase::Running => (Parting::Bound, "as many clients as may be"),
+                _ => (Parting::Stopping, "stopping"),
+            };
+            info!(clients = self.clients, text, "client turned away");
+            let mut bytes = Vec::new();
+            encode(&Frame::Bye { parting, text }, &mut bytes);
+            return Err(bytes);
+        }
+        self.clients += 1;
+        let conn = self.new_conn(Peer::Client(Client::default()), Stage::Greeting);
+        self.timers.insert((now.after(self.config.site.waits.greeting), Timer::Dial(conn)));
+        Ok(conn)
+    }
+
+    pub(super) fn client_greeted(
+        &mut self,
+        conn: ConnId,
+        hello: &Hello<'_>,
+        _now: Micros,
+    ) -> Result<(), Fault> {
+        if hello.role != Role::Client {
+            return Err((Parting::Protocol, format!("a client was expected, not {:?}", hello.role)));
+        }
+        let (oldest, newest) = hello.versions;
+        if oldest > VERSION || newest < VERSION_OLDEST {
+            let text =
+                format!("versions {oldest} to {newest}, this initiator speaks {VERSION_OLDEST} to {VERSION}");
+            return Err((Parting::Version, text));
+        }
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.stage = Stage::Open;
+        }
+        let welcome = Welcome {
+            version: VERSION.min(newest),
+            role: Role::Initiator,
+            id: self.config.index.into(),
+            epoch: self.config.epoch,
+            name: &self.config.name.clone(),
+        };
+        self.push(conn, &Frame::Welcome(welcome));
+        debug!(conn = conn.0, client = hello.name, "client connected");
+        Ok(())
+    }
+
+    /// A request. What can't be one is the client's fault; what is beyond a bound is refused.
+    pub(super) fn submitted(&mut self, conn: ConnId, s: &Submit<'_>, now: Micros) -> Result<(), Fault> {
+        let fault = |text: String| Err((Parting::Protocol, text));
+        let site = &self.config.site;
+        let unit_most = site.settings.unit_most;
+        if usize::from(s.class) >= site.classes.len() {
+            return fault(format!("class {} of {}", s.class, site.classes.len()));
+        }
+        if usize::from(s.plan) >= site.plans.len() {
+            return fault(format!("plan {} of {}", s.plan, site.plans.len()));
+        }
+        if s.units == 0 || f64::from(s.units) > unit_most {
+            return fault(format!("{} units, 1 to {unit_most} are taken", s.units));
+        }
+        let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&conn) else { return Ok(()) };
+        if client.owed.contains_key(&s.id) {
+            return fault(format!("number {} is in use", s.id));
+        }
+        self.counts.taken += 1;
+        let bounds = &self.config.bounds;
+        let volume = VolumeId(s.volume);
+        let new_volume = !self.volumes.contains(&volume);
+        let refusal = if self.phase != Phase::Running {
+            Some((Refusal::Stopping, Scope::All))
+        } else if self.requests.len() >= bounds.held {
+            Some((Refusal::Held, Scope::All))
+        } else if client.owed.len() >= bounds.per_client {
+            Some((Refusal::Client, Scope::All))
+        } else if new_volume && self.volumes.len() >= bounds.volumes {
+            Some((Refusal::Held, Scope::Volume))
+        } else {
+            None
+        };
+        if let Some((refusal, scope)) = refusal {
+            self.counts.turned_away += 1;
+            debug!(conn = conn.0, id = s.id, ?refusal, "turned away");
+            let wait = Micros::from_ms(self.config.site.settings.max_retry_after).0;
+            let wait = u32::try_from(wait).unwrap_or(u32::MAX);
+            self.push(conn, &Frame::Refused { id: s.id, wait, refusal, scope });
+            self.client_wrote(conn, now);
+            return Ok(());
+        }
+        self.take_request(conn, s, volume, now);
+        Ok(())
+    }
+
+    fn take_request(&mut self, conn: ConnId, s: &Submit<'_>, volume: VolumeId, now: Micros) {
+        self.volumes.insert(volume);
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
+        if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get_mut(&conn) {
+            client.owed.insert(s.id, id);
+        }
+        let time_left = Micros(s.time_left.into()).since(self.config.site.waits.answer);
+        let valid_until = now.after(time_left);
+        debug!(request = id.0, conn = conn.0, client_id = s.id, class = s.class, shard = s.shard, "taken");
+        self.requests.insert(id, Held::new((conn, s.id), s, valid_until));
+        self.timers.insert((valid_until, Timer::Deadline(id)));
+        self.events.push_back(Event::Arrived(Arrival {
+            id,
+            class: ClassId(s.class.into()),
+            plan: PlanId(s.plan.into()),
+            key: s.extent.map(Key),
+            valid_until: valid_until.ms(),
+            volume,
+            units: s.units.into(),
+            shard: s.shard.map(|shard| ShardId(shard.into())),
+            writers: u32::from(s.writers.max(1)),
+        }));
+    }
+
+    /// Bounds on what waits for a client, after something was added.
+    pub(super) fn client_wrote(&mut self, conn: ConnId, now: Micros) {
+        let bounds = self.config.bounds;
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Peer::Client(client) = &mut c.peer else { return };
+        if c.outbox.len() > bounds.client_bytes_most {
+            warn!(conn = conn.0, bytes = c.outbox.len(), "client does not read its answers: disconnected");
+            self.hang_up(conn, Parting::Bound, "answers are not read", now);
+        } else if c.outbox.len() > bounds.client_bytes && !client.paused {
+            debug!(conn = conn.0, bytes = c.outbox.len(), "client is not read until it has read");
+            client.paused = true;
+            self.commands.push(Command::Flush(conn));
+        } else if client.finished && client.owed.is_empty() && c.outbox.is_empty() {
+            self.lost(conn, "client has all it asked for", true, now);
+        }
+    }
+
+    /// The same, after something was read.
+    pub(super) fn client_read(&mut self, conn: ConnId, now: Micros) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Peer::Client(client) = &mut c.peer else { return };
+        if client.paused && c.outbox.len() <= self.config.bounds.client_bytes / 2 {
+            client.paused = false;
+            self.commands.push(Command::Flush(conn));
+        }
+        self.client_wrote(conn, now);
+    }
+
+    /// The peer sends nothing more. A client's answers still go out, if it is owed any.
+    pub(super) fn client_finished(&mut self, conn: ConnId, _now: Micros) -> bool {
+        let Some(c) = self.conns.get_mut(&conn) else { return false };
+        match &mut c.peer {
+            Peer::Client(client) if !client.owed.is_empty() || !c.outbox.is_empty() => {
+                client.finished = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Nobody waits for this client's requests any more. Their attempts run on and are still counted.
+    pub(super) fn client_lost(&mut self, conn: ConnId, client: &Client, cause: &str) {
+        self.clients -= 1;
+        debug!(conn = conn.0, cause, owed = client.owed.len(), "client gone");
+        for id in client.owed.values() {
+            self.counts.abandoned += 1;
+            if let Some(held) = self.requests.get_mut(id) {
+                held.client = None;
+                held.payload = Vec::new();
+            }
+            self.events.push_back(Event::ClientGone(*id));
+            self.forget(*id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -0,0 +1,127 @@
+//! What the core is told at its start.
+
+use crate::machine::{Address, Micros};
+use flaxstand::api::Settings;
+
+/// Which policy decides.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// The decision module.
+    #[default]
+    Module,
+    /// Everything is sent at once and tried once: a baseline to measure against, not for service.
+    Pipe,
+}
+
+/// Bounds on what the core holds. `docs/settings.md` says what happens at each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Client connections. One more is told so and closed.
+    pub clients: usize,
+    /// Requests held, answered ones whose attempts still run included. One more is refused at once.
+    pub held: usize,
+    /// Requests of one client connection. One more is refused at once.
+    pub per_client: usize,
+    /// Bytes that wait for one client. Above it the client is not read until it has read.
+    pub client_bytes: usize,
+    /// Bytes that wait for one client, most. Above it the client is disconnected.
+    pub client_bytes_most: usize,
+    /// Bytes that wait for one node. Above it an attempt counts as turned away unseen.
+    pub node_bytes: usize,
+    /// Nodes that were ever listed in the process' life. One more is left out, with a warning.
+    pub nodes: usize,
+    /// Volumes that were ever used in the process' life. A request of one more is refused.
+    pub volumes: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            clients: 1024,
+            held: 20_000,
+            per_client: 4096,
+            client_bytes: 1 << 20,
+            client_bytes_most: 64 << 20,
+            node_bytes: 8 << 20,
+            nodes: 4096,
+            volumes: 1 << 20,
+        }
+    }
+}
+
+/// Waits of the initiator's own connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waits {
+    /// A connection that is not open and greeted within this has failed.
+    pub dial: Micros,
+    /// A client that has not greeted within this is disconnected.
+    pub greeting: Micros,
+    /// A node's connection without an attempt is closed after this.
+    pub idle: Micros,
+    /// An answer leaves this long before its client gives up: time for its way.
+    pub answer: Micros,
+    /// Silence of the list service after which it is asked; as long again, and it is called anew.
+    pub list_silence: Micros,
+    /// First and longest wait before the list service is called again.
+    pub list_retry: (Micros, Micros),
+    /// What is still held this long after a stop was asked for is failed.
+    pub stop: Micros,
+}
+
+impl Default for Waits {
+    fn default() -> Self {
+        let ms = |ms: u64| Micros(ms * 1000);
+        Waits {
+            dial: ms(250),
+            greeting: ms(2000),
+            idle: ms(15_000),
+            answer: ms(10),
+            list_silence: ms(5000),
+            list_retry: (ms(50), ms(2000)),
+            stop: ms(5000),
+        }
+    }
+}
+
+/// What only the program needs to know of a class.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClassInfo {
+    /// Its name.
+    pub name: String,
+    /// Answers are streamed.
+    pub stream: bool,
+}
+
+/// What a site tells all its initiators.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// In the order of the module's classes.
+    pub classes: Vec<ClassInfo>,
+    /// Names of plans, in the order of the module's.
+    pub plans: Vec<String>,
+    /// Waits of connections.
+    pub waits: Waits,
+}
+
+/// What one initiator is told.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name, for logs.
+    pub name: String,
+    /// Its number among the site's initiators.
+    pub index: u32,
+    /// Which life of it this is; grows at each start.
+    pub epoch: u64,
+    /// Seed of its random numbers.
+    pub seed: u64,
+    /// Where the list service is.
+    pub list: Address,
+    /// The site.
+    pub site: Site,
+    /// Its bounds.
+    pub bounds: Bounds,
+    /// What decides.
+    pub policy: Policy,
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -0,0 +1,238 @@
+//! The node list: one connection to its service, called again after breaks; changes applied in the order
+//! of their revisions; the whole list asked for after a gap; a copy saved for the next start.
+
+use super::clients::Fault;
+use super::nodes::NodePeer;
+use super::{Backoff, Core, Peer, Stage, Timer, Waits};
+use crate::machine::{Address, Command, ConnId, Micros};
+use flaxstand::api::{Event, ListScope, NodeEntry, NodeId, Readiness, ShardId, ZoneId};
+use flaxstand_proto::{
+    Entry, Extent, Frame, FrameError, List, Parting, Role, State, VERSION, VERSION_OLDEST, Welcome, decode,
+    encode,
+};
+use thiserror::Error;
+use tracing::{debug, info, warn};
+
+/// Why a saved list can't be used.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum SavedListError {
+    /// The bytes are no frame.
+    #[error("it is damaged: {0}")]
+    Damaged(#[from] FrameError),
+    /// They end too early, or go on too long.
+    #[error("it is not whole")]
+    NotWhole,
+    /// They are a frame, but no full list.
+    #[error("it holds no full list")]
+    NoList,
+}
+
+/// The list in a saved copy.
+///
+/// # Errors
+/// It is none: see [`SavedListError`].
+pub fn check_saved_list(bytes: &[u8]) -> Result<List<'_>, SavedListError> {
+    match decode(bytes)? {
+        Some((Frame::List(list), len)) if len == bytes.len() && list.extent == Extent::Full => Ok(list),
+        Some((_, len)) if len == bytes.len() => Err(SavedListError::NoList),
+        _ => Err(SavedListError::NotWhole),
+    }
+}
+
+/// The list service.
+#[derive(Debug)]
+pub(super) struct ListPeer {
+    conn: Option<ConnId>,
+    /// Of the list held, once the service has told one in this life.
+    revision: Option<u64>,
+    heard_at: Micros,
+    /// The whole list has been asked for and has not come.
+    asked: bool,
+    backoff: Backoff,
+}
+
+impl ListPeer {
+    pub(super) fn new(waits: &Waits) -> Self {
+        let backoff = Backoff::new(waits.list_retry.0, waits.list_retry.1);
+        ListPeer { conn: None, revision: None, heard_at: Micros(0), asked: false, backoff }
+    }
+}
+
+impl Core {
+    /// The module wants to hear of changes.
+    pub(super) fn subscribe(&mut self, now: Micros) {
+        match self.list.conn {
+            Some(conn) if self.conns.get(&conn).is_some_and(|c| c.stage == Stage::Open) => {
+                self.push(conn, &Frame::Watch);
+            }
+            Some(_) => {}
+            None => self.call_list(now),
+        }
+    }
+
+    pub(super) fn call_list(&mut self, now: Micros) {
+        if self.list.conn.is_none() {
+            let conn = self.new_conn(Peer::List, Stage::Dialing);
+            self.list.conn = Some(conn);
+            self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
+            self.commands.push(Command::Connect { conn, address: self.config.list.clone() });
+        }
+    }
+
+    pub(super) fn list_greeted(&mut self, conn: ConnId, w: &Welcome<'_>, now: Micros) -> Result<(), Fault> {
+        if w.role != Role::List || !(VERSION_OLDEST..=VERSION).contains(&w.version) {
+            let text = format!("expected a list service, met {:?} of version {}", w.role, w.version);
+            return Err((Parting::WrongPeer, text));
+        }
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.stage = Stage::Open;
+        }
+        (self.list.heard_at, self.list.asked) = (now, false);
+        self.timers.insert((now.after(self.config.site.waits.list_silence), Timer::ListSilence));
+        self.push(conn, &Frame::Watch);
+        Ok(())
+    }
+
+    /// The connection is no more, or never came to be. The list held stays in use.
+    pub(super) fn list_lost(&mut self, stage: Stage, cause: &str, now: Micros) {
+        self.list.conn = None;
+        warn!(cause, ?stage, "no connection to the list service; the list held stays in use");
+        self.timers.retain(|(_, timer)| *timer != Timer::ListSilence);
+        if self.config.site.settings.list_on_request {
+            // The module asked for it, and asks again when it sees fit.
+            self.events.push_back(Event::List(ListScope::Failed, Vec::new()));
+        } else {
+            let wait = self.list.backoff.failed(&mut self.rng);
+            self.timers.insert((now.after(wait), Timer::ListCall));
+        }
+    }
+
+    pub(super) fn list_call_failed(&mut self, now: Micros) {
+        if let Some(conn) = self.list.conn {
+            self.lost(conn, "the list service could not answer", true, now);
+        }
+    }
+
+    pub(super) fn list_silent(&mut self, now: Micros) {
+        let Some(conn) = self.list.conn else { return };
+        let silence = self.config.site.waits.list_silence;
+        let due = self.list.heard_at.after(silence);
+        if now < due {
+            self.timers.insert((due, Timer::ListSilence));
+        } else if self.list.asked {
+            self.hang_up(conn, Parting::Protocol, "the list service is silent", now);
+        } else {
+            self.list.asked = true;
+            self.push(conn, &Frame::GetList);
+            self.timers.insert((now.after(silence), Timer::ListSilence));
+        }
+    }
+
+    /// The list or its changes came.
+    pub(super) fn listed(&mut self, conn: ConnId, list: &List<'_>, now: Micros) {
+        (self.list.heard_at, self.list.asked) = (now, false);
+        let scope = match (list.extent, self.list.revision) {
+            (Extent::Full, _) => ListScope::Full,
+            (Extent::Changes, Some(held)) if list.revision <= held => {
+                debug!(held, revision = list.revision, "changes that are known already");
+                return;
+            }
+            (Extent::Changes, Some(held)) if list.since == held => ListScope::Changes,
+            (Extent::Changes, held) => {
+                info!(?held, since = list.since, "a gap in the list's changes: asking for all of it");
+                self.list.asked = true;
+                self.push(conn, &Frame::GetList);
+                return;
+            }
+        };
+        self.list.backoff.worked();
+        self.list.revision = Some(list.revision);
+        self.take_list(scope, list, now);
+        self.commands.push(Command::Save(self.saved_list(now)));
+    }
+
+    pub(super) fn take_saved_list(&mut self, bytes: &[u8], now: Micros) -> Result<(), SavedListError> {
+        let list = check_saved_list(bytes)?;
+        self.take_list(ListScope::Saved, &list, now);
+        Ok(())
+    }
+
+    fn take_list(&mut self, scope: ListScope, list: &List<'_>, now: Micros) {
+        if scope != ListScope::Changes {
+            self.nodes.iter_mut().for_each(|n| n.readiness = Readiness::Gone);
+        }
+        let told: Vec<NodeEntry> = list.entries.iter().filter_map(|e| self.take_entry(e, now)).collect();
+        info!(?scope, revision = list.revision, entries = told.len(), "node list");
+        self.events.push_back(Event::List(scope, told));
+        for at in 0..self.nodes.len() {
+            self.close_if_gone(NodeId(at as u32), now);
+        }
+    }
+
+    fn take_entry(&mut self, e: &Entry<'_>, now: Micros) -> Option<NodeEntry> {
+        let address: Address = match e.address.parse() {
+            Ok(address) => address,
+            Err(cause) => {
+                warn!(node = e.node, %cause, "a listed node is left out");
+                return None;
+            }
+        };
+        let id = match self.node_ids.get(&e.node) {
+            Some(id) => *id,
+            None if self.nodes.len() >= self.config.bounds.nodes => {
+                warn!(
+                    node = e.node,
+                    bound = self.config.bounds.nodes,
+                    "a listed node beyond the bound is left out"
+                );
+                return None;
+            }
+            None => {
+                let id = NodeId(self.nodes.len() as u32);
+                self.nodes.push(NodePeer::new(e.node, address.clone()));
+                self.node_ids.insert(e.node, id);
+                id
+            }
+        };
+        let node = &mut self.nodes[id.0 as usize];
+        if node.incarnation != e.incarnation {
+            // Fixed at first word of this start: a later, staler age must not make it look like another.
+            node.incarnation = e.incarnation;
+            node.booted_at = e.age.map(|age| now.ms() - Micros(age).ms());
+        }
+        node.readiness = match e.state {
+            State::Serving => Readiness::Serving,
+            State::Draining => Readiness::Draining,
+            State::Gone => Readiness::Gone,
+        };
+        (node.shard, node.zone, node.address) = (e.shard, e.zone, address);
+        let entry = NodeEntry {
+            node: id,
+            readiness: node.readiness,
+            booted_at: node.booted_at,
+            zone: ZoneId(e.zone),
+            shard: ShardId(e.shard.into()),
+        };
+        info!(node = e.node, state = ?e.state, shard = e.shard, address = e.address, "listed");
+        Some(entry)
+    }
+
+    fn saved_list(&self, now: Micros) -> Vec<u8> {
+        let listed = self.nodes.iter().filter(|n| n.readiness != Readiness::Gone);
+        let addresses: Vec<String> = listed.clone().map(|n| n.address.to_string()).collect();
+        let entries = listed.zip(&addresses).map(|(n, address)| Entry {
+            node: n.name,
+            incarnation: n.incarnation,
+            state: if n.readiness == Readiness::Serving { State::Serving } else { State::Draining },
+            age: n.booted_at.map(|at| Micros::from_ms(now.ms() - at).0),
+            shard: n.shard,
+            zone: n.zone,
+            address,
+        });
+        let revision = self.list.revision.unwrap_or(0);
+        let list = List { extent: Extent::Full, since: revision, revision, entries: entries.collect() };
+        let mut bytes = Vec::new();
+        encode(&Frame::List(list), &mut bytes);
+        bytes
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -0,0 +1,471 @@
+//! The initiator's core: connections, requests, attempts, timers, and the decision module that they serve.
+//! It does no I/O and reads no clock. What happens comes in through [`Machine`]; every decision about a
+//! request is the module's, this code only carries events to it and actions from it.
+//!
+//! - [`clients`]: who submits, and the bounds on them
+//! - [`requests`]: a request's life from its arrival to its one answer
+//! - [`nodes`]: connections to storage nodes, attempts on them
+//! - [`list`]: the node list, its breaks, the saved copy
+
+mod backoff;
+mod clients;
+mod config;
+mod list;
+mod nodes;
+mod pipe;
+mod requests;
+
+pub use backoff::Backoff;
+pub use config::{Bounds, ClassInfo, Config, Policy, Site, Waits};
+pub use list::{SavedListError, check_saved_list};
+
+use crate::machine::{Command, ConnId, Control, Machine, Micros};
+use clients::Client;
+use flaxstand::api::{Action, Event, NodeId, RequestId, VolumeId};
+use flaxstand::brain::Brain;
+use flaxstand_proto::{Frame, Hello, Inbox, Outbox, Parting, Role, VERSION, VERSION_OLDEST};
+use list::ListPeer;
+use nodes::NodePeer;
+use pipe::Pipe;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use requests::Held;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tracing::{info, warn};
+
+/// Whose connection it is.
+#[derive(Debug)]
+enum Peer {
+    Client(Client),
+    Node(NodeId),
+    List,
+}
+
+/// How far a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The system is still at it.
+    Dialing,
+    /// It stands; the peer's first frame has not come.
+    Greeting,
+    /// Frames pass.
+    Open,
+}
+
+#[derive(Debug)]
+struct Conn {
+    peer: Peer,
+    stage: Stage,
+    inbox: Inbox,
+    outbox: Outbox,
+}
+
+/// What is due at a moment of the core's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// A request's client is about to give up.
+    Deadline(RequestId),
+    /// A connection should be open by now.
+    Dial(ConnId),
+    /// A connection to a node may have idled long enough.
+    Idle(ConnId),
+    /// Call the list service.
+    ListCall,
+    /// Has the list service been silent for too long?
+    ListSilence,
+    /// A stop has lasted long enough.
+    StopEnds,
+}
+
+enum Decider {
+    Module(Box<Brain>),
+    Pipe(Pipe),
+}
+
+/// How far the process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Running,
+    /// No new requests; what is held is answered, then the process ends.
+    Stopping,
+    Stopped,
+}
+
+/// Counts since the start. All only grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests taken from clients, refused ones included.
+    pub taken: u64,
+    /// Requests that ended served.
+    pub served: u64,
+    /// Requests that ended refused, by the module.
+    pub refused: u64,
+    /// Requests that ended refused at a bound or while stopping, unseen by the module.
+    pub turned_away: u64,
+    /// Requests that ended failed.
+    pub failed: u64,
+    /// Requests whose client went before its answer.
+    pub abandoned: u64,
+    /// Attempts handed to a node's connection.
+    pub attempts: u64,
+    /// Ends of attempts that nobody waited for any more.
+    pub late_outcomes: u64,
+    /// Connections closed for what their peer sent.
+    pub protocol_faults: u64,
+    /// Requests that the module had not ended at their deadline. More than 0 is a fault of the module.
+    pub overdue: u64,
+}
+
+/// The initiator's core.
+pub struct Core {
+    config: Config,
+    decider: Decider,
+    rng: Pcg64Mcg,
+    conns: BTreeMap<ConnId, Conn>,
+    next_conn: u64,
+    clients: usize,
+    requests: BTreeMap<RequestId, Held>,
+    next_request: u64,
+    nodes: Vec<NodePeer>,
+    node_ids: BTreeMap<u64, NodeId>,
+    volumes: BTreeSet<VolumeId>,
+    list: ListPeer,
+    timers: BTreeSet<(Micros, Timer)>,
+    /// Events for the module that its own actions caused, or that came since it last decided.
+    events: VecDeque<Event>,
+    /// When the module asked to be woken.
+    wake_at: Option<Micros>,
+    /// Something was told to the module that it has not decided on.
+    undecided: bool,
+    decided_at: Option<Micros>,
+    commands: Vec<Command>,
+    phase: Phase,
+    counts: Counts,
+}
+
+impl Core {
+    /// A core that starts now, with the list as it was saved in an earlier life, if there is one.
+    ///
+    /// # Errors
+    /// The saved list is no list. Start without it then.
+    pub fn new(config: Config, saved: Option<&[u8]>, now: Micros) -> Result<Self, SavedListError> {
+        let decider = match config.policy {
+            Policy::Module => Decider::Module(Box::new(Brain::new(
+                config.site.settings.clone(),
+                config.seed ^ config.epoch.rotate_left(32),
+                now.ms(),
+            ))),
+            Policy::Pipe => Decider::Pipe(Pipe::default()),
+        };
+        let list = ListPeer::new(&config.site.waits);
+        let mut core = Core {
+            rng: Pcg64Mcg::seed_from_u64(config.seed.wrapping_add(config.epoch)),
+            decider,
+            list,
+            config,
+            conns: BTreeMap::new(),
+            next_conn: 0,
+            clients: 0,
+            requests: BTreeMap::new(),
+            next_request: 0,
+            nodes: Vec::new(),
+            node_ids: BTreeMap::new(),
+            volumes: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            events: VecDeque::new(),
+            wake_at: None,
+            undecided: true,
+            decided_at: None,
+            commands: Vec::new(),
+            phase: Phase::Running,
+            counts: Counts::default(),
+        };
+        if let Some(saved) = saved {
+            core.take_saved_list(saved, now)?;
+        }
+        if !core.config.site.settings.list_on_request {
+            core.timers.insert((now, Timer::ListCall));
+        }
+        Ok(core)
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Requests held now.
+    pub fn held(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Client connections now.
+    pub fn clients(&self) -> usize {
+        self.clients
+    }
+
+    fn new_conn(&mut self, peer: Peer, stage: Stage) -> ConnId {
+        self.next_conn += 1;
+        let id = ConnId(self.next_conn);
+        let (inbox, outbox) = Default::default();
+        self.conns.insert(id, Conn { peer, stage, inbox, outbox });
+        id
+    }
+
+    /// Puts a frame into a connection's outbox. Returns where it ends in the stream.
+    fn push(&mut self, conn: ConnId, frame: &Frame<'_>) -> u64 {
+        let Some(c) = self.conns.get_mut(&conn) else { return u64::MAX };
+        if c.outbox.is_empty() {
+            self.commands.push(Command::Flush(conn));
+        }
+        c.outbox.push(frame)
+    }
+
+    fn greet(&mut self, conn: ConnId) {
+        let hello = Hello {
+            role: Role::Initiator,
+            versions: (VERSION_OLDEST, VERSION),
+            id: self.config.index.into(),
+            epoch: self.config.epoch,
+            name: &self.config.name.clone(),
+        };
+        self.push(conn, &Frame::Hello(hello));
+    }
+
+    /// Closes a connection from here and settles what hung on it.
+    fn hang_up(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
+        if self.conns.contains_key(&conn) {
+            self.push(conn, &Frame::Bye { parting, text });
+            self.lost(conn, text, true, now);
+        }
+    }
+
+    /// A connection is no more.
+    fn lost(&mut self, conn: ConnId, cause: &str, by_us: bool, now: Micros) {
+        let Some(gone) = self.conns.remove(&conn) else { return };
+        if by_us {
+            self.commands.push(Command::Close { conn, last: gone.outbox.pending().to_vec() });
+        }
+        match gone.peer {
+            Peer::Client(client) => self.client_lost(conn, &client, cause),
+            Peer::Node(node) => self.node_lost(conn, node, gone.stage, gone.outbox.written(), cause, now),
+            Peer::List => self.list_lost(gone.stage, cause, now),
+        }
+    }
+
+    /// A frame came. False: the connection is gone, read no further.
+    fn frame(&mut self, conn: ConnId, frame: Frame<'_>, now: Micros) -> bool {
+        let Some(c) = self.conns.get(&conn) else { return false };
+        let stage = c.stage;
+        let fault = match (&c.peer, frame) {
+            (_, Frame::Bye { parting, text }) => {
+                info!(conn = conn.0, ?parting, text, "peer said goodbye");
+                self.lost(conn, "peer said goodbye", true, now);
+                return false;
+            }
+            (Peer::Client(_), Frame::Hello(h)) if stage == Stage::Greeting => {
+                self.client_greeted(conn, &h, now)
+            }
+            (Peer::Client(_), Frame::Submit(s)) if stage == Stage::Open => self.submitted(conn, &s, now),
+            (Peer::Node(node), Frame::Welcome(w)) if stage == Stage::Greeting => {
+                let node = *node;
+                self.node_greeted(conn, node, &w, now)
+            }
+            (Peer::Node(_), Frame::Done(d)) if stage == Stage::Open => {
+                self.attempt_done(conn, &d, now);
+                Ok(())
+            }
+            (Peer::Node(_), Frame::Chunk { request, attempt, payload }) if stage == Stage::Open => {
+                self.attempt_chunk(conn, request, attempt, payload);
+                Ok(())
+            }
+            (Peer::Node(_), Frame::Probed { .. }) if stage == Stage::Open => Ok(()),
+            (Peer::List, Frame::Welcome(w)) if stage == Stage::Greeting => self.list_greeted(conn, &w, now),
+            (Peer::List, Frame::List(l)) if stage == Stage::Open => {
+                self.listed(conn, &l, now);
+                Ok(())
+            }
+            (Peer::List, Frame::ListFailed) if stage == Stage::Open => {
+                self.list_call_failed(now);
+                Ok(())
+            }
+            (_, other) => Err((Parting::Protocol, format!("a frame that has no place here: {other:?}"))),
+        };
+        if let Err((parting, text)) = fault {
+            self.protocol_fault(conn, parting, &text, now);
+        }
+        self.conns.contains_key(&conn)
+    }
+
+    fn protocol_fault(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
+        let text: String = text.chars().take(200).collect();
+        warn!(conn = conn.0, ?parting, text, "closing a connection for what its peer sent");
+        self.counts.protocol_faults += 1;
+        self.hang_up(conn, parting, &text, now);
+    }
+
+    /// Tells the module all that waits to be told, and does what it wants done at once.
+    fn tell(&mut self, now: Micros) {
+        let mut actions = Vec::new();
+        // What the actions cause in turn is told at the next turn: the work of one turn is bounded.
+        for event in std::mem::take(&mut self.events) {
+            self.decide_on(event, now, &mut actions);
+            self.undecided = true;
+        }
+        self.perform(&mut actions, now);
+    }
+
+    fn decide_on(&mut self, event: Event, now: Micros, actions: &mut Vec<Action>) {
+        match &mut self.decider {
+            Decider::Module(brain) => brain.handle(event, now.ms(), actions),
+            Decider::Pipe(pipe) => pipe.handle(event, actions),
+        }
+    }
+
+    fn fire(&mut self, timer: Timer, now: Micros) {
+        match timer {
+            Timer::Deadline(request) => self.deadline(request, now),
+            Timer::Dial(conn) => {
+                if self.conns.get(&conn).is_some_and(|c| c.stage != Stage::Open) {
+                    self.hang_up(conn, Parting::Protocol, "no greeting in time", now);
+                }
+            }
+            Timer::Idle(conn) => self.idle(conn, now),
+            Timer::ListCall => self.call_list(now),
+            Timer::ListSilence => self.list_silent(now),
+            Timer::StopEnds => self.stop_ends(now),
+        }
+    }
+
+    fn stop(&mut self, now: Micros) {
+        if self.phase == Phase::Running {
+            info!(held = self.requests.len(), "stopping: no new requests, what is held is answered");
+            self.phase = Phase::Stopping;
+            self.commands.push(Command::StopListening);
+            self.timers.insert((now.after(self.config.site.waits.stop), Timer::StopEnds));
+        }
+    }
+
+    /// All that was held has been answered and read by its client, or the stop has lasted long enough.
+    fn stopped(&self) -> bool {
+        let owed = |c: &Conn| matches!(c.peer, Peer::Client(_)) && !c.outbox.is_empty();
+        self.requests.values().all(|r| r.client.is_none()) && !self.conns.values().any(owed)
+    }
+
+    fn stop_ends(&mut self, now: Micros) {
+        let owed: Vec<RequestId> =
+            self.requests.iter().filter(|(_, r)| r.client.is_some()).map(|(id, _)| *id).collect();
+        warn!(owed = owed.len(), "the stop has lasted long enough: what is still held is failed");
+        owed.into_iter().for_each(|id| self.fail(id));
+        self.exit(now);
+    }
+
+    fn exit(&mut self, now: Micros) {
+        if self.phase != Phase::Stopped {
+            self.phase = Phase::Stopped;
+            let conns: Vec<ConnId> = self.conns.keys().copied().collect();
+            conns.into_iter().for_each(|conn| self.hang_up(conn, Parting::Stopping, "stopping", now));
+            self.commands.push(Command::Exit);
+            info!(counts = ?self.counts, "stopped");
+        }
+    }
+}
+
+impl Machine for Core {
+    fn accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
+        self.client_accepted(now)
+    }
+
+    fn connected(&mut self, conn: ConnId, _now: Micros) {
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.stage = Stage::Greeting;
+            self.greet(conn);
+        }
+    }
+
+    fn connect_failed(&mut self, conn: ConnId, cause: &str, now: Micros) {
+        self.lost(conn, cause, false, now);
+    }
+
+    fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let mut inbox = std::mem::take(&mut c.inbox);
+        let fed = inbox.feed(bytes, |frame| self.frame(conn, frame, now));
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.inbox = inbox;
+            if let Err(e) = fed {
+                self.protocol_fault(conn, Parting::Protocol, &e.to_string(), now);
+            }
+        }
+    }
+
+    fn finished(&mut self, conn: ConnId, now: Micros) -> bool {
+        self.client_finished(conn, now)
+    }
+
+    fn closed(&mut self, conn: ConnId, cause: &str, now: Micros) {
+        self.lost(conn, cause, false, now);
+    }
+
+    fn outgoing(&self, conn: ConnId) -> &[u8] {
+        self.conns.get(&conn).map_or(&[], |c| c.outbox.pending())
+    }
+
+    fn wrote(&mut self, conn: ConnId, count: usize, now: Micros) {
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.outbox.wrote(count);
+            self.client_read(conn, now);
+        }
+    }
+
+    fn wants_read(&self, conn: ConnId) -> bool {
+        match self.conns.get(&conn).map(|c| &c.peer) {
+            Some(Peer::Client(client)) => !client.paused,
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    fn control(&mut self, control: Control, now: Micros) {
+        match control {
+            Control::Stop => self.stop(now),
+            Control::Bounds(bounds) => {
+                info!(?bounds, "new bounds");
+                self.config.bounds = bounds;
+            }
+            Control::Line(_) | Control::InputEnded => {}
+        }
+    }
+
+    fn settle(&mut self, now: Micros) -> Option<Micros> {
+        while let Some((at, timer)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, timer));
+            self.fire(timer, now);
+        }
+        self.tell(now);
+        let woken = self.wake_at.is_some_and(|at| at <= now);
+        // Many requests share one look at all that is held: decisions come at most once a tick.
+        let tick = Micros::from_ms(self.config.site.settings.tick);
+        let next = self.decided_at.map_or(now, |at| at.after(tick));
+        if (self.undecided || woken) && now >= next {
+            self.wake_at = self.wake_at.filter(|_| !woken);
+            self.undecided = false;
+            self.decided_at = Some(now);
+            let mut actions = Vec::new();
+            self.decide_on(Event::Decide, now, &mut actions);
+            self.perform(&mut actions, now);
+        }
+        if self.phase == Phase::Stopping && self.stopped() {
+            self.exit(now);
+        }
+        let tick_due = self.decided_at.map_or(now, |at| at.after(tick)).max(Micros(now.0 + 1));
+        let undecided = (self.undecided || !self.events.is_empty()).then_some(tick_due);
+        let woken = self.wake_at.map(|at| at.max(tick_due));
+        let timer = self.timers.first().map(|(at, _)| *at);
+        [undecided, woken, timer].into_iter().flatten().min()
+    }
+
+    fn take_commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -0,0 +1,247 @@
+//! Storage nodes: one connection to each, opened by the first attempt, closed when idle or when the node
+//! is gone. What is known of an attempt whose connection broke depends on how much of it had left.
+
+use super::clients::Fault;
+use super::{Conn, Core, Peer, Stage, Timer};
+use crate::machine::{Address, Command, ConnId, Micros};
+use flaxstand::api::{AttemptNo, Event, NodeId, Outcome, Readiness, RequestId};
+use flaxstand_proto::{Attempt, Code, Done, Frame, Parting, Role, VERSION, VERSION_OLDEST, Welcome};
+use std::collections::BTreeSet;
+use tracing::{debug, info};
+
+/// A node that was ever listed.
+#[derive(Debug)]
+pub(super) struct NodePeer {
+    /// Its number in the list.
+    pub(super) name: u64,
+    pub(super) incarnation: u64,
+    /// Milliseconds on our clock; fixed for an incarnation from when it was first heard of.
+    pub(super) booted_at: Option<f64>,
+    pub(super) readiness: Readiness,
+    pub(super) shard: u32,
+    pub(super) zone: u32,
+    pub(super) address: Address,
+    conn: Option<ConnId>,
+    /// Attempts that wait for the connection, in the order of sending.
+    waiting: Vec<(RequestId, AttemptNo)>,
+    /// Attempts without an end, those that wait included.
+    out: BTreeSet<(RequestId, AttemptNo)>,
+    idle_since: Micros,
+}
+
+impl NodePeer {
+    pub(super) fn new(name: u64, address: Address) -> Self {
+        NodePeer {
+            name,
+            incarnation: 0,
+            booted_at: None,
+            readiness: Readiness::Gone,
+            shard: 0,
+            zone: 0,
+            address,
+            conn: None,
+            waiting: Vec::new(),
+            out: BTreeSet::new(),
+            idle_since: Micros(0),
+        }
+    }
+}
+
+impl Core {
+    fn node(&mut self, node: NodeId) -> Option<&mut NodePeer> {
+        self.nodes.get_mut(node.0 as usize)
+    }
+
+    pub(super) fn send_attempt(&mut self, id: RequestId, attempt: AttemptNo, at: NodeId, now: Micros) {
+        let Some(node) = self.node(at) else { return };
+        node.out.insert((id, attempt));
+        let open = match node.conn {
+            Some(conn) => self.conns.get(&conn).is_some_and(|c| c.stage == Stage::Open).then_some(conn),
+            None => {
+                self.dial(at, now);
+                None
+            }
+        };
+        match open {
+            Some(conn) => self.hand_over(id, attempt, conn, now),
+            None => {
+                if let Some(node) = self.node(at) {
+                    node.waiting.push((id, attempt));
+                }
+            }
+        }
+    }
+
+    fn dial(&mut self, at: NodeId, now: Micros) {
+        let conn = self.new_conn(Peer::Node(at), Stage::Dialing);
+        self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
+        if let Some(node) = self.node(at) {
+            node.conn = Some(conn);
+            let address = node.address.clone();
+            debug!(node = node.name, %address, conn = conn.0, "calling a node");
+            self.commands.push(Command::Connect { conn, address });
+        }
+    }
+
+    fn hand_over(&mut self, id: RequestId, attempt: AttemptNo, conn: ConnId, now: Micros) {
+        let full = self.conns.get(&conn).is_some_and(|c| c.outbox.len() > self.config.bounds.node_bytes);
+        if full {
+            // What waits for this node is at its bound; it never left, so it has not run.
+            self.end_attempt(id, attempt, Outcome::Full, now);
+            return;
+        }
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        // The connection has its turn for a moment; the payload must not be copied once more.
+        let payload = std::mem::take(&mut held.payload);
+        let frame = Frame::Attempt(Attempt {
+            request: id.0,
+            attempt: attempt.0,
+            operation: held.operation,
+            class: held.class,
+            plan: held.plan,
+            write: held.write,
+            stream: self.config.site.classes[usize::from(held.class)].stream,
+            volume: held.volume,
+            extent: held.extent,
+            units: held.units,
+            time_left: u32::try_from(held.valid_until.since(now).0).unwrap_or(u32::MAX),
+            payload: &payload,
+        });
+        let ends = self.push(conn, &frame);
+        self.counts.attempts += 1;
+        if let Some(held) = self.requests.get_mut(&id) {
+            held.payload = payload;
+            if let Some(flight) = held.flights.iter_mut().find(|f| f.attempt == attempt) {
+                flight.handed = Some((conn, ends));
+            }
+        }
+    }
+
+    pub(super) fn node_greeted(
+        &mut self,
+        conn: ConnId,
+        at: NodeId,
+        w: &Welcome<'_>,
+        now: Micros,
+    ) -> Result<(), Fault> {
+        if !(VERSION_OLDEST..=VERSION).contains(&w.version) {
+            return Err((Parting::Version, format!("version {} was not offered", w.version)));
+        }
+        let idle = self.config.site.waits.idle;
+        let Some(node) = self.node(at) else { return Ok(()) };
+        if w.role != Role::Node || w.id != node.name {
+            let text = format!("expected node {}, met {:?} {}", node.name, w.role, w.id);
+            return Err((Parting::WrongPeer, text));
+        }
+        if w.epoch < node.incarnation {
+            let text = format!("expected incarnation {} of node {}, met {}", node.incarnation, w.id, w.epoch);
+            return Err((Parting::WrongPeer, text));
+        }
+        node.idle_since = now;
+        let waiting = std::mem::take(&mut node.waiting);
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.stage = Stage::Open;
+        }
+        self.timers.insert((now.after(idle), Timer::Idle(conn)));
+        for (id, attempt) in waiting {
+            self.hand_over(id, attempt, conn, now);
+        }
+        Ok(())
+    }
+
+    /// The connection is no more. An attempt whose last byte had not left can't have run; another may have.
+    pub(super) fn node_lost(
+        &mut self,
+        conn: ConnId,
+        at: NodeId,
+        stage: Stage,
+        written: u64,
+        cause: &str,
+        now: Micros,
+    ) {
+        let Some(node) = self.node(at) else { return };
+        if node.conn != Some(conn) {
+            return;
+        }
+        node.conn = None;
+        node.waiting.clear();
+        let out: Vec<_> = node.out.iter().copied().collect();
+        if !out.is_empty() || stage != Stage::Open {
+            info!(node = node.name, cause, out = out.len(), ?stage, "connection to a node lost");
+        }
+        for (id, attempt) in out {
+            let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
+            let left = flight.and_then(|f| f.handed).is_some_and(|(c, ends)| c == conn && ends <= written);
+            self.end_attempt(id, attempt, if left { Outcome::Reset } else { Outcome::ConnectFailed }, now);
+        }
+    }
+
+    /// Whether this word of an attempt comes from where it was sent; else nobody waits for it any more.
+    fn flies(&mut self, conn: ConnId, request: u64, attempt: u32) -> Option<(RequestId, AttemptNo)> {
+        let (id, attempt) = (RequestId(request), AttemptNo(attempt));
+        let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
+        if flight.and_then(|f| f.handed).is_some_and(|(c, _)| c == conn) {
+            return Some((id, attempt));
+        }
+        self.counts.late_outcomes += 1;
+        debug!(request, attempt = attempt.0, "word of an attempt that nobody waits for");
+        None
+    }
+
+    pub(super) fn attempt_done(&mut self, conn: ConnId, d: &Done<'_>, now: Micros) {
+        let Some((id, attempt)) = self.flies(conn, d.request, d.attempt) else { return };
+        match d.code {
+            Code::Served => {
+                let Some(Conn { peer: Peer::Node(at), .. }) = self.conns.get(&conn) else { return };
+                let shard = self.nodes[at.0 as usize].shard;
+                self.served(id, attempt, shard, d.payload, now);
+            }
+            Code::Error => self.end_attempt(id, attempt, Outcome::Error, now),
+            Code::Full => self.end_attempt(id, attempt, Outcome::Full, now),
+        }
+    }
+
+    pub(super) fn attempt_chunk(&mut self, conn: ConnId, request: u64, attempt: u32, payload: &[u8]) {
+        let Some((id, _)) = self.flies(conn, request, attempt) else { return };
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        if !std::mem::replace(&mut held.streaming, true) {
+            self.events.push_back(Event::AnswerStarted(id));
+        }
+        if let Some((client, client_id)) = held.client {
+            self.push(client, &Frame::Part { id: client_id, payload });
+        }
+    }
+
+    pub(super) fn node_flight_ended(&mut self, at: NodeId, id: RequestId, attempt: AttemptNo, now: Micros) {
+        if let Some(node) = self.node(at) {
+            node.out.remove(&(id, attempt));
+            node.waiting.retain(|w| *w != (id, attempt));
+            if node.out.is_empty() {
+                node.idle_since = now;
+                self.close_if_gone(at, now);
+            }
+        }
+    }
+
+    /// A node that is gone from the list and has nothing of ours out needs no connection.
+    pub(super) fn close_if_gone(&mut self, at: NodeId, now: Micros) {
+        let Some(node) = self.node(at) else { return };
+        if let (Some(conn), Readiness::Gone, true) = (node.conn, node.readiness, node.out.is_empty()) {
+            node.conn = None;
+            self.lost(conn, "node is gone", true, now);
+        }
+    }
+
+    pub(super) fn idle(&mut self, conn: ConnId, now: Micros) {
+        let Some(Conn { peer: Peer::Node(at), .. }) = self.conns.get(&conn) else { return };
+        let (at, idle) = (*at, self.config.site.waits.idle);
+        let Some(node) = self.node(at) else { return };
+        let since = if node.out.is_empty() { node.idle_since } else { now };
+        if now.since(since) >= idle {
+            node.conn = None;
+            self.lost(conn, "idle", true, now);
+        } else {
+            self.timers.insert((since.after(idle), Timer::Idle(conn)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -0,0 +1,492 @@
+//! Runs a machine on epoll: one thread, no runtime. The clock is read once a turn and never goes back.
+//!
+//! Each turn: wait for events or the machine's next moment, read the clock, hand over what came (a bounded
+//! part of each connection, so that none starves the others), let the machine settle, do what it wants.
+
+use crate::machine::{Address, Command, ConnId, Control, Machine, Micros};
+use rustix::event::{Timespec, epoll};
+use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
+use rustix::io::{Errno, read, write};
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
+use std::collections::BTreeMap;
+use std::io::{self, Write as _};
+use std::net::TcpListener;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use tracing::{info, warn};
+
+/// Most bytes read from one connection in a turn.
+const READ_A_TURN: usize = 256 * 1024;
+/// Most connections accepted from one listener in a turn.
+const ACCEPT_A_TURN: usize = 64;
+/// Events taken from the system in a turn.
+const EVENTS_A_TURN: usize = 1024;
+/// Longest sleep without a moment of the machine's.
+const LONGEST_SLEEP: Micros = Micros(3_600_000_000);
+
+/// The monotonic clock, microseconds. The same for all processes of a host.
+pub fn clock() -> Micros {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    Micros(t.tv_sec as u64 * 1_000_000 + t.tv_nsec as u64 / 1000)
+}
+
+enum Listener {
+    Tcp(TcpListener),
+    Unix(UnixListener, PathBuf),
+}
+
+impl Listener {
+    fn fd(&self) -> BorrowedFd<'_> {
+        match self {
+            Listener::Tcp(l) => l.as_fd(),
+            Listener::Unix(l, _) => l.as_fd(),
+        }
+    }
+    fn accept(&self) -> io::Result<OwnedFd> {
+        match self {
+            Listener::Tcp(l) => {
+                let (stream, _) = l.accept()?;
+                stream.set_nodelay(true)?;
+                stream.set_nonblocking(true)?;
+                Ok(stream.into())
+            }
+            Listener::Unix(l, _) => {
+                let (stream, _) = l.accept()?;
+                stream.set_nonblocking(true)?;
+                Ok(stream.into())
+            }
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        if let Listener::Unix(_, path) = self {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+struct Socket {
+    fd: OwnedFd,
+    dialing: bool,
+    /// The peer sends nothing more.
+    finished: bool,
+    interest: epoll::EventFlags,
+}
+
+/// What an event of epoll is about; part of its number.
+const LISTENER: u64 = 1 << 62;
+const SIGNAL: u64 = 1 << 61;
+const INPUT: u64 = 1 << 60;
+
+/// What a driver does beside running its machine.
+#[derive(Default)]
+pub struct Options {
+    /// Where `Save` puts the machine's state. It is replaced as a whole.
+    pub saved: Option<PathBuf>,
+    /// Read lines of standard input.
+    pub input: bool,
+    /// Called at SIGHUP; new bounds are handed to the machine.
+    pub reload: Option<Box<dyn FnMut() -> Option<crate::core::Bounds>>>,
+}
+
+/// A machine and its sockets.
+pub struct Driver<M> {
+    machine: M,
+    epoll: OwnedFd,
+    listeners: Vec<Listener>,
+    sockets: BTreeMap<ConnId, Socket>,
+    /// Given up for a moment when descriptors run out, to take a client and tell it goodbye.
+    spare: Option<OwnedFd>,
+    signals: Vec<(UnixStream, Signal)>,
+    input: Vec<u8>,
+    options: Options,
+    now: Micros,
+    done: bool,
+}
+
+#[derive(Clone, Copy)]
+enum Signal {
+    Stop,
+    Reload,
+}
+
+impl<M: Machine> Driver<M> {
+    /// A driver that listens nowhere yet. SIGTERM and SIGINT stop the machine in good order.
+    ///
+    /// # Errors
+    /// The system gives no epoll or no pipe for signals.
+    pub fn new(machine: M, options: Options) -> io::Result<Self> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let mut signals = Vec::new();
+        for (number, signal) in [
+            (signal_hook::consts::SIGTERM, Signal::Stop),
+            (signal_hook::consts::SIGINT, Signal::Stop),
+            (signal_hook::consts::SIGHUP, Signal::Reload),
+        ] {
+            let (ours, theirs) = UnixStream::pair()?;
+            ours.set_nonblocking(true)?;
+            signal_hook::low_level::pipe::register(number, theirs)?;
+            let data = epoll::EventData::new_u64(SIGNAL | signals.len() as u64);
+            epoll::add(&epoll, &ours, data, epoll::EventFlags::IN)?;
+            signals.push((ours, signal));
+        }
+        if options.input {
+            let stdin = io::stdin();
+            rustix::io::ioctl_fionbio(&stdin, true)?;
+            epoll::add(&epoll, &stdin, epoll::EventData::new_u64(INPUT), epoll::EventFlags::IN)?;
+        }
+        Ok(Driver {
+            machine,
+            epoll,
+            listeners: Vec::new(),
+            sockets: BTreeMap::new(),
+            spare: spare(),
+            signals,
+            input: Vec::new(),
+            options,
+            now: clock(),
+            done: false,
+        })
+    }
+
+    /// Listens; returns the address, with the port that the system chose where 0 was asked for. A socket
+    /// file that no process listens on any more is replaced.
+    ///
+    /// # Errors
+    /// The address is in use or not to be had.
+    pub fn listen(&mut self, address: &Address) -> io::Result<Address> {
+        let (listener, at) = match address {
+            Address::Tcp(address) => {
+                let listener = TcpListener::bind(address)?;
+                listener.set_nonblocking(true)?;
+                let at = Address::Tcp(listener.local_addr()?);
+                (Listener::Tcp(listener), at)
+            }
+            Address::Unix(path) => {
+                if path.exists() {
+                    if UnixStream::connect(path).is_ok() {
+                        return Err(io::Error::from(Errno::ADDRINUSE));
+                    }
+                    std::fs::remove_file(path)?;
+                }
+                let listener = UnixListener::bind(path)?;
+                listener.set_nonblocking(true)?;
+                (Listener::Unix(listener, path.clone()), address.clone())
+            }
+        };
+        let data = epoll::EventData::new_u64(LISTENER | self.listeners.len() as u64);
+        epoll::add(&self.epoll, listener.fd(), data, epoll::EventFlags::IN)?;
+        self.listeners.push(listener);
+        Ok(at)
+    }
+
+    /// Runs until the machine is done.
+    ///
+    /// # Errors
+    /// Waiting for events fails. What concerns one connection only ends that one.
+    pub fn run(mut self) -> io::Result<M> {
+        let mut events: Vec<epoll::Event> = Vec::with_capacity(EVENTS_A_TURN);
+        let mut buffer = vec![0; 64 * 1024];
+        let mut next = self.turn();
+        while !self.done {
+            let sleep = next.map_or(LONGEST_SLEEP, |at| at.since(clock()).min(LONGEST_SLEEP));
+            let timeout = Timespec {
+                tv_sec: (sleep.0 / 1_000_000) as i64,
+                tv_nsec: (sleep.0 % 1_000_000) as i64 * 1000,
+            };
+            events.clear();
+            match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), Some(&timeout)) {
+                Ok(_) | Err(Errno::INTR) => {}
+                Err(e) => return Err(e.into()),
+            }
+            self.now = clock().max(self.now);
+            for event in &events {
+                self.event(event.data.u64(), event.flags, &mut buffer);
+            }
+            next = self.turn();
+        }
+        Ok(self.machine)
+    }
+
+    fn turn(&mut self) -> Option<Micros> {
+        let next = self.machine.settle(self.now);
+        let mut commands = self.machine.take_commands();
+        // Writing may lead to further commands: a client that has read may be read again.
+        while !commands.is_empty() && !self.done {
+            commands.into_iter().for_each(|command| self.carry_out(command));
+            commands = self.machine.take_commands();
+        }
+        next
+    }
+
+    fn event(&mut self, data: u64, flags: epoll::EventFlags, buffer: &mut [u8]) {
+        let index = (data & 0xffff) as usize;
+        if data & LISTENER != 0 {
+            self.accept(index);
+        } else if data & SIGNAL != 0 {
+            self.signal(index);
+        } else if data == INPUT {
+            self.read_input(buffer);
+        } else {
+            self.socket_event(ConnId(data), flags, buffer);
+        }
+    }
+
+    fn socket_event(&mut self, conn: ConnId, flags: epoll::EventFlags, buffer: &mut [u8]) {
+        use epoll::EventFlags as F;
+        let Some(socket) = self.sockets.get_mut(&conn) else { return };
+        if socket.dialing {
+            if flags.intersects(F::OUT | F::ERR | F::HUP) {
+                match sockopt::socket_error(&socket.fd) {
+                    Ok(Ok(())) => {
+                        socket.dialing = false;
+                        self.machine.connected(conn, self.now);
+                        self.flush(conn);
+                    }
+                    Ok(Err(e)) | Err(e) => {
+                        self.sockets.remove(&conn);
+                        self.machine.connect_failed(conn, &e.to_string(), self.now);
+                    }
+                }
+            }
+            return;
+        }
+        if flags.contains(F::OUT) {
+            self.flush(conn);
+        }
+        if flags.intersects(F::IN | F::HUP | F::ERR | F::RDHUP) {
+            self.read(conn, flags, buffer);
+        }
+    }
+
+    fn read(&mut self, conn: ConnId, flags: epoll::EventFlags, buffer: &mut [u8]) {
+        let mut taken = 0;
+        while taken < READ_A_TURN {
+            let Some(socket) = self.sockets.get_mut(&conn) else { return };
+            if socket.finished || !self.machine.wants_read(conn) {
+                // Not to be read now; but a peer that is wholly gone is told of.
+                if flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR) {
+                    self.broken(conn, "connection lost");
+                }
+                return;
+            }
+            match read(&socket.fd, &mut *buffer) {
+                Ok(0) => {
+                    socket.finished = true;
+                    let gone = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
+                    if gone || !self.machine.finished(conn, self.now) {
+                        self.broken(conn, "closed by peer");
+                    } else {
+                        self.flush(conn);
+                    }
+                    return;
+                }
+                Ok(count) => {
+                    taken += count;
+                    self.machine.received(conn, &buffer[..count], self.now);
+                    if count < buffer.len() {
+                        return;
+                    }
+                }
+                Err(Errno::AGAIN | Errno::INTR) => return,
+                Err(e) => return self.broken(conn, &e.to_string()),
+            }
+        }
+    }
+
+    fn broken(&mut self, conn: ConnId, cause: &str) {
+        if self.sockets.remove(&conn).is_some() {
+            self.machine.closed(conn, cause, self.now);
+        }
+    }
+
+    /// Writes what waits, as far as it goes, and sets what epoll is to tell of.
+    fn flush(&mut self, conn: ConnId) {
+        loop {
+            let Some(socket) = self.sockets.get_mut(&conn).filter(|s| !s.dialing) else { return };
+            let waits = self.machine.outgoing(conn);
+            if waits.is_empty() {
+                break;
+            }
+            match write(&socket.fd, waits) {
+                Ok(count) => self.machine.wrote(conn, count, self.now),
+                Err(Errno::AGAIN) => break,
+                Err(Errno::INTR) => {}
+                Err(e) => return self.broken(conn, &e.to_string()),
+            }
+        }
+        let Some(socket) = self.sockets.get_mut(&conn) else { return };
+        let mut interest = epoll::EventFlags::empty();
+        if !socket.finished && self.machine.wants_read(conn) {
+            interest |= epoll::EventFlags::IN;
+        }
+        if !self.machine.outgoing(conn).is_empty() {
+            interest |= epoll::EventFlags::OUT;
+        }
+        if interest != socket.interest {
+            socket.interest = interest;
+            if let Err(e) =
+                epoll::modify(&self.epoll, &socket.fd, epoll::EventData::new_u64(conn.0), interest)
+            {
+                self.broken(conn, &e.to_string());
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Connect { conn, address } => self.connect(conn, &address),
+            Command::Flush(conn) => self.flush(conn),
+            Command::Close { conn, last } => {
+                if let Some(socket) = self.sockets.remove(&conn)
+                    && !socket.dialing
+                {
+                    // A goodbye that does not go at once is not waited for.
+                    let _ = write(&socket.fd, &last);
+                }
+            }
+            Command::Save(bytes) => {
+                if let Some(path) = &self.options.saved
+                    && let Err(error) = replace(path, &bytes)
+                {
+                    warn!(%error, path = %path.display(), "cannot save");
+                }
+            }
+            Command::StopListening => {
+                self.listeners.iter().for_each(|l| {
+                    let _ = epoll::delete(&self.epoll, l.fd());
+                });
+                self.listeners.clear();
+            }
+            Command::Print(line) => {
+                let mut out = io::stdout().lock();
+                let _ = writeln!(out, "{line}").and_then(|()| out.flush());
+            }
+            Command::Exit => self.done = true,
+        }
+    }
+
+    fn connect(&mut self, conn: ConnId, address: &Address) {
+        let opened = (|| {
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            let (fd, started) = match address {
+                Address::Tcp(at) => {
+                    let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+                    let fd = net::socket_with(family, SocketType::STREAM, flags, None)?;
+                    sockopt::set_tcp_nodelay(&fd, true)?;
+                    let started = net::connect(&fd, at);
+                    (fd, started)
+                }
+                Address::Unix(path) => {
+                    let fd = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, flags, None)?;
+                    let started = net::connect(&fd, &net::SocketAddrUnix::new(path)?);
+                    (fd, started)
+                }
+            };
+            // A Unix socket whose backlog is full answers AGAIN at once: the peer takes no more.
+            match started {
+                Ok(()) | Err(Errno::INPROGRESS) => Ok(fd),
+                Err(e) => Err(e),
+            }
+        })();
+        let added = opened.and_then(|fd| {
+            let interest = epoll::EventFlags::OUT;
+            epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest)?;
+            Ok(Socket { fd, dialing: true, finished: false, interest })
+        });
+        match added {
+            Ok(socket) => {
+                self.sockets.insert(conn, socket);
+            }
+            Err(e) => self.machine.connect_failed(conn, &e.to_string(), self.now),
+        }
+    }
+
+    fn accept(&mut self, index: usize) {
+        for _ in 0..ACCEPT_A_TURN {
+            let Some(listener) = self.listeners.get(index) else { return };
+            match listener.accept() {
+                Ok(fd) => self.accepted(fd),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    let code = e.raw_os_error();
+                    if code == Some(Errno::MFILE.raw_os_error()) || code == Some(Errno::NFILE.raw_os_error())
+                    {
+                        // Out of descriptors: what waits would wake us for ever. Take one and close it.
+                        warn!("no descriptors left: a client is turned away");
+                        self.spare = None;
+                        drop(listener.accept());
+                        self.spare = spare();
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, fd: OwnedFd) {
+        match self.machine.accepted(self.now) {
+            Ok(conn) => {
+                let interest = epoll::EventFlags::IN;
+                match epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest) {
+                    Ok(()) => {
+                        self.sockets.insert(conn, Socket { fd, dialing: false, finished: false, interest });
+                    }
+                    Err(e) => self.machine.closed(conn, &e.to_string(), self.now),
+                }
+            }
+            Err(last) => {
+                let _ = write(&fd, &last);
+            }
+        }
+    }
+
+    fn signal(&mut self, index: usize) {
+        let (stream, signal) = &self.signals[index];
+        let mut byte = [0; 64];
+        while matches!(read(stream, &mut byte), Ok(n) if n > 0) {}
+        match signal {
+            Signal::Stop => self.machine.control(Control::Stop, self.now),
+            Signal::Reload => {
+                info!("reload asked for");
+                if let Some(bounds) = self.options.reload.as_mut().and_then(|reload| reload()) {
+                    self.machine.control(Control::Bounds(bounds), self.now);
+                }
+            }
+        }
+    }
+
+    fn read_input(&mut self, buffer: &mut [u8]) {
+        match read(io::stdin(), &mut *buffer) {
+            Ok(0) => {
+                let _ = epoll::delete(&self.epoll, io::stdin());
+                self.machine.control(Control::InputEnded, self.now);
+            }
+            Ok(count) => {
+                self.input.extend_from_slice(&buffer[..count]);
+                while let Some(end) = self.input.iter().position(|b| *b == b'\n') {
+                    let line: Vec<u8> = self.input.drain(..=end).collect();
+                    let line = String::from_utf8_lossy(&line[..end]).into_owned();
+                    self.machine.control(Control::Line(line), self.now);
+                }
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn spare() -> Option<OwnedFd> {
+    std::fs::File::open("/dev/null").ok().map(OwnedFd::from)
+}
+
+/// Puts bytes in a file's place: a reader sees the old ones or the new ones, whole.
+///
+/// # Errors
+/// The folder can't be written to.
+pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let next = path.with_extension("next");
+    std::fs::write(&next, bytes)?;
+    std::fs::rename(&next, path)
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -0,0 +1,145 @@
+//! What a driver and the machine that it runs say to each other. The initiator's core is such a machine,
+//! and so is each stand-in of the laboratory: one driver serves them all.
+
+use std::fmt;
+use std::path::PathBuf;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// A moment: microseconds on a clock that never goes back. Durations are in microseconds too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// From milliseconds; what is negative or no number counts as 0.
+    pub fn from_ms(ms: f64) -> Self {
+        Micros((ms * 1000.0) as u64)
+    }
+    /// In milliseconds.
+    pub fn ms(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+    /// This much later.
+    #[must_use]
+    pub fn after(self, duration: Micros) -> Self {
+        Micros(self.0.saturating_add(duration.0))
+    }
+    /// The time since `earlier`; 0 if that is later.
+    #[must_use]
+    pub fn since(self, earlier: Micros) -> Self {
+        Micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A connection. Numbers are not used again, so that word of an old one can't be taken for a new one's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+
+/// Where a peer listens.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Address {
+    /// A numeric address and port. Names are not looked up: that would block.
+    Tcp(std::net::SocketAddr),
+    /// A socket file.
+    Unix(PathBuf),
+}
+
+/// A text that is no address.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{0:?} is no address: expected \"IP:PORT\" or \"unix:PATH\"")]
+pub struct AddressError(pub String);
+
+impl FromStr for Address {
+    type Err = AddressError;
+    fn from_str(text: &str) -> Result<Self, AddressError> {
+        match text.strip_prefix("unix:") {
+            // A socket file's name holds at most 107 bytes on Linux.
+            Some(path) if !path.is_empty() && path.len() < 108 && !path.contains('\0') => {
+                Ok(Address::Unix(PathBuf::from(path)))
+            }
+            Some(_) => Err(AddressError(text.into())),
+            None => text.parse().map(Address::Tcp).map_err(|_| AddressError(text.into())),
+        }
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Address::Tcp(address) => write!(f, "{address}"),
+            Address::Unix(path) => write!(f, "unix:{}", path.display()),
+        }
+    }
+}
+
+/// What a machine wants done. Carried out in order, after each turn.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Open a connection; `connected` or `connect_failed` follows.
+    Connect {
+        /// Its number.
+        conn: ConnId,
+        /// Where to.
+        address: Address,
+    },
+    /// Look again at what this connection has to write and whether it may be read.
+    Flush(ConnId),
+    /// Write what of `last` goes at once and close. Nothing more is told of this connection.
+    Close {
+        /// Its number.
+        conn: ConnId,
+        /// Bytes that its outbox still held.
+        last: Vec<u8>,
+    },
+    /// Put these bytes into the machine's saved state, in place of what is there.
+    Save(Vec<u8>),
+    /// Take no more connections.
+    StopListening,
+    /// Write a line to standard output.
+    Print(String),
+    /// The machine is done.
+    Exit,
+}
+
+/// What reaches a machine beside its connections.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Control {
+    /// Stop in good order.
+    Stop,
+    /// New bounds from the settings.
+    Bounds(crate::core::Bounds),
+    /// A line of standard input, where the driver reads it.
+    Line(String),
+    /// Standard input ended.
+    InputEnded,
+}
+
+/// A state machine that a driver runs. All calls of one turn carry the same moment, and moments never go
+/// back. The driver calls `settle` after all else of a turn, then takes the commands.
+pub trait Machine {
+    /// A peer connected here. An error refuses it: its bytes are written if they go at once, then the
+    /// connection is closed.
+    fn accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>>;
+    /// A connection that the machine asked for stands.
+    fn connected(&mut self, conn: ConnId, now: Micros);
+    /// It does not stand; nothing more is told of it.
+    fn connect_failed(&mut self, conn: ConnId, cause: &str, now: Micros);
+    /// Bytes came.
+    fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros);
+    /// The peer will send nothing more, but may still read. False: close the connection.
+    fn finished(&mut self, conn: ConnId, now: Micros) -> bool;
+    /// The connection broke or was closed; nothing more is told of it.
+    fn closed(&mut self, conn: ConnId, cause: &str, now: Micros);
+    /// What waits to be written.
+    fn outgoing(&self, conn: ConnId) -> &[u8];
+    /// So many bytes of that were written.
+    fn wrote(&mut self, conn: ConnId, count: usize, now: Micros);
+    /// Whether the connection may be read now.
+    fn wants_read(&self, conn: ConnId) -> bool;
+    /// Word from outside the connections.
+    fn control(&mut self, control: Control, now: Micros);
+    /// Everything of this moment has been told. Returns when to call again at the latest.
+    fn settle(&mut self, now: Micros) -> Option<Micros>;
+    /// What is to be done, in order.
+    fn take_commands(&mut self) -> Vec<Command>;
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -0,0 +1,194 @@
+//! The part of a settings file that all initiators of a site share. A day of the laboratory has the same.
+
+use super::reader::Block;
+use crate::core::{ClassInfo, Site, Waits};
+use crate::machine::Micros;
+use flaxstand::api::{Budget, Class, Effect, Plan, RepeatGroup, Settings};
+use std::collections::BTreeSet;
+
+/// Figures of the rules that the module keeps by itself, and that an audit asks for.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// Nothing new to a node later than this after word that it drains or is gone.
+    pub drain_grace: Micros,
+    /// By plan: units by which a limit may be passed.
+    pub limit_slack: Vec<f64>,
+    /// A request may have two attempts out at once.
+    pub second_copies: bool,
+}
+
+/// What the shared part holds.
+#[derive(Clone, Debug)]
+pub struct SiteFile {
+    /// For the initiators.
+    pub site: Site,
+    /// For the audit.
+    pub rules: Rules,
+}
+
+const MS: std::ops::RangeInclusive<f64> = 0.0..=3_600_000.0;
+const POSITIVE_MS: std::ops::RangeInclusive<f64> = 0.1..=3_600_000.0;
+const RATE: std::ops::RangeInclusive<f64> = 0.0..=1e9;
+
+/// Reads `site`, `class` and `plan` of a file.
+pub fn read_site(root: &Block<'_>) -> SiteFile {
+    let classes = root.blocks("class");
+    let plans = root.blocks("plan");
+    if classes.is_empty() {
+        root.problem("class is missing, expected one or more".into());
+    }
+    if plans.is_empty() {
+        root.problem("plan is missing, expected one or more".into());
+    }
+    let (infos, classes): (Vec<ClassInfo>, Vec<Class>) = classes.iter().map(read_class).unzip();
+    let (names, plans): (Vec<(String, f64)>, Vec<Plan>) = plans.iter().map(read_plan).unzip();
+    let (plan_names, limit_slack): (Vec<String>, Vec<f64>) = names.into_iter().unzip();
+    unique(root, "class", infos.iter().map(|c| &c.name));
+    unique(root, "plan", plan_names.iter());
+    let empty = Settings {
+        initiators: 1,
+        classes,
+        plans,
+        list_on_request: false,
+        ask_within: 0.0,
+        max_attempts: 1,
+        max_retry_after: 0.0,
+        cold_from: 1.0,
+        cold_time: 0.0,
+        fall_multiple: 1.0,
+        fall_time: 0.0,
+        cold_bears: 0.0,
+        key_rest: 0.0,
+        budget: None,
+        unit_mean: 1.0,
+        unit_most: 1.0,
+        share_worth: 1.0,
+        spare_worth: 1.0,
+        tick: 1.0,
+    };
+    let mut rules = Rules { limit_slack, ..Rules::default() };
+    let (settings, waits) = match root.needed("site") {
+        Some(b) => {
+            let read = (read_settings(&b, empty), read_waits(&b));
+            rules.drain_grace = Micros::from_ms(b.number("drain-grace-ms", MS, Some(1000.0)));
+            rules.second_copies = b.flag("second-copies", false);
+            b.finish();
+            read
+        }
+        None => (empty, Waits::default()),
+    };
+    SiteFile { site: Site { settings, classes: infos, plans: plan_names, waits }, rules }
+}
+
+fn unique<'a>(root: &Block<'_>, what: &str, names: impl Iterator<Item = &'a String>) {
+    let mut seen = BTreeSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            root.problem(format!("{what} {name:?} is given twice"));
+        }
+    }
+}
+
+fn read_settings(b: &Block<'_>, empty: Settings) -> Settings {
+    let lists = [("pushed", false), ("on-request", true)];
+    let mut s = Settings {
+        initiators: b.whole("initiators", 1..=1 << 20, None) as u32,
+        list_on_request: b.choice("list", &lists, Some(false)).unwrap_or(false),
+        ask_within: b.number("ask-within-ms", POSITIVE_MS, Some(10_000.0)),
+        max_attempts: b.whole("max-attempts", 1..=100, Some(3)) as u32,
+        max_retry_after: b.number("retry-after-most-ms", MS, Some(0.0)),
+        key_rest: b.number("key-rest-ms", MS, Some(0.0)),
+        unit_mean: b.number("unit-mean", 1.0..=1e6, Some(1.0)),
+        unit_most: b.number("unit-most", 1.0..=1e6, Some(1.0)),
+        share_worth: b.number("share-worth", 0.0..=1.0, Some(0.3)),
+        spare_worth: b.number("spare-worth", 0.0..=1.0, Some(0.1)),
+        tick: b.number("tick-ms", 0.0..=1000.0, Some(1.0)),
+        ..empty
+    };
+    if s.unit_mean > s.unit_most {
+        b.problem(format!("unit-mean is {}, expected at most unit-most, {}", s.unit_mean, s.unit_most));
+    }
+    if let Some(cold) = b.block("cold") {
+        s.cold_from = cold.number("from", 0.001..=1.0, None);
+        s.cold_time = cold.number("warm-ms", POSITIVE_MS, None);
+        s.fall_multiple = cold.number("fall-multiple", 0.001..=1000.0, None);
+        s.fall_time = cold.number("fall-ms", POSITIVE_MS, None);
+        s.cold_bears = cold.number("bears-units", 0.0..=1e6, Some(0.0));
+        cold.finish();
+    }
+    s.budget = b.block("budget").map(|budget| {
+        let read = Budget {
+            floor: budget.number("floor", 0.0..=1e6, Some(0.0)),
+            ratio: budget.number("ratio", 0.0..=100.0, None),
+            span: budget.number("span-ms", POSITIVE_MS, None),
+        };
+        budget.finish();
+        read
+    });
+    s
+}
+
+fn read_waits(b: &Block<'_>) -> Waits {
+    let d = Waits::default();
+    let Some(b) = b.block("waits") else { return d };
+    let wait = |key, default: Micros| Micros::from_ms(b.number(key, POSITIVE_MS, Some(default.ms())));
+    let waits = Waits {
+        dial: wait("dial-ms", d.dial),
+        greeting: wait("greeting-ms", d.greeting),
+        idle: wait("idle-ms", d.idle),
+        answer: wait("answer-ms", d.answer),
+        list_silence: wait("list-silence-ms", d.list_silence),
+        list_retry: (wait("list-retry-ms", d.list_retry.0), wait("list-retry-most-ms", d.list_retry.1)),
+        stop: wait("stop-ms", d.stop),
+    };
+    b.finish();
+    waits
+}
+
+fn read_class(b: &Block<'_>) -> (ClassInfo, Class) {
+    let groups = [("all", RepeatGroup::All), ("zone", RepeatGroup::Zone), ("shard", RepeatGroup::Cell)];
+    #[derive(Clone, Copy)]
+    enum Word {
+        Repeatable,
+        Keyed,
+        Once,
+    }
+    let words = [("repeatable", Word::Repeatable), ("keyed", Word::Keyed), ("once", Word::Once)];
+    let effect = match b.choice("effect", &words, None) {
+        Some(Word::Keyed) => Effect::Keyed {
+            group: b.choice("group", &groups, None).unwrap_or(RepeatGroup::Cell),
+            window: b.number("window-ms", POSITIVE_MS, None),
+        },
+        Some(Word::Once) => Effect::Once,
+        _ => Effect::Repeatable,
+    };
+    let class = Class {
+        aim: b.number("aim-ms", POSITIVE_MS, None),
+        aim_stretch: b.number("aim-stretch", 0.0..=1000.0, Some(0.0)),
+        deadline: b.number("deadline-ms", POSITIVE_MS, None),
+        late_value: b.number("late-value", 0.0..=1.0, Some(0.0)),
+        worth: b.number("worth", 0.0..=1e9, Some(1.0)),
+        effect,
+        in_order: b.flag("in-order", false),
+    };
+    if class.aim > class.deadline {
+        b.problem(format!("aim-ms is {}, expected at most deadline-ms, {}", class.aim, class.deadline));
+    }
+    let info = ClassInfo { name: b.name(), stream: b.flag("stream", false) };
+    b.finish();
+    (info, class)
+}
+
+fn read_plan(b: &Block<'_>) -> ((String, f64), Plan) {
+    let plan = Plan {
+        base_rate: b.number("base-rate", RATE, Some(0.0)),
+        reserve_rate: b.number("reserve-rate", RATE, Some(0.0)),
+        limit_rate: b.number("limit-rate", RATE, Some(0.0)),
+        limit_burst: b.number("limit-burst", RATE, Some(0.0)),
+        price: b.number("price", 0.0..=1e9, Some(1.0)),
+    };
+    let slack = b.number("limit-slack", RATE, Some(0.0));
+    let name = b.name();
+    b.finish();
+    ((name, slack), plan)
+}
--- /dev/null
+++ b/crates/flaxstand-proto/src/frame.rs
@@ -0,0 +1,339 @@
+//! The frames. Times on the wire are durations in microseconds: the clocks of hosts differ, so no moment
+//! of one clock is ever sent to another host.
+
+/// Oldest version of the frames that this build reads.
+pub const VERSION_OLDEST: u8 = 1;
+/// Version of the frames that this build writes.
+pub const VERSION: u8 = 1;
+
+/// Who speaks on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Role {
+    /// Submits requests.
+    Client = 1,
+    /// Schedules them.
+    Initiator = 2,
+    /// Stores data.
+    Node = 3,
+    /// Tells which nodes there are.
+    List = 4,
+}
+
+/// How an attempt ended at a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Code {
+    /// Done; the payload is the answer.
+    Served = 1,
+    /// An error while it ran, or before: it may have run.
+    Error = 2,
+    /// Turned away unseen: the queue is full or the node drains.
+    Full = 3,
+}
+
+/// Why a request was refused. A refused request has not run: trying again is harmless.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Refusal {
+    /// The scheduler gave it up: no room for it within its time.
+    Load = 1,
+    /// The initiator holds as many requests as it may.
+    Held = 2,
+    /// This client has as many requests out as it may.
+    Client = 3,
+    /// The initiator is stopping.
+    Stopping = 4,
+}
+
+/// Whom a refusal's wait concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Scope {
+    /// This request only.
+    Request = 1,
+    /// Every request of its volume.
+    Volume = 2,
+    /// Every request to this initiator.
+    All = 3,
+}
+
+/// Why a connection is closed by its peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Parting {
+    /// No common version.
+    Version = 1,
+    /// A frame that does not belong here, or a malformed one.
+    Protocol = 2,
+    /// Another peer was expected at this address.
+    WrongPeer = 3,
+    /// A bound was reached.
+    Bound = 4,
+    /// The process stops.
+    Stopping = 5,
+}
+
+/// State of a node in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum State {
+    /// Takes work.
+    Serving = 1,
+    /// Finishes its work; nothing new.
+    Draining = 2,
+    /// Removed.
+    Gone = 3,
+}
+
+/// What a list frame holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Extent {
+    /// Every node there is.
+    Full = 1,
+    /// What changed since `since`.
+    Changes = 2,
+}
+
+/// First frame of whoever connects.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hello<'a> {
+    /// Who speaks.
+    pub role: Role,
+    /// Oldest and newest version it reads.
+    pub versions: (u8, u8),
+    /// A number of its own: an initiator's index, a client's number.
+    pub id: u64,
+    /// Which life of that peer this is: grows at each start.
+    pub epoch: u64,
+    /// A name for logs, at most 255 bytes.
+    pub name: &'a str,
+}
+
+/// First frame of whoever was connected to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Welcome<'a> {
+    /// The version from here on.
+    pub version: u8,
+    /// Who answers.
+    pub role: Role,
+    /// Its number: a node's id in the list.
+    pub id: u64,
+    /// Which life of it this is: a node's incarnation.
+    pub epoch: u64,
+    /// A name for logs, at most 255 bytes.
+    pub name: &'a str,
+}
+
+/// A client's request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Submit<'a> {
+    /// The client's number for this try; unused so far on this connection's life.
+    pub id: u64,
+    /// What the client wants done, the same over all its tries: nodes drop repeats of it.
+    pub operation: u64,
+    /// Index into the site's classes.
+    pub class: u16,
+    /// Index into the site's plans.
+    pub plan: u16,
+    /// How many initiators the volume's requests use, 1 or more.
+    pub writers: u16,
+    /// 0 for a first try, then counted up.
+    pub try_no: u8,
+    /// It writes.
+    pub write: bool,
+    /// The volume.
+    pub volume: u64,
+    /// The item of data; none: it names no item.
+    pub extent: Option<u64>,
+    /// The shard that holds the item; none: a new object.
+    pub shard: Option<u32>,
+    /// Units it counts, 1 or more.
+    pub units: u32,
+    /// How long the client waits from now on, microseconds.
+    pub time_left: u32,
+    /// Data to be written.
+    pub payload: &'a [u8],
+}
+
+/// An attempt at a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Attempt<'a> {
+    /// The initiator's number for the request.
+    pub request: u64,
+    /// Which attempt of it, from 0.
+    pub attempt: u32,
+    /// As in [`Submit`].
+    pub operation: u64,
+    /// As in [`Submit`].
+    pub class: u16,
+    /// As in [`Submit`].
+    pub plan: u16,
+    /// As in [`Submit`].
+    pub write: bool,
+    /// The answer is streamed.
+    pub stream: bool,
+    /// As in [`Submit`].
+    pub volume: u64,
+    /// As in [`Submit`].
+    pub extent: Option<u64>,
+    /// As in [`Submit`].
+    pub units: u32,
+    /// How long an answer is of use, microseconds.
+    pub time_left: u32,
+    /// As in [`Submit`].
+    pub payload: &'a [u8],
+}
+
+/// What a node says of itself and of a volume beside an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Units served for the volume everywhere in a finished period, in percent of its plan's rate.
+    pub used: Option<u32>,
+    /// Units served for the volume here through other initiators since the last answer to this one.
+    pub from_others: u32,
+    /// Requests held, as last measured.
+    pub inflight: Option<u32>,
+    /// Requests waiting, as last measured.
+    pub queue: Option<u32>,
+    /// How busy the cores are, in thousandths, as last measured.
+    pub busy: Option<u32>,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Done<'a> {
+    /// As in [`Attempt`].
+    pub request: u64,
+    /// As in [`Attempt`].
+    pub attempt: u32,
+    /// How it ended.
+    pub code: Code,
+    /// The load report.
+    pub report: Report,
+    /// Data read.
+    pub payload: &'a [u8],
+}
+
+/// A node in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry<'a> {
+    /// The node: the same when its process restarts, another when a machine replaces it.
+    pub node: u64,
+    /// Which start of it; grows.
+    pub incarnation: u64,
+    /// Its state.
+    pub state: State,
+    /// Microseconds since its latest start; none: long past.
+    pub age: Option<u64>,
+    /// The shard it holds.
+    pub shard: u32,
+    /// Its zone.
+    pub zone: u32,
+    /// Where it listens: `host:port`, or `unix:` and a path; at most 255 bytes.
+    pub address: &'a str,
+}
+
+/// Word of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct List<'a> {
+    /// All, or what changed.
+    pub extent: Extent,
+    /// The revision that changes apply to; the list's own for a full one.
+    pub since: u64,
+    /// The revision that this leads to.
+    pub revision: u64,
+    /// The entries.
+    pub entries: Vec<Entry<'a>>,
+}
+
+/// A frame.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame<'a> {
+    /// Opens a connection.
+    Hello(Hello<'a>),
+    /// Accepts it.
+    Welcome(Welcome<'a>),
+    /// Says why the connection is closed next.
+    Bye {
+        /// The cause.
+        parting: Parting,
+        /// In words, at most 255 bytes.
+        text: &'a str,
+    },
+    /// Client to initiator: a request.
+    Submit(Submit<'a>),
+    /// Initiator to client: done.
+    Served {
+        /// The client's number of the try.
+        id: u64,
+        /// The shard that served it.
+        shard: u32,
+        /// Data read.
+        payload: &'a [u8],
+    },
+    /// Initiator to client: has not run, and trying again is harmless.
+    Refused {
+        /// The client's number of the try.
+        id: u64,
+        /// Come back no earlier than this, microseconds; 0: no advice.
+        wait: u32,
+        /// Why.
+        refusal: Refusal,
+        /// Whom the wait concerns.
+        scope: Scope,
+    },
+    /// Initiator to client: given up; it may have run.
+    Failed {
+        /// The client's number of the try.
+        id: u64,
+    },
+    /// Initiator to client: a part of a streamed answer; `Served` or `Failed` ends it.
+    Part {
+        /// The client's number of the try.
+        id: u64,
+        /// Data read.
+        payload: &'a [u8],
+    },
+    /// Initiator to node: an attempt.
+    Attempt(Attempt<'a>),
+    /// Initiator to node: nobody waits for this attempt any more.
+    Cancel {
+        /// The initiator's number for the request.
+        request: u64,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Node to initiator: the end of an attempt.
+    Done(Done<'a>),
+    /// Node to initiator: a part of a streamed answer; `Done` ends it.
+    Chunk {
+        /// The initiator's number for the request.
+        request: u64,
+        /// Which attempt.
+        attempt: u32,
+        /// Data read.
+        payload: &'a [u8],
+    },
+    /// Initiator to node: how are you?
+    Probe {
+        /// Comes back as given.
+        token: u64,
+    },
+    /// Node to initiator.
+    Probed {
+        /// As given.
+        token: u64,
+        /// The load report.
+        report: Report,
+    },
+    /// Initiator to list service: the whole list, once.
+    GetList,
+    /// Initiator to list service: the list and all its changes.
+    Watch,
+    /// List service to initiator.
+    List(List<'a>),
+    /// List service to initiator: a call failed.
+    ListFailed,
+}
--- /dev/null
+++ b/crates/flaxstand-proto/src/lib.rs
@@ -0,0 +1,14 @@
+//! Frames between clients, initiators, storage nodes and the list service.
+//!
+//! [`frame`] has the frames themselves, [`codec`] turns them into bytes and back, [`link`] holds what a
+//! connection has received in part and what waits to be written. Nothing here does I/O or decides anything.
+//! `docs/protocol.md` describes the bytes.
+#![forbid(unsafe_code)]
+
+pub mod codec;
+pub mod frame;
+pub mod link;
+
+pub use codec::{FrameError, MAX_BODY, decode, encode};
+pub use frame::*;
+pub use link::{Inbox, Outbox};
--- /dev/null
+++ b/crates/flaxstand-proto/src/link.rs
@@ -0,0 +1,89 @@
+//! The two ends of a connection's bytes: what came in part, and what waits to be written.
+
+use crate::codec::{FrameError, HEADER, MAX_BODY, decode, encode};
+use crate::frame::Frame;
+
+/// Bytes received that are not yet a whole frame. Never holds more than one frame and one read.
+#[derive(Debug, Default)]
+pub struct Inbox {
+    partial: Vec<u8>,
+}
+
+impl Inbox {
+    /// Hands every whole frame among what was kept and `bytes` to `each`, in order, until it says to stop;
+    /// keeps the rest.
+    ///
+    /// # Errors
+    /// The first frame that is none; nothing after it is read.
+    pub fn feed(&mut self, bytes: &[u8], mut each: impl FnMut(Frame<'_>) -> bool) -> Result<(), FrameError> {
+        // The usual read ends with a whole frame: then nothing is copied.
+        let mut joined = std::mem::take(&mut self.partial);
+        let source = if joined.is_empty() {
+            bytes
+        } else {
+            joined.extend_from_slice(bytes);
+            &joined
+        };
+        let mut at = 0;
+        while let Some((frame, len)) = decode(&source[at..])? {
+            at += len;
+            if !each(frame) {
+                return Ok(());
+            }
+        }
+        self.partial = source[at..].to_vec();
+        debug_assert!(self.partial.len() <= HEADER + MAX_BODY);
+        Ok(())
+    }
+}
+
+/// Bytes that wait to be written, and how many ever were.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    bytes: Vec<u8>,
+    start: usize,
+    written: u64,
+}
+
+impl Outbox {
+    /// Adds a frame. Returns the place in the stream at which it ends: see [`Outbox::written`].
+    pub fn push(&mut self, frame: &Frame<'_>) -> u64 {
+        encode(frame, &mut self.bytes);
+        self.written + self.len() as u64
+    }
+
+    /// What waits.
+    pub fn pending(&self) -> &[u8] {
+        &self.bytes[self.start..]
+    }
+
+    /// Bytes that wait.
+    pub fn len(&self) -> usize {
+        self.bytes.len() - self.start
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Bytes ever handed to the system. A frame that ends beyond this has not left in full: its peer
+    /// cannot have read it.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// `count` bytes of what waits were written.
+    pub fn wrote(&mut self, count: usize) {
+        let count = count.min(self.len());
+        self.start += count;
+        self.written += count as u64;
+        if self.start == self.bytes.len() {
+            self.bytes.clear();
+            self.start = 0;
+        } else if self.start > (1 << 16) && self.start > self.bytes.len() / 2 {
+            self.bytes.drain(..self.start);
+            self.start = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-proto/tests/frames.rs
@@ -0,0 +1,183 @@
+//! The codec: what goes in comes out, and nothing that comes from outside makes it panic or grow.
+
+use flaxstand_proto::codec::HEADER;
+use flaxstand_proto::*;
+use proptest::prelude::*;
+
+fn bytes_of(frame: &Frame<'_>) -> Vec<u8> {
+    let mut out = Vec::new();
+    encode(frame, &mut out);
+    out
+}
+
+fn submit(payload: &[u8]) -> Frame<'_> {
+    Frame::Submit(Submit {
+        id: 7,
+        operation: 9,
+        class: 1,
+        plan: 0,
+        writers: 2,
+        try_no: 1,
+        write: true,
+        volume: 77,
+        extent: Some(5),
+        shard: None,
+        units: 3,
+        time_left: 1_500_000,
+        payload,
+    })
+}
+
+fn samples() -> Vec<Frame<'static>> {
+    let report = Report { used: Some(86), from_others: 3, inflight: None, queue: Some(4), busy: Some(500) };
+    let entry = Entry {
+        node: 3,
+        incarnation: 2,
+        state: State::Draining,
+        age: Some(12),
+        shard: 4,
+        zone: 1,
+        address: "127.0.0.1:9",
+    };
+    vec![
+        Frame::Hello(Hello { role: Role::Client, versions: (1, 3), id: 4, epoch: 5, name: "checkout" }),
+        Frame::Welcome(Welcome { version: 1, role: Role::Node, id: 4, epoch: 5, name: "" }),
+        Frame::Bye { parting: Parting::Bound, text: "too many clients" },
+        submit(b"seat 12"),
+        Frame::Served { id: 1, shard: 2, payload: b"x" },
+        Frame::Refused { id: 1, wait: 250_000, refusal: Refusal::Load, scope: Scope::Volume },
+        Frame::Failed { id: 1 },
+        Frame::Part { id: 1, payload: b"part" },
+        Frame::Attempt(Attempt {
+            request: 1,
+            attempt: 2,
+            operation: 3,
+            class: 4,
+            plan: 5,
+            write: false,
+            stream: true,
+            volume: 6,
+            extent: None,
+            units: 7,
+            time_left: 8,
+            payload: b"",
+        }),
+        Frame::Cancel { request: 1, attempt: 0 },
+        Frame::Done(Done { request: 1, attempt: 0, code: Code::Full, report, payload: b"y" }),
+        Frame::Chunk { request: 1, attempt: 0, payload: b"z" },
+        Frame::Probe { token: 11 },
+        Frame::Probed { token: 11, report },
+        Frame::GetList,
+        Frame::Watch,
+        Frame::List(List { extent: Extent::Changes, since: 6, revision: 7, entries: vec![entry, entry] }),
+        Frame::ListFailed,
+    ]
+}
+
+#[test]
+fn every_kind_of_frame_comes_back_as_it_went() {
+    for frame in samples() {
+        let bytes = bytes_of(&frame);
+        assert_eq!(decode(&bytes), Ok(Some((frame, bytes.len()))));
+    }
+}
+
+#[test]
+fn any_cut_waits_for_more_and_any_flipped_bit_is_refused() {
+    for frame in samples() {
+        let bytes = bytes_of(&frame);
+        for cut in 0..bytes.len() {
+            assert_eq!(decode(&bytes[..cut]), Ok(None), "{frame:?} cut at {cut}");
+        }
+        for bit in 32..bytes.len() * 8 {
+            let mut bad = bytes.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert!(decode(&bad).is_err(), "{frame:?} with bit {bit} flipped");
+        }
+    }
+}
+
+#[test]
+fn each_fault_has_a_name() {
+    let good = bytes_of(&Frame::Failed { id: 1 });
+    let sealed = |mut bytes: Vec<u8>| {
+        let crc = crc32c::crc32c_append(crc32c::crc32c(&bytes[..4]), &bytes[8..]);
+        bytes[4..8].copy_from_slice(&crc.to_le_bytes());
+        bytes
+    };
+    let mut long = good.clone();
+    long[..4].copy_from_slice(&(MAX_BODY as u32 + 1).to_le_bytes());
+    assert_eq!(decode(&long[..HEADER]), Err(FrameError::TooLong(MAX_BODY + 1)));
+    let mut version = good.clone();
+    version[8] = 9;
+    assert_eq!(decode(&sealed(version)), Err(FrameError::Version(9)));
+    let mut kind = good.clone();
+    kind[9] = 200;
+    assert_eq!(decode(&sealed(kind)), Err(FrameError::Kind(200)));
+    let mut short = good.clone();
+    short[0] -= 1;
+    short.pop();
+    assert_eq!(decode(&sealed(short)), Err(FrameError::Truncated("id")));
+    let mut trailing = good.clone();
+    trailing[0] += 1;
+    trailing.push(0);
+    assert_eq!(decode(&sealed(trailing)), Err(FrameError::Trailing(1)));
+    let mut crc = good;
+    crc[5] ^= 1;
+    assert!(matches!(decode(&crc), Err(FrameError::Checksum { .. })));
+}
+
+#[test]
+fn an_outbox_knows_which_frames_left_in_full() {
+    let mut outbox = Outbox::default();
+    let first = outbox.push(&Frame::Failed { id: 1 });
+    let second = outbox.push(&Frame::Failed { id: 2 });
+    outbox.wrote(first as usize + 3);
+    assert!(outbox.written() >= first && outbox.written() < second);
+    outbox.wrote(usize::MAX);
+    assert_eq!((outbox.written(), outbox.is_empty()), (second, true));
+}
+
+proptest! {
+    #[test]
+    fn garbage_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn sealed_garbage_never_panics(kind in any::<u8>(), body in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
+        let rest: Vec<u8> = [VERSION, kind, 0, 0].into_iter().chain(body).collect();
+        bytes.extend(crc32c::crc32c_append(crc32c::crc32c(&bytes), &rest).to_le_bytes());
+        bytes.extend(rest);
+        if let Ok(Some((frame, len))) = decode(&bytes) {
+            prop_assert_eq!(len, bytes.len());
+            prop_assert_eq!(bytes_of(&frame), bytes);
+        }
+    }
+
+    #[test]
+    fn frames_survive_any_split(cuts in proptest::collection::vec(1usize..40, 1..60), size in 0usize..200) {
+        let payload = vec![7; size];
+        let mut stream = Vec::new();
+        for id in 0..5 {
+            encode(&submit(&payload), &mut stream);
+            encode(&Frame::Failed { id }, &mut stream);
+        }
+        let mut inbox = Inbox::default();
+        let (mut seen, mut at) = (0, 0);
+        for cut in cuts.iter().cycle() {
+            let end = (at + cut).min(stream.len());
+            let fed = inbox.feed(&stream[at..end], |frame| {
+                let right = if seen % 2 == 0 { frame == submit(&payload) } else { frame == Frame::Failed { id: seen / 2 } };
+                assert!(right, "{frame:?}");
+                seen += 1;
+                true
+            });
+            prop_assert_eq!(fed, Ok(()));
+            at = end;
+            if at == stream.len() { break; }
+        }
+        prop_assert_eq!(seen, 10);
+    }
+}
