--- /dev/null
+++ b/crates/flaxstand-audit/src/lib.rs
@@ -0,0 +1,14 @@
+//! The seven rules, checked from records that clients, storage nodes and the list service wrote: what
+//! passed over their sockets, with times of one clock. The initiator has no part in it.
+//!
+//! [`record`] is what they write, [`book`] puts it in order, [`rules`] holds one check for each rule, and
+//! [`audit`] runs them all.
+#![forbid(unsafe_code)]
+
+pub mod book;
+pub mod record;
+pub mod rules;
+
+pub use book::Book;
+pub use record::{Answer, End, ListState, Record, read_folder};
+pub use rules::{Breach, Effect, Group, Rule, Terms, Verdict, audit};
--- /dev/null
+++ b/crates/flaxstand-cli/src/args.rs
@@ -0,0 +1,126 @@
+//! Arguments.
+
+use clap::{Args as Group, Parser, Subcommand, ValueEnum};
+use flaxstand_gateway::machine::Address;
+use std::path::PathBuf;
+
+/// A storage gateway: schedules a host's reads and writes over a pool of storage nodes.
+#[derive(Parser)]
+#[command(
+    name = "flaxstand",
+    version,
+    max_term_width = 100,
+    after_help = "Exit codes: 0 all is well; \
+1 a rule was broken; 2 wrong arguments or a file with problems; 3 the system or a process failed."
+)]
+pub struct Args {
+    /// What to log to standard error: a level, or `target=level` parts. `debug` has each decision
+    #[arg(long, global = true, default_value = "info", env = "FLAXSTAND_LOG", hide_env = true)]
+    pub log: String,
+    /// How to log
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    pub log_format: LogFormat,
+    /// What to do
+    #[command(subcommand)]
+    pub task: Task,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+pub enum LogFormat {
+    /// For people
+    Text,
+    /// An object a line
+    Json,
+}
+
+#[derive(Subcommand)]
+pub enum Task {
+    /// Run an initiator until SIGTERM; SIGHUP reads its bounds anew
+    Run {
+        /// Its settings
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Stop when standard input ends
+        #[arg(long, hide = true)]
+        with_parent: bool,
+    },
+    /// Check a settings file or a day
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+    /// Play a day on loopback and audit it
+    Rehearse(Rehearsal),
+    /// One process of a rehearsal
+    #[command(subcommand, hide = true)]
+    StandIn(Role),
+}
+
+#[derive(Group)]
+pub struct Rehearsal {
+    /// The day
+    pub day: PathBuf,
+    /// How long requests come, in place of what the day says
+    #[arg(long)]
+    pub seconds: Option<f64>,
+    /// Write the report there too; `-` prints it in place of the text
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Keep records, settings and logs in this new folder
+    #[arg(long, value_name = "FOLDER")]
+    pub keep: Option<PathBuf>,
+    /// What decides
+    #[arg(long, value_enum, default_value = "module")]
+    pub policy: Policy,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+pub enum Policy {
+    /// The decision module
+    Module,
+    /// Everything is sent at once, once: a baseline
+    Pipe,
+}
+
+#[derive(Subcommand)]
+pub enum Role {
+    /// The list service
+    List {
+        #[command(flatten)]
+        files: Files,
+    },
+    /// A storage node
+    Node {
+        day: PathBuf,
+        #[arg(long)]
+        node: u64,
+        #[arg(long)]
+        shard: u32,
+        #[arg(long)]
+        incarnation: u64,
+        #[arg(long)]
+        cold: bool,
+        #[command(flatten)]
+        files: Files,
+    },
+    /// The clients
+    Load {
+        day: PathBuf,
+        #[arg(long)]
+        seconds: f64,
+        #[arg(long)]
+        initiator: Vec<Address>,
+        #[command(flatten)]
+        files: Files,
+    },
+}
+
+#[derive(Group)]
+pub struct Files {
+    #[arg(long)]
+    pub listen: Option<Address>,
+    #[arg(long)]
+    pub record: Option<PathBuf>,
+    #[arg(long)]
+    pub data: Option<PathBuf>,
+}
--- /dev/null
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -0,0 +1,82 @@
+//! `flaxstand run`.
+
+use crate::Failure;
+use crate::kit::{read, told};
+use flaxstand_gateway::core::{Bounds, Core};
+use flaxstand_gateway::driver::{Driver, Options, clock};
+use flaxstand_gateway::settings::{Daemon, read_daemon};
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tracing::{error, info, warn};
+
+pub fn run(path: &Path, with_parent: bool) -> Result<(), Failure> {
+    let Daemon { mut config, listen, state, files } = told(read_daemon(&name(path), &read(path)?))?;
+    let system = |what: &str| {
+        let what = what.to_owned();
+        move |e: std::io::Error| Failure::System(format!("{what}: {e}"))
+    };
+    if let Some(files) = files {
+        use rustix::process::{Resource, Rlimit, setrlimit};
+        let limit = Rlimit { current: Some(files), maximum: Some(files) };
+        setrlimit(Resource::Nofile, limit).map_err(|e| system("cannot lower the descriptors")(e.into()))?;
+    }
+    // Grows from one start to the next as long as the host's calendar is not set back.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    config.epoch = since.as_micros() as u64;
+    let saved = state.as_ref().and_then(|path| match std::fs::read(path) {
+        Ok(bytes) => Some(bytes),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => None,
+        Err(error) => {
+            warn!(%error, path = %path.display(), "cannot read the saved list: starting without it");
+            None
+        }
+    });
+    let now = clock();
+    let core = match Core::new(config.clone(), saved.as_deref(), now) {
+        Ok(core) => core,
+        Err(cause) => {
+            if let Some(path) = &state {
+                let aside = path.with_extension("damaged");
+                warn!(%cause, path = %path.display(), aside = %aside.display(), "the saved list is set aside");
+                std::fs::rename(path, &aside).map_err(system("cannot set the saved list aside"))?;
+            }
+            Core::new(config.clone(), None, now).map_err(|e| Failure::System(e.to_string()))?
+        }
+    };
+    let reload = Some(reload(path.to_owned()));
+    let options = Options { saved: state, input: with_parent, reload, ..Options::default() };
+    let mut driver = Driver::new(core, options).map_err(system("cannot start"))?;
+    let mut at = Vec::new();
+    for address in &listen {
+        let bound = driver.listen(address).map_err(system(&format!("cannot listen at {address}")))?;
+        at.push(bound.to_string());
+    }
+    info!(initiator = config.name, listen = at.join(" "), "running");
+    println!("ready {}", at.join(" "));
+    let _ = std::io::stdout().flush();
+    let core = driver.run().map_err(system("the driver failed"))?;
+    if core.counts().overdue > 0 {
+        error!(overdue = core.counts().overdue, "the module left requests without an answer: report this");
+    }
+    Ok(())
+}
+
+/// Reads the bounds anew. A file with problems changes nothing.
+fn reload(path: PathBuf) -> Box<dyn FnMut() -> Option<Bounds>> {
+    Box::new(move || {
+        let text =
+            std::fs::read_to_string(&path).inspect_err(|error| error!(%error, "cannot reload")).ok()?;
+        match read_daemon(&name(&path), &text) {
+            Ok(daemon) => Some(daemon.config.bounds),
+            Err(problems) => {
+                error!(%problems, "cannot reload");
+                None
+            }
+        }
+    })
+}
+
+fn name(path: &Path) -> String {
+    path.display().to_string()
+}
--- /dev/null
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -0,0 +1,105 @@
+//! `flaxstand check`, `flaxstand rehearse`, and the processes of a rehearsal.
+
+use crate::Failure;
+use crate::args::{Files, Policy, Rehearsal, Role};
+use flaxstand_gateway::settings::{SettingsError, read_daemon};
+use flaxstand_lab::day::Day;
+use flaxstand_lab::node::Identity;
+use flaxstand_lab::rehearse::{self, Plan, StandIn};
+use miette::GraphicalReportHandler;
+use std::path::Path;
+
+/// A file's text.
+pub fn read(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|e| {
+        eprintln!("flaxstand: cannot read {}: {e}", path.display());
+        Failure::File
+    })
+}
+
+/// Tells all that is wrong with a file: a line each, then the places in it.
+pub fn told<T>(read: Result<T, SettingsError>) -> Result<T, Failure> {
+    read.map_err(|e| {
+        eprintln!("{e}\n");
+        let mut places = String::new();
+        if GraphicalReportHandler::new().with_width(100).render_report(&mut places, &e).is_ok() {
+            // The first lines repeat what was said above.
+            let from = places.find('╭').or(places.find(",-")).unwrap_or(0);
+            let from = places[..from].rfind('\n').map_or(0, |n| n + 1);
+            eprintln!("{}", &places[from..]);
+        }
+        Failure::File
+    })
+}
+
+fn read_day(path: &Path) -> Result<(Day, String), Failure> {
+    let text = read(path)?;
+    let day = told(Day::read(&path.display().to_string(), &text))?;
+    Ok((day, text))
+}
+
+pub fn check(path: &Path) -> Result<(), Failure> {
+    let text = read(path)?;
+    let name = path.display().to_string();
+    // A day says so; all else is taken for settings.
+    let is_day = text.lines().any(|l| l.trim_start().starts_with("day "));
+    if is_day {
+        let day = told(Day::read(&name, &text))?;
+        let (nodes, faults) = (day.fleet.nodes, day.faults.len());
+        println!("{name}: a day of {} s with {nodes} nodes and {faults} faults", day.seconds);
+    } else {
+        let daemon = told(read_daemon(&name, &text))?;
+        println!("{name}: settings of initiator {}", daemon.config.name);
+    }
+    Ok(())
+}
+
+pub fn rehearse(r: Rehearsal) -> Result<(), Failure> {
+    let (day, text) = read_day(&r.day)?;
+    let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
+    let program = std::env::current_exe().map_err(|e| system(&e))?;
+    let folder = r.keep.clone().unwrap_or_else(rehearse::fresh_folder);
+    let policy = match r.policy {
+        Policy::Module => "module",
+        Policy::Pipe => "pipe",
+    };
+    let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
+    let (file, policy) = (r.day.clone(), policy.to_owned());
+    let plan = Plan { program, file, text, day, seconds, policy, folder: folder.clone() };
+    let played = rehearse::rehearse(&plan);
+    if r.keep.is_none() {
+        if played.is_ok() {
+            rehearse::clean(&folder);
+        } else {
+            eprintln!("flaxstand: logs and records are in {}", folder.display());
+        }
+    }
+    let report = played.map_err(|e| system(&e))?;
+    let json = serde_json::to_string_pretty(&report).map_err(|e| system(&e))?;
+    match &r.json {
+        Some(path) if path.as_os_str() == "-" => println!("{json}"),
+        Some(path) => {
+            std::fs::write(path, json + "\n").map_err(|e| system(&e))?;
+            print!("{}", report.text());
+        }
+        None => print!("{}", report.text()),
+    }
+    if report.audit.kept() { Ok(()) } else { Err(Failure::Rule) }
+}
+
+pub fn stand_in(role: Role) -> Result<(), Failure> {
+    let what = |f: Files| StandIn { listen: f.listen, record: f.record, data: f.data };
+    let served = match role {
+        Role::List { files } => rehearse::serve_list(&what(files)),
+        Role::Node { day, node, shard, incarnation, cold, files } => {
+            let (day, _) = read_day(&day)?;
+            let id = Identity { node, incarnation, shard, zone: shard % day.fleet.zones };
+            rehearse::serve_node(&day, id, cold, &what(files))
+        }
+        Role::Load { day, seconds, initiator, files } => {
+            let (day, _) = read_day(&day)?;
+            rehearse::serve_load(day, seconds, initiator, &what(files))
+        }
+    };
+    served.map_err(|e| Failure::System(e.to_string()))
+}
--- /dev/null
+++ b/crates/flaxstand-cli/src/main.rs
@@ -0,0 +1,53 @@
+//! `flaxstand`: the daemon and its rehearsal kit.
+//!
+//! Exit codes: 0 all is well; 1 a rule was broken in a rehearsal; 2 wrong arguments or a file with problems;
+//! 3 the system or a process failed.
+#![forbid(unsafe_code)]
+
+mod args;
+mod daemon;
+mod kit;
+
+use args::{Args, LogFormat, Task};
+use clap::Parser;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// Why a task ended badly, and with which exit code.
+enum Failure {
+    /// A file with problems; already told.
+    File,
+    /// A rule was broken; already told.
+    Rule,
+    /// The system, or another process.
+    System(String),
+}
+
+fn log(args: &Args) {
+    let filter = EnvFilter::try_new(&args.log).unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match args.log_format {
+        LogFormat::Text => builder.with_target(false).with_ansi(false).init(),
+        LogFormat::Json => builder.json().init(),
+    }
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    log(&args);
+    let done = match args.task {
+        Task::Run { config, with_parent } => daemon::run(&config, with_parent),
+        Task::Check { file } => kit::check(&file),
+        Task::Rehearse(rehearsal) => kit::rehearse(rehearsal),
+        Task::StandIn(role) => kit::stand_in(role),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Rule) => ExitCode::from(1),
+        Err(Failure::File) => ExitCode::from(2),
+        Err(Failure::System(message)) => {
+            eprintln!("flaxstand: {message}");
+            ExitCode::from(3)
+        }
+    }
+}
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -433,7 +433,9 @@
                 info!(?bounds, "new bounds");
                 self.config.bounds = bounds;
             }
-            Control::Line(_) | Control::InputEnded => {}
+            // Only where the driver reads it: whoever started the process is gone.
+            Control::InputEnded => self.stop(now),
+            Control::Line(_) => {}
         }
     }
 
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -3,12 +3,13 @@
 //! Each turn: wait for events or the machine's next moment, read the clock, hand over what came (a bounded
 //! part of each connection, so that none starves the others), let the machine settle, do what it wants.
 
-use crate::machine::{Address, Command, ConnId, Control, Machine, Micros};
+use crate::machine::{Address, Command, ConnId, Control, Machine, Micros, Sink};
 use rustix::event::{Timespec, epoll};
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::{Errno, read, write};
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io::{self, Write as _};
 use std::net::TcpListener;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -85,6 +86,10 @@
 pub struct Options {
     /// Where `Save` puts the machine's state. It is replaced as a whole.
     pub saved: Option<PathBuf>,
+    /// Where `Append` puts records.
+    pub record: Option<File>,
+    /// Where `Append` puts data.
+    pub data: Option<File>,
     /// Read lines of standard input.
     pub input: bool,
     /// Called at SIGHUP; new bounds are handed to the machine.
@@ -354,6 +359,17 @@
                     warn!(%error, path = %path.display(), "cannot save");
                 }
             }
+            Command::Append(sink, bytes) => {
+                let file = match sink {
+                    Sink::Record => &mut self.options.record,
+                    Sink::Data => &mut self.options.data,
+                };
+                if let Some(file) = file
+                    && let Err(error) = file.write_all(&bytes)
+                {
+                    warn!(%error, ?sink, "cannot append");
+                }
+            }
             Command::StopListening => {
                 self.listeners.iter().for_each(|l| {
                     let _ = epoll::delete(&self.epoll, l.fd());
@@ -478,7 +494,7 @@
 }
 
 fn spare() -> Option<OwnedFd> {
-    std::fs::File::open("/dev/null").ok().map(OwnedFd::from)
+    File::open("/dev/null").ok().map(OwnedFd::from)
 }
 
 /// Puts bytes in a file's place: a reader sees the old ones or the new ones, whole.
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// A file that only grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sink {
+    /// What was seen.
+    Record,
+    /// What is stored.
+    Data,
+}
+
 /// What a machine wants done. Carried out in order, after each turn.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -93,6 +102,8 @@
     },
     /// Put these bytes into the machine's saved state, in place of what is there.
     Save(Vec<u8>),
+    /// Add these bytes to one of the machine's files. A stand-in's records, written before its answers.
+    Append(Sink, Vec<u8>),
     /// Take no more connections.
     StopListening,
     /// Write a line to standard output.
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -95,3 +95,11 @@
     b.finish();
     bounds
 }
+
+/// The part of a file that all initiators of a site share, as text: what stays of a day for a settings file.
+pub fn shared_part(text: &str) -> String {
+    const SHARED: [&str; 4] = ["site", "class", "plan", "bounds"];
+    let mut document = text.parse::<kdl::KdlDocument>().unwrap_or_default();
+    document.nodes_mut().retain(|n| SHARED.contains(&n.name().value()));
+    document.to_string()
+}
--- a/crates/flaxstand-gateway/src/settings/reader.rs
+++ b/crates/flaxstand-gateway/src/settings/reader.rs
@@ -308,6 +308,30 @@
         all
     }
 
+    /// Whole numbers within bounds, as `key 1 2 3`; none if it is left out.
+    pub fn wholes(&self, key: &'static str, bounds: RangeInclusive<u64>) -> Vec<u64> {
+        self.known.borrow_mut().insert(key);
+        let mut all = Vec::new();
+        let children = self.children.iter().filter(|c| c.name().value() == key).flat_map(|c| c.entries());
+        let property = self.entries.iter().filter(|e| e.name().is_some_and(|n| n.value() == key));
+        for entry in children.chain(property) {
+            match entry.value() {
+                KdlValue::Integer(i) if u64::try_from(*i).is_ok_and(|n| bounds.contains(&n)) => {
+                    all.push(*i as u64);
+                }
+                other => {
+                    let (low, high) = (bounds.start(), bounds.end());
+                    let message = format!(
+                        "{key} in {} is {other}, expected whole numbers from {low} to {high}",
+                        self.what
+                    );
+                    self.source.problem(entry.span(), message);
+                }
+            }
+        }
+        all
+    }
+
     /// A block within, if it is there.
     pub fn block(&self, key: &'static str) -> Option<Block<'a>> {
         let all = self.blocks(key);
--- /dev/null
+++ b/crates/flaxstand-lab/src/day.rs
@@ -0,0 +1,410 @@
+//! A day: what there is, what clients do, and what goes wrong when. Read from a KDL file that holds the
+//! site's part of a settings file too. `docs/rehearsal.md` describes every key.
+
+use crate::model::Spec;
+use flaxstand::api::{Effect, RepeatGroup};
+use flaxstand_audit::{Group, Terms};
+use flaxstand_gateway::machine::Micros;
+use flaxstand_gateway::settings::{Block, SettingsError, SiteFile, Source, read_site};
+
+/// The nodes.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// How many, one shard each.
+    pub nodes: u32,
+    /// Zones that they are spread over.
+    pub zones: u32,
+    /// Speeds are drawn from this.
+    pub speed: (f64, f64),
+    /// What each is, but for its speed.
+    pub spec: Spec,
+    /// Work of a unit, ms of a core of speed 1.
+    pub unit_work: f64,
+    /// A request's own work lies between these multiples of that.
+    pub spread: (f64, f64),
+    /// How often load reports are refreshed.
+    pub report_every: Micros,
+    /// Cancels and time-outs stop work.
+    pub cancels: bool,
+    /// Word of the list is so late.
+    pub list_late: Micros,
+}
+
+/// What clients do.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    /// First tries a second.
+    pub rate: f64,
+    /// Volumes.
+    pub volumes: u32,
+    /// Nodes that hold a volume's data.
+    pub spread: (f64, f64),
+    /// Most units of a request; each request draws from 1 to this, small ones more often.
+    pub units: u32,
+    /// Connections to each initiator.
+    pub clients: u32,
+    /// Tries beyond the first, most.
+    pub retries: u8,
+    /// Wait before a further try, ms.
+    pub retry_wait: (f64, f64),
+    /// Share of clients that honour the wait of a refusal.
+    pub honour: f64,
+    /// Bytes of a write.
+    pub payload: usize,
+}
+
+/// What clients ask for in a class.
+#[derive(Clone, Copy, Debug)]
+pub struct Mix {
+    /// Share of the first tries.
+    pub share: f64,
+    /// They write.
+    pub write: bool,
+    /// Share of the writes that make new objects.
+    pub new: f64,
+    /// Share of the reads that go to objects written lately.
+    pub reread: f64,
+    /// Items that a volume's other requests are drawn from.
+    pub items: u64,
+}
+
+/// How volumes of a plan are.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanMix {
+    /// Share of the volumes.
+    pub share: f64,
+    /// Initiators that a volume's requests come through.
+    pub hosts: (f64, f64),
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    /// A line that a node's standard input takes at its start, and one that ends it.
+    Node(String, String),
+    /// The same for the list service.
+    List(String, String),
+    /// The node's process is killed and comes back cold, with its data.
+    Crash,
+    /// The node drains, ends after `Fault::length`, and another machine takes over its shard, cold.
+    Replace,
+    /// The initiator's process is killed and comes back.
+    KillInitiator,
+    /// The initiator is told to stop and started again.
+    RestartInitiator,
+    /// So many times the usual traffic, of one plan or of all.
+    Burst(Option<u16>, f64),
+}
+
+/// Something that goes wrong for a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// Its name in the file.
+    pub name: String,
+    /// From when on, seconds.
+    pub at: f64,
+    /// How long, seconds.
+    pub length: f64,
+    /// Of which nodes.
+    pub nodes: Vec<u32>,
+    /// Of which initiators.
+    pub initiators: Vec<u32>,
+    /// What.
+    pub trouble: Trouble,
+}
+
+/// A day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// Its name.
+    pub name: String,
+    /// How long requests come, seconds.
+    pub seconds: f64,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// How long a frame may be under way, for the audit.
+    pub transit: Micros,
+    /// The site.
+    pub site: SiteFile,
+    /// The nodes.
+    pub fleet: Fleet,
+    /// The clients.
+    pub traffic: Traffic,
+    /// By class.
+    pub mixes: Vec<Mix>,
+    /// By plan.
+    pub plans: Vec<PlanMix>,
+    /// In the order of the file.
+    pub faults: Vec<Fault>,
+}
+
+const MS: std::ops::RangeInclusive<f64> = 0.0..=3_600_000.0;
+const SHARE: std::ops::RangeInclusive<f64> = 0.0..=1.0;
+
+impl Day {
+    /// Reads a day. `name` is for messages.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it.
+    pub fn read(name: &str, text: &str) -> Result<Day, SettingsError> {
+        let source = Source::new(name, text);
+        let document = source.parse()?;
+        let root = Block::document(&source, &document);
+        let site = read_site(&root);
+        // Left to the initiators.
+        root.block("bounds");
+        let day = Day::read_blocks(&root, site);
+        root.finish();
+        source.verdict()?;
+        Ok(day)
+    }
+
+    fn read_blocks(root: &Block<'_>, site: SiteFile) -> Day {
+        let none = Source::new("", "");
+        let empty = none.parse().expect("nothing is a document");
+        let missing = Block::document(&none, &empty);
+        let mut day = Day {
+            name: String::new(),
+            seconds: 0.0,
+            seed: 0,
+            transit: Micros(0),
+            fleet: read_fleet(root.needed("fleet").as_ref().unwrap_or(&missing), &site),
+            traffic: read_traffic(root.needed("traffic").as_ref().unwrap_or(&missing), &site),
+            mixes: Vec::new(),
+            plans: Vec::new(),
+            faults: Vec::new(),
+            site,
+        };
+        if let Some(b) = root.needed("day") {
+            day.name = b.name();
+            day.seconds = b.number("seconds", 0.1..=86_400.0, None);
+            day.seed = b.whole("seed", 0..=u64::MAX >> 1, Some(1));
+            day.transit = Micros::from_ms(b.number("transit-ms", MS, Some(100.0)));
+            b.finish();
+        }
+        day.read_mixes(root);
+        day.faults = root.blocks("fault").iter().filter_map(|b| read_fault(b, &day)).collect();
+        day
+    }
+
+    fn read_mixes(&mut self, root: &Block<'_>) {
+        let mixes = root.blocks("mix");
+        let named = |b: &Block<'_>, names: &[String], what: &str| -> Option<usize> {
+            let name = b.name();
+            let at = names.iter().position(|n| *n == name);
+            if at.is_none() && !name.is_empty() {
+                b.problem(format!("no {what} has this name; there are {}", names.join(", ")));
+            }
+            at
+        };
+        let classes: Vec<String> = self.site.site.classes.iter().map(|c| c.name.clone()).collect();
+        self.mixes = vec![Mix { share: 0.0, write: false, new: 0.0, reread: 0.0, items: 1 }; classes.len()];
+        for b in &mixes {
+            let mix = Mix {
+                share: b.number("share", 0.0..=1e6, None),
+                write: b.flag("write", false),
+                new: b.number("new", SHARE, Some(0.0)),
+                reread: b.number("reread", SHARE, Some(0.0)),
+                items: b.whole("items", 1..=1 << 40, Some(1 << 20)),
+            };
+            if let Some(at) = named(b, &classes, "class") {
+                self.mixes[at] = mix;
+            }
+            b.finish();
+        }
+        if self.mixes.iter().all(|m| m.share == 0.0) {
+            root.problem("mix is missing, expected one with a share above 0".into());
+        }
+        let plans = self.site.site.plans.clone();
+        self.plans = vec![PlanMix { share: 1.0, hosts: (1.0, 1.0) }; plans.len()];
+        for b in root.blocks("volumes") {
+            let mix = PlanMix {
+                share: b.number("share", 0.0..=1e6, Some(1.0)),
+                hosts: b.range("hosts", 1.0..=1e6, Some((1.0, 1.0))),
+            };
+            if let Some(at) = named(&b, &plans, "plan") {
+                self.plans[at] = mix;
+            }
+            b.finish();
+        }
+        if self.plans.iter().all(|p| p.share == 0.0) {
+            root.problem("no plan has volumes, expected a share above 0".into());
+        }
+    }
+
+    /// What the audit asks for.
+    pub fn terms(&self) -> Terms {
+        let s = &self.site.site.settings;
+        let us = |ms: f64| Micros::from_ms(ms).0;
+        let effect = |e: &Effect| match *e {
+            Effect::Repeatable => flaxstand_audit::Effect::Repeatable,
+            Effect::Once => flaxstand_audit::Effect::Once,
+            Effect::Keyed { group, window } => {
+                let group = match group {
+                    RepeatGroup::All => Group::All,
+                    RepeatGroup::Zone => Group::Zone,
+                    RepeatGroup::Cell => Group::Shard,
+                };
+                flaxstand_audit::Effect::Keyed(group, us(window))
+            }
+        };
+        let slack = |i: usize| self.site.rules.limit_slack.get(i).copied().unwrap_or(0.0);
+        let limit = |(i, p): (usize, &flaxstand::api::Plan)| (p.limit_rate, p.limit_burst, slack(i));
+        Terms {
+            classes: s.classes.iter().map(|c| (effect(&c.effect), c.in_order)).collect(),
+            limits: s.plans.iter().enumerate().map(limit).collect(),
+            second_copies: self.site.rules.second_copies,
+            drain_grace: self.site.rules.drain_grace.0,
+            fall: (s.fall_multiple, us(s.fall_time), s.cold_bears),
+            key_rest: us(s.key_rest),
+            budget: s.budget.map(|b| (b.floor, b.ratio, us(b.span))),
+            transit: self.transit.0,
+        }
+    }
+
+    /// Times the usual traffic of a plan, at a moment of the day in seconds.
+    pub fn factor(&self, plan: u16, at: f64) -> f64 {
+        let on = self.faults.iter().filter(|f| f.at <= at && at < f.at + f.length);
+        let times = on.map(|f| match f.trouble {
+            Trouble::Burst(None, times) => times,
+            Trouble::Burst(Some(p), times) if p == plan => times,
+            _ => 1.0,
+        });
+        times.product()
+    }
+}
+
+fn read_fleet(b: &Block<'_>, site: &SiteFile) -> Fleet {
+    let s = &site.site.settings;
+    let unit_work = b.number("unit-work-ms", 0.001..=1e6, None);
+    let fleet = Fleet {
+        nodes: b.whole("nodes", 0..=1000, None) as u32,
+        zones: b.whole("zones", 1..=100, Some(1)) as u32,
+        speed: b.range("speed", 0.001..=1000.0, Some((1.0, 1.0))),
+        spec: Spec {
+            cores: b.number("cores", 1.0..=1024.0, Some(2.0)),
+            speed: 1.0,
+            slots: b.whole("slots", 1..=100_000, Some(4)) as usize,
+            queue: b.whole("queue", 0..=10_000_000, Some(64)) as usize,
+            cold_from: s.cold_from,
+            warm_after: Micros::from_ms(s.cold_time),
+            seek: b.number("seek", SHARE, Some(0.0)),
+            remembers: b.whole("remembers", 0..=10_000, Some(0)) as usize,
+            put_off: b.number("put-off", 0.0..=0.99, Some(0.0)),
+            put_off_every: Micros::from_ms(b.number("put-off-every-ms", 1.0..=1e6, Some(2000.0))),
+            fall_multiple: s.fall_multiple,
+            fall_time: Micros::from_ms(s.fall_time),
+            // The stated units, at the most work that they may hold.
+            fall_work: s.cold_bears * unit_work * 1000.0,
+        },
+        unit_work,
+        spread: b.range("spread", 0.0..=1000.0, Some((0.6, 1.4))),
+        report_every: Micros::from_ms(b.number("report-ms", 1.0..=1e6, Some(500.0))),
+        cancels: b.flag("cancels", true),
+        list_late: Micros::from_ms(b.number("list-late-ms", MS, Some(500.0))),
+    };
+    b.finish();
+    fleet
+}
+
+fn read_traffic(b: &Block<'_>, site: &SiteFile) -> Traffic {
+    let units = b.whole("units", 1..=1_000_000, Some(1));
+    let most = site.site.settings.unit_most;
+    if units as f64 > most {
+        b.problem(format!("units is {units}, expected at most the site's unit-most, {most}"));
+    }
+    let traffic = Traffic {
+        rate: b.number("rate", 0.0..=1e7, None),
+        volumes: b.whole("volumes", 1..=1_000_000, None) as u32,
+        spread: b.range("nodes", 1.0..=1000.0, Some((1.0, 3.0))),
+        units: units as u32,
+        clients: b.whole("clients", 1..=10_000, Some(1)) as u32,
+        retries: b.whole("retries", 0..=100, Some(0)) as u8,
+        retry_wait: b.range("retry-wait-ms", MS, Some((50.0, 200.0))),
+        honour: b.number("honour", SHARE, Some(1.0)),
+        payload: b.whole("payload-bytes", 8..=1 << 20, Some(64)) as usize,
+    };
+    b.finish();
+    traffic
+}
+
+fn read_fault(b: &Block<'_>, day: &Day) -> Option<Fault> {
+    let name = b.name();
+    let share = |b: &Block<'_>| b.number("share", SHARE, Some(1.0));
+    let class = |b: &Block<'_>| {
+        let names = &day.site.site.classes;
+        let expected = "the name of a class";
+        b.parsed("class", expected, None, |t| names.iter().position(|c| c.name == t)).unwrap_or(0)
+    };
+    let node = |on: String, off: &str| Trouble::Node(on, off.to_owned());
+    let list = |on: &str, off: &str| Trouble::List(on.to_owned(), off.to_owned());
+    let trouble = match &name[..] {
+        "pauses" => {
+            let (length, every) =
+                (b.number("ms", 1.0..=60_000.0, None), b.number("every-ms", 1.0..=60_000.0, None));
+            node(format!("pauses {length} {every}"), "pauses 0 0")
+        }
+        "stall" => node(format!("stall {}", b.number("ms", 1.0..=600_000.0, None)), ""),
+        "slow" => node(format!("slow {}", b.number("times", 1.0..=1000.0, None)), "slow 1"),
+        "neighbour" => node(format!("neighbour {}", share(b)), "neighbour 0"),
+        "drop" => node(format!("drop {}", share(b)), "drop 0"),
+        "hang" => node("hang 1".into(), "hang 0"),
+        "errors" => node(format!("errors {}", share(b)), "errors 0"),
+        "full" => node("full 1".into(), "full 0"),
+        "refuse" => node("refuse 1\nreset".into(), "refuse 0"),
+        "deaf" => node("deaf 1\nreset".into(), "deaf 0\nreset"),
+        "reset" => node("reset".into(), ""),
+        "heavy" => {
+            let times = b.number("times", 1.0..=1000.0, None);
+            node(format!("heavy {} {} {times}", class(b), share(b)), "heavy 0 0 1")
+        }
+        "crash" => Trouble::Crash,
+        "replace" => Trouble::Replace,
+        "list-silent" => list("silent 1", "silent 0\ncut"),
+        "list-fails" => list("fail 1", "fail 0"),
+        "list-cut" => list("cut", ""),
+        "list-late" => {
+            let ms = b.number("ms", MS, None);
+            Trouble::List(format!("late {ms}"), format!("late {}", day.fleet.list_late.ms()))
+        }
+        "kill-initiator" => Trouble::KillInitiator,
+        "restart-initiator" => Trouble::RestartInitiator,
+        "burst" => Trouble::Burst(None, b.number("times", 0.0..=1000.0, None)),
+        "plan-burst" => {
+            let names = &day.site.site.plans;
+            let plan = b.parsed("plan", "the name of a plan", None, |t| names.iter().position(|p| p == t));
+            Trouble::Burst(Some(plan.unwrap_or(0) as u16), b.number("times", 0.0..=1000.0, None))
+        }
+        "" => return None,
+        _ => {
+            b.problem(
+                "no such fault; there are pauses, stall, slow, neighbour, drop, hang, errors, full, refuse, deaf, \
+                 reset, heavy, crash, replace, list-silent, list-fails, list-cut, list-late, kill-initiator, \
+                 restart-initiator, burst, plan-burst"
+                    .into(),
+            );
+            return None;
+        }
+    };
+    let places = |key, count: u32| -> Vec<u32> {
+        b.wholes(key, 0..=u64::from(count).saturating_sub(1)).into_iter().map(|n| n as u32).collect()
+    };
+    let nodes = places("nodes", day.fleet.nodes);
+    let initiators = places("initiators", day.site.site.settings.initiators);
+    let of_nodes = matches!(trouble, Trouble::Node(..) | Trouble::Crash | Trouble::Replace);
+    let of_initiators = matches!(trouble, Trouble::KillInitiator | Trouble::RestartInitiator);
+    if of_nodes == nodes.is_empty() {
+        b.problem(format!(
+            "nodes {}",
+            if of_nodes { "is missing, expected one or more" } else { "has no place here" }
+        ));
+    }
+    if of_initiators == initiators.is_empty() {
+        let message = if of_initiators { "is missing, expected one or more" } else { "has no place here" };
+        b.problem(format!("initiators {message}"));
+    }
+    let at = b.number("at", 0.0..=86_400.0, None);
+    let length = b.number("for", 0.0..=86_400.0, Some(0.0));
+    b.finish();
+    Some(Fault { name, at, length, nodes, initiators, trouble })
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -0,0 +1,23 @@
+//! The laboratory. Emulated peers, each a [`flaxstand_gateway::machine::Machine`] that the same driver
+//! runs as the initiator: [`node`] on its [`model`], [`list`], and the clients of [`load`]. A [`day`] says
+//! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback.
+#![forbid(unsafe_code)]
+
+pub mod day;
+pub mod list;
+pub mod load;
+pub mod model;
+pub mod node;
+pub mod rehearse;
+pub mod report;
+pub mod shell;
+
+/// A draw from 0 to 1.
+pub(crate) fn random(rng: &mut impl rand_core::RngCore) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// A draw from a range.
+pub(crate) fn between(rng: &mut impl rand_core::RngCore, (low, high): (f64, f64)) -> f64 {
+    low + (high - low) * random(rng)
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/list.rs
@@ -0,0 +1,203 @@
+//! An emulated list service: tells initiators which nodes there are, late, and only that much. What is true
+//! comes in on its standard input, and so do its own troubles.
+//!
+//! | line | meaning |
+//! | --- | --- |
+//! | `node ID INCARNATION STATE SHARD ZONE AGE ADDRESS` | what is true now; age in ms or `-`: long past |
+//! | `late MS` | changes are told so much later from now on |
+//! | `silent 0` or `1` | answers nothing and greets no one |
+//! | `fail 0` or `1` | answers every call with a failure |
+//! | `cut` | closes every connection |
+
+use crate::shell::{Links, Peer};
+use flaxstand_audit::{ListState, Record};
+use flaxstand_gateway::machine::{ConnId, Micros};
+use flaxstand_proto::{Entry, Extent, Frame, Hello, List, Role, State, VERSION, Welcome};
+use std::collections::{BTreeMap, VecDeque};
+use tracing::warn;
+
+#[derive(Clone)]
+struct Listed {
+    node: u64,
+    incarnation: u64,
+    state: State,
+    shard: u32,
+    zone: u32,
+    booted: Option<Micros>,
+    address: String,
+}
+
+impl Listed {
+    fn entry(&self, now: Micros) -> Entry<'_> {
+        Entry {
+            node: self.node,
+            incarnation: self.incarnation,
+            state: self.state,
+            age: self.booted.map(|at| now.since(at).0),
+            shard: self.shard,
+            zone: self.zone,
+            address: &self.address,
+        }
+    }
+}
+
+struct Watcher {
+    initiator: u32,
+    epoch: u64,
+    watches: bool,
+    /// What it was last told of each node, to tell what a full list takes away.
+    told: BTreeMap<u64, State>,
+}
+
+/// An emulated list service.
+#[derive(Default)]
+pub struct ListService {
+    late: Micros,
+    silent: bool,
+    fail: bool,
+    coming: VecDeque<(Micros, Listed)>,
+    nodes: BTreeMap<u64, Listed>,
+    revision: u64,
+    watchers: BTreeMap<ConnId, Watcher>,
+}
+
+impl ListService {
+    /// A service whose word is so late.
+    pub fn new(late: Micros) -> Self {
+        ListService { late, revision: 1, ..ListService::default() }
+    }
+
+    fn tell_all(&mut self, links: &mut Links, conn: ConnId, now: Micros) {
+        let entries: Vec<Entry<'_>> = self.nodes.values().map(|n| n.entry(now)).collect();
+        let list = List { extent: Extent::Full, since: self.revision, revision: self.revision, entries };
+        links.push(conn, &Frame::List(list));
+        let Some(watcher) = self.watchers.get_mut(&conn) else { return };
+        let absent: Vec<u64> = watcher.told.keys().filter(|n| !self.nodes.contains_key(n)).copied().collect();
+        for node in absent {
+            note(links, watcher, node, 0, State::Gone, now);
+        }
+        for n in self.nodes.values() {
+            note(links, watcher, n.node, n.incarnation, n.state, now);
+        }
+    }
+
+    fn tell_change(&mut self, links: &mut Links, changed: &Listed, now: Micros) {
+        let since = self.revision;
+        self.revision += 1;
+        if changed.state == State::Gone {
+            self.nodes.remove(&changed.node);
+        } else {
+            self.nodes.insert(changed.node, changed.clone());
+        }
+        if self.silent || self.fail {
+            return;
+        }
+        let entries = vec![changed.entry(now)];
+        let frame = Frame::List(List { extent: Extent::Changes, since, revision: self.revision, entries });
+        for (conn, watcher) in self.watchers.iter_mut().filter(|(_, w)| w.watches) {
+            links.push(*conn, &frame);
+            note(links, watcher, changed.node, changed.incarnation, changed.state, now);
+        }
+    }
+
+    fn parse(words: &[&str], now: Micros) -> Option<Listed> {
+        let [node, incarnation, state, shard, zone, age, address] = words else { return None };
+        Some(Listed {
+            node: node.parse().ok()?,
+            incarnation: incarnation.parse().ok()?,
+            state: match *state {
+                "serving" => State::Serving,
+                "draining" => State::Draining,
+                "gone" => State::Gone,
+                _ => return None,
+            },
+            shard: shard.parse().ok()?,
+            zone: zone.parse().ok()?,
+            booted: match *age {
+                "-" => None,
+                age => Some(Micros(now.0.saturating_sub(Micros::from_ms(age.parse().ok()?).0))),
+            },
+            address: (*address).to_owned(),
+        })
+    }
+}
+
+fn note(links: &mut Links, watcher: &mut Watcher, node: u64, incarnation: u64, state: State, now: Micros) {
+    watcher.told.insert(node, state);
+    let state = match state {
+        State::Serving => ListState::Serving,
+        State::Draining => ListState::Draining,
+        State::Gone => ListState::Gone,
+    };
+    let (initiator, epoch) = (watcher.initiator, watcher.epoch);
+    links.record(&Record::Told { at: now.0, initiator, epoch, node, incarnation, state });
+}
+
+impl Peer for ListService {
+    fn opened(&mut self, _links: &mut Links, _conn: ConnId, _now: Micros) {}
+
+    fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, now: Micros) {
+        match frame {
+            _ if self.silent => {}
+            Frame::Hello(Hello { role: Role::Initiator, id, epoch, .. }) => {
+                let initiator = id as u32;
+                let told = BTreeMap::new();
+                self.watchers.insert(conn, Watcher { initiator, epoch, watches: false, told });
+                links.push(
+                    conn,
+                    &Frame::Welcome(Welcome {
+                        version: VERSION,
+                        role: Role::List,
+                        id: 0,
+                        epoch: 0,
+                        name: "emulated",
+                    }),
+                );
+            }
+            Frame::GetList | Frame::Watch if self.fail => links.push(conn, &Frame::ListFailed),
+            Frame::GetList => self.tell_all(links, conn, now),
+            Frame::Watch => {
+                if let Some(watcher) = self.watchers.get_mut(&conn) {
+                    watcher.watches = true;
+                }
+                self.tell_all(links, conn, now);
+            }
+            Frame::Bye { .. } => {}
+            other => {
+                warn!(?other, "a frame that has no place here");
+                links.close(conn);
+                self.watchers.remove(&conn);
+            }
+        }
+    }
+
+    fn gone(&mut self, _links: &mut Links, conn: ConnId, _now: Micros) {
+        self.watchers.remove(&conn);
+    }
+
+    fn line(&mut self, links: &mut Links, line: &str, now: Micros) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let on = words.get(1).is_some_and(|w| *w == "1");
+        match words[..] {
+            ["node", ref rest @ ..] => match Self::parse(rest, now) {
+                Some(listed) => self.coming.push_back((now.after(self.late), listed)),
+                None => warn!(line, "no such node"),
+            },
+            ["late", ms] => self.late = Micros::from_ms(ms.parse().unwrap_or(0.0)),
+            ["silent", _] => self.silent = on,
+            ["fail", _] => self.fail = on,
+            ["cut"] => {
+                links.all().into_iter().for_each(|conn| links.close(conn));
+                self.watchers.clear();
+            }
+            _ => warn!(line, "no such trouble"),
+        }
+    }
+
+    fn settle(&mut self, links: &mut Links, now: Micros) -> Option<Micros> {
+        while let Some((_, changed)) = self.coming.pop_front_if(|(at, _)| *at <= now) {
+            self.tell_change(links, &changed, now);
+        }
+        self.coming.front().map(|(at, _)| *at)
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/load.rs
@@ -0,0 +1,422 @@
+//! Clients: open loop (arrivals do not wait for answers), volumes spread over initiators and nodes, tries
+//! again as a day's clients do. They write down what they send and read, and judge nothing.
+
+use crate::day::Day;
+use crate::shell::{Links, Peer};
+use crate::{between, random};
+use flaxstand::api::{Effect, RepeatGroup};
+use flaxstand_audit::{Answer, Record};
+use flaxstand_gateway::machine::{Address, Command, ConnId, Micros};
+use flaxstand_proto::{Frame, Hello, Role, Submit, VERSION, VERSION_OLDEST};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Objects written lately that are kept in mind for reads.
+const LATELY: usize = 4096;
+/// Wait before a client calls its initiator again.
+const CALL_AGAIN: (f64, f64) = (50.0, 250.0);
+
+struct Volume {
+    id: u64,
+    plan: u16,
+    weight: f64,
+    hosts: Vec<u32>,
+    shards: Vec<u32>,
+}
+
+/// What a client wants done.
+#[derive(Clone)]
+struct Operation {
+    op: u64,
+    class: u16,
+    plan: u16,
+    volume: u64,
+    writers: u16,
+    extent: u64,
+    shard: Option<u32>,
+    units: u32,
+    write: bool,
+    tries: u8,
+    until: Micros,
+}
+
+struct Client {
+    initiator: u32,
+    conn: Option<ConnId>,
+    /// Number of this connection in the records; 0: not open.
+    number: u64,
+    honours: bool,
+    owed: BTreeMap<u64, Operation>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Call(usize),
+    Try(u64),
+    GiveUp(usize, u64),
+}
+
+/// The clients of a day.
+pub struct Load {
+    day: Day,
+    seconds: f64,
+    rng: Pcg64Mcg,
+    addresses: Vec<Address>,
+    clients: Vec<Client>,
+    by_conn: BTreeMap<ConnId, usize>,
+    volumes: Vec<Volume>,
+    started: Option<Micros>,
+    next_arrival: Micros,
+    next_op: u64,
+    next_number: u64,
+    next_try: u64,
+    /// Operations that wait to be tried again, and by which client.
+    resting: BTreeMap<u64, (usize, Operation)>,
+    due: BTreeSet<(Micros, Due)>,
+    /// Objects written lately: volume's place, extent, shard.
+    written: VecDeque<(usize, u64, u32)>,
+    done: bool,
+}
+
+impl Load {
+    /// Clients of a day that lasts so long, with the addresses of its initiators.
+    pub fn new(day: Day, seconds: f64, addresses: Vec<Address>) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(day.seed);
+        let hosts = addresses.len() as u32;
+        let per = day.traffic.clients;
+        let client = |i: u32, rng: &mut Pcg64Mcg| Client {
+            initiator: i % hosts.max(1),
+            conn: None,
+            number: 0,
+            honours: random(rng) < day.traffic.honour,
+            owed: BTreeMap::new(),
+        };
+        let clients: Vec<Client> = (0..hosts * per).map(|i| client(i, &mut rng)).collect();
+        let volumes = (0..day.traffic.volumes).map(|_| volume(&day, hosts, &mut rng)).collect();
+        let due = (0..clients.len()).map(|c| (Micros(0), Due::Call(c))).collect();
+        Load {
+            rng,
+            seconds,
+            addresses,
+            clients,
+            by_conn: BTreeMap::new(),
+            volumes,
+            started: None,
+            next_arrival: Micros(0),
+            next_op: 0,
+            next_number: 0,
+            next_try: 0,
+            resting: BTreeMap::new(),
+            due,
+            written: VecDeque::new(),
+            done: false,
+            day,
+        }
+    }
+
+    /// One of many by weight.
+    fn draw(&mut self, weights: impl Iterator<Item = f64> + Clone) -> usize {
+        let mut point = random(&mut self.rng) * weights.clone().sum::<f64>();
+        let last = weights.clone().count().saturating_sub(1);
+        let passes = |weight: f64| {
+            point -= weight;
+            point < 0.0
+        };
+        weights.into_iter().position(passes).unwrap_or(last)
+    }
+
+    fn arrive(&mut self, links: &mut Links, at: f64, now: Micros) {
+        let weights: Vec<f64> = self.volumes.iter().map(|v| v.weight * self.day.factor(v.plan, at)).collect();
+        let volume = self.draw(weights.into_iter());
+        let shares: Vec<f64> = self.day.mixes.iter().map(|m| m.share).collect();
+        let class = self.draw(shares.into_iter());
+        let mix = self.day.mixes[class];
+        let most = f64::from(self.day.traffic.units);
+        let units = 1 + ((most - 1.0) * random(&mut self.rng).powi(2)).round() as u32;
+        self.next_op += 1;
+        let v = &self.volumes[volume];
+        let (id, plan, writers, hosts) = (v.id, v.plan, v.hosts.len() as u16, v.hosts.clone());
+        let item = (random(&mut self.rng) * mix.items as f64) as u64;
+        let fixed = v.shards.get(item as usize % v.shards.len().max(1)).copied();
+        // Items that were there before have numbers of their own, apart from new objects'.
+        let (mut extent, mut shard) = ((id ^ item.wrapping_mul(0x9E37_79B9_7F4A_7C15)) | 1 << 63, fixed);
+        if mix.write && random(&mut self.rng) < mix.new {
+            (extent, shard) = (self.next_op, None);
+        } else if !mix.write && random(&mut self.rng) < mix.reread {
+            let mine: Vec<(u64, u32)> = self
+                .written
+                .iter()
+                .rev()
+                .filter(|(at, ..)| *at == volume)
+                .take(16)
+                .map(|(_, extent, shard)| (*extent, *shard))
+                .collect();
+            if !mine.is_empty() {
+                let (written, at) = mine[(random(&mut self.rng) * mine.len() as f64) as usize];
+                (extent, shard) = (written, Some(at));
+            }
+        }
+        let deadline = Micros::from_ms(self.day.site.site.settings.classes[class].deadline);
+        let operation = Operation {
+            op: self.next_op,
+            class: class as u16,
+            plan,
+            volume: id,
+            writers,
+            extent,
+            shard,
+            units,
+            write: mix.write,
+            tries: 0,
+            until: now.after(deadline),
+        };
+        // A volume's leading host takes most of its requests.
+        let host = hosts[(random(&mut self.rng).powi(2) * hosts.len() as f64) as usize];
+        let nth = (random(&mut self.rng) * f64::from(self.day.traffic.clients)) as usize;
+        let client = nth * self.addresses.len() + host as usize;
+        self.submit(links, client, operation, now);
+    }
+
+    fn submit(&mut self, links: &mut Links, at: usize, operation: Operation, now: Micros) {
+        let client = &mut self.clients[at];
+        let Some(conn) = client.conn.filter(|_| client.number > 0) else {
+            let Operation { op, class, plan, tries, .. } = operation;
+            if tries == 0 {
+                links.record(&Record::Unreachable { at: now.0, op, class, plan });
+            }
+            self.again(at, operation, 0.0, now);
+            return;
+        };
+        self.next_number += 1;
+        let id = self.next_number;
+        let o = &operation;
+        links.record(&Record::Submitted {
+            at: now.0,
+            client: client.number,
+            id,
+            op: o.op,
+            initiator: client.initiator,
+            class: o.class,
+            plan: o.plan,
+            volume: o.volume,
+            extent: o.extent,
+            units: o.units,
+            write: o.write,
+            try_no: o.tries,
+            until: o.until.0,
+        });
+        let mut payload = Vec::new();
+        if o.write {
+            payload = vec![0; self.day.traffic.payload];
+            payload[..8].copy_from_slice(&o.op.to_le_bytes());
+        }
+        links.push(
+            conn,
+            &Frame::Submit(Submit {
+                id,
+                operation: o.op,
+                class: o.class,
+                plan: o.plan,
+                writers: o.writers,
+                try_no: o.tries,
+                write: o.write,
+                volume: o.volume,
+                extent: Some(o.extent),
+                shard: o.shard,
+                units: o.units,
+                time_left: o.until.since(now).0 as u32,
+                payload: &payload,
+            }),
+        );
+        self.due.insert((o.until.after(Micros(1_000_000)), Due::GiveUp(at, id)));
+        client.owed.insert(id, operation);
+    }
+
+    /// A further try, if this client makes one and there is time.
+    fn again(&mut self, client: usize, mut operation: Operation, wait: f64, now: Micros) {
+        operation.tries += 1;
+        let own = between(&mut self.rng, self.day.traffic.retry_wait);
+        let heeded = if self.clients[client].honours { wait } else { 0.0 };
+        let at = now.after(Micros::from_ms(own.max(heeded)));
+        if operation.tries <= self.day.traffic.retries && at < operation.until {
+            self.next_try += 1;
+            self.resting.insert(self.next_try, (client, operation));
+            self.due.insert((at, Due::Try(self.next_try)));
+        }
+    }
+
+    /// Whether another try is harmless though an earlier one may have run.
+    fn repeats(&self, operation: &Operation) -> bool {
+        match self.day.site.site.settings.classes[usize::from(operation.class)].effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { group, .. } => group == RepeatGroup::All,
+            Effect::Once => false,
+        }
+    }
+
+    fn answered(&mut self, links: &mut Links, conn: ConnId, id: u64, answer: Answer, now: Micros) {
+        let Some(at) = self.by_conn.get(&conn).copied() else { return };
+        links.record(&Record::Answered { at: now.0, client: self.clients[at].number, id, answer });
+        let Some(operation) = self.clients[at].owed.remove(&id) else { return };
+        self.due.remove(&(operation.until.after(Micros(1_000_000)), Due::GiveUp(at, id)));
+        match answer {
+            Answer::Served { shard, .. } if operation.write && operation.shard.is_none() => {
+                let volume = self.volumes.iter().position(|v| v.id == operation.volume).unwrap_or(0);
+                self.written.push_back((volume, operation.extent, shard));
+                if self.written.len() > LATELY {
+                    self.written.pop_front();
+                }
+            }
+            Answer::Served { .. } => {}
+            Answer::Refused { wait } => self.again(at, operation, Micros(wait.into()).ms(), now),
+            Answer::Failed if self.repeats(&operation) => self.again(at, operation, 0.0, now),
+            Answer::Failed => {}
+        }
+    }
+
+    fn fire(&mut self, links: &mut Links, due: Due, now: Micros) {
+        match due {
+            Due::Call(at) => {
+                let address = self.addresses[self.clients[at].initiator as usize].clone();
+                let conn = links.call(address);
+                self.clients[at].conn = Some(conn);
+                self.by_conn.insert(conn, at);
+            }
+            Due::Try(number) => {
+                if let Some((client, operation)) = self.resting.remove(&number) {
+                    self.submit(links, client, operation, now);
+                }
+            }
+            Due::GiveUp(client, id) => {
+                self.clients[client].owed.remove(&id);
+            }
+        }
+    }
+}
+
+fn volume(day: &Day, hosts: u32, rng: &mut Pcg64Mcg) -> Volume {
+    let pick = |count: usize, of: u32, rng: &mut Pcg64Mcg| -> Vec<u32> {
+        let mut all: Vec<u32> = (0..of).collect();
+        let count = count.clamp(1, all.len().max(1));
+        let mut picked = Vec::new();
+        while picked.len() < count && !all.is_empty() {
+            picked.push(all.swap_remove((random(rng) * all.len() as f64) as usize));
+        }
+        picked
+    };
+    let total: f64 = day.plans.iter().map(|p| p.share).sum();
+    let mut point = random(rng) * total;
+    let at = day.plans.iter().position(|p| {
+        point -= p.share;
+        point < 0.0
+    });
+    let plan = at.unwrap_or(0);
+    let count = between(rng, day.plans[plan].hosts).round() as usize;
+    let spread = between(rng, day.traffic.spread).round() as usize;
+    Volume {
+        id: rand_core::RngCore::next_u64(rng),
+        plan: plan as u16,
+        weight: day.site.site.settings.plans[plan].base_rate.max(0.001),
+        hosts: pick(count, hosts, rng),
+        shards: pick(spread, day.fleet.nodes, rng),
+    }
+}
+
+impl Peer for Load {
+    fn opened(&mut self, links: &mut Links, conn: ConnId, _now: Micros) {
+        let Some(at) = self.by_conn.get(&conn) else { return };
+        let versions = (VERSION_OLDEST, VERSION);
+        let hello = Hello { role: Role::Client, versions, id: *at as u64, epoch: 0, name: "emulated" };
+        links.push(conn, &Frame::Hello(hello));
+    }
+
+    fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, now: Micros) {
+        match frame {
+            Frame::Welcome(_) => {
+                self.next_number += 1;
+                if let Some(at) = self.by_conn.get(&conn) {
+                    self.clients[*at].number = self.next_number;
+                }
+            }
+            Frame::Served { id, shard, payload } => {
+                let found = payload.first_chunk().map(|b| u64::from_le_bytes(*b));
+                self.answered(links, conn, id, Answer::Served { shard, found }, now);
+            }
+            Frame::Refused { id, wait, .. } => {
+                self.answered(links, conn, id, Answer::Refused { wait }, now);
+            }
+            Frame::Failed { id } => self.answered(links, conn, id, Answer::Failed, now),
+            _ => {}
+        }
+    }
+
+    fn gone(&mut self, links: &mut Links, conn: ConnId, now: Micros) {
+        let Some(at) = self.by_conn.remove(&conn) else { return };
+        let client = &mut self.clients[at];
+        client.conn = None;
+        let number = std::mem::take(&mut client.number);
+        let owed = std::mem::take(&mut client.owed);
+        if number > 0 {
+            links.record(&Record::Lost { at: now.0, client: number, by_client: false });
+        }
+        for (id, operation) in owed {
+            self.due.remove(&(operation.until.after(Micros(1_000_000)), Due::GiveUp(at, id)));
+            if self.repeats(&operation) {
+                self.again(at, operation, 0.0, now);
+            }
+        }
+        let wait = Micros::from_ms(between(&mut self.rng, CALL_AGAIN));
+        self.due.insert((now.after(wait), Due::Call(at)));
+    }
+
+    fn line(&mut self, _links: &mut Links, line: &str, now: Micros) {
+        if line == "start" && self.started.is_none() {
+            self.started = Some(now);
+            self.next_arrival = now;
+        }
+    }
+
+    fn settle(&mut self, links: &mut Links, now: Micros) -> Option<Micros> {
+        while let Some((at, due)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, due));
+            self.fire(links, due, now);
+        }
+        let mut arrival = None;
+        if let Some(started) = self.started {
+            let end = started.after(Micros::from_ms(self.seconds * 1000.0));
+            let plans: f64 = self.volumes.iter().map(|v| v.weight).sum();
+            while self.next_arrival <= now && self.next_arrival < end {
+                let at = self.next_arrival.since(started).ms() / 1000.0;
+                let weigh = |v: &Volume| v.weight * self.day.factor(v.plan, at);
+                let times = self.volumes.iter().map(weigh).sum::<f64>() / plans.max(1e-9);
+                let rate = (self.day.traffic.rate * times).max(1e-3);
+                if self.day.traffic.rate > 0.0 {
+                    self.arrive(links, at, now);
+                }
+                let gap = -(1.0 - random(&mut self.rng)).ln() / rate;
+                self.next_arrival = self.next_arrival.after(Micros((gap * 1e6) as u64 + 1));
+            }
+            arrival = Some(self.next_arrival.min(end));
+            let idle = self.resting.is_empty() && self.clients.iter().all(|c| c.owed.is_empty());
+            if now >= end && idle {
+                arrival = None;
+                if !std::mem::replace(&mut self.done, true) {
+                    for conn in links.all() {
+                        if let Some(at) = self.by_conn.remove(&conn) {
+                            let client = self.clients[at].number;
+                            links.record(&Record::Lost { at: now.0, client, by_client: true });
+                        }
+                        links.close(conn);
+                    }
+                    links.command(Command::Print("done".into()));
+                    links.command(Command::Exit);
+                }
+            } else if now >= end {
+                arrival = None;
+            }
+        }
+        let due = self.due.first().map(|(at, _)| *at);
+        [arrival, due].into_iter().flatten().min()
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/model.rs
@@ -0,0 +1,356 @@
+//! How an emulated node works off what it is given: cores shared evenly among the requests in its slots, a
+//! queue in turn of arrival, warming up, put-off writes, remembered keys, and trouble. No I/O, no clock.
+
+use flaxstand_gateway::machine::Micros;
+use std::collections::VecDeque;
+
+/// What a node is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spec {
+    /// Cores.
+    pub cores: f64,
+    /// Speed of a core; 1 does a microsecond of work in a microsecond.
+    pub speed: f64,
+    /// Requests worked on at a time.
+    pub slots: usize,
+    /// Requests that may wait beside.
+    pub queue: usize,
+    /// Share of its power at a cold start.
+    pub cold_from: f64,
+    /// Time from a cold start until it is warm; the share grows evenly.
+    pub warm_after: Micros,
+    /// Work saved when a key is among the last few.
+    pub seek: f64,
+    /// How many keys it remembers.
+    pub remembers: usize,
+    /// Share of a write's work that is put off, and how often that is done.
+    pub put_off: f64,
+    /// See `put_off`.
+    pub put_off_every: Micros,
+    /// A cold node falls over when sent more than `fall_multiple` times its present power for `fall_time`,
+    /// and more than `fall_work` of work, microseconds of a core of speed 1.
+    pub fall_multiple: f64,
+    /// See `fall_multiple`.
+    pub fall_time: Micros,
+    /// See `fall_multiple`.
+    pub fall_work: f64,
+}
+
+/// What is wrong with a node at the moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Trouble {
+    /// Times slower.
+    pub slow: f64,
+    /// Share of the machine that something else takes.
+    pub neighbour: f64,
+}
+
+/// A request given to the node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Job {
+    /// The caller's number for it.
+    pub id: u64,
+    /// Microseconds of a core of speed 1.
+    pub work: f64,
+    /// The item of data.
+    pub key: Option<u64>,
+    /// Part of its work is put off.
+    pub write: bool,
+}
+
+/// The job that works off what was put off.
+const PUT_OFF: u64 = u64::MAX;
+/// While the power changes, it is looked at again after this.
+const STEP: Micros = Micros(5000);
+
+/// A node's work.
+#[derive(Debug)]
+pub struct Model {
+    /// What it is.
+    pub spec: Spec,
+    /// What is wrong.
+    pub trouble: Trouble,
+    booted: Option<Micros>,
+    stalled_until: Micros,
+    active: Vec<(u64, f64)>,
+    waiting: VecDeque<Job>,
+    keys: VecDeque<u64>,
+    put_off: f64,
+    put_off_at: Micros,
+    advanced: Micros,
+    recent: VecDeque<(Micros, f64)>,
+    recent_work: f64,
+    fell: bool,
+}
+
+impl Model {
+    /// A node that starts now, cold or warm.
+    pub fn new(spec: Spec, cold: bool, now: Micros) -> Self {
+        Model {
+            trouble: Trouble { slow: 1.0, neighbour: 0.0 },
+            booted: cold.then_some(now),
+            stalled_until: Micros(0),
+            active: Vec::new(),
+            waiting: VecDeque::new(),
+            keys: VecDeque::new(),
+            put_off: 0.0,
+            put_off_at: now.after(spec.put_off_every),
+            advanced: now,
+            recent: VecDeque::new(),
+            recent_work: 0.0,
+            fell: false,
+            spec,
+        }
+    }
+
+    /// Requests held.
+    pub fn held(&self) -> usize {
+        self.active.len() + self.waiting.len()
+    }
+
+    /// Requests waiting.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Share of its cores that is busy.
+    pub fn busy(&self) -> f64 {
+        (self.active.len() as f64 / self.spec.cores).min(1.0)
+    }
+
+    /// Whether it fell over: it does no more work in this life.
+    pub fn fell(&self) -> bool {
+        self.fell
+    }
+
+    /// Share of its power that it has by warmth.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let Some(booted) = self.booted else { return 1.0 };
+        let part = now.since(booted).0 as f64 / self.spec.warm_after.0.max(1) as f64;
+        self.spec.cold_from + (1.0 - self.spec.cold_from) * part.min(1.0)
+    }
+
+    /// Work a microsecond for each active job.
+    fn rate(&self, now: Micros) -> f64 {
+        if self.fell || self.active.is_empty() {
+            return 0.0;
+        }
+        let cores = (self.spec.cores / self.active.len() as f64).min(1.0);
+        let left = (1.0 - self.trouble.neighbour) / self.trouble.slow;
+        cores * self.spec.speed * self.warmth(now) * left
+    }
+
+    /// Stands still for a time: nothing is worked on, everything is kept.
+    pub fn stall(&mut self, duration: Micros, now: Micros) {
+        self.stalled_until = self.stalled_until.max(now.after(duration));
+    }
+
+    /// Takes a request; false: the queue is full. Call `advance` first.
+    pub fn take(&mut self, job: Job, now: Micros) -> bool {
+        self.weigh(job.work, now);
+        if self.active.len() >= self.spec.slots && self.waiting.len() >= self.spec.queue {
+            return false;
+        }
+        if self.active.len() < self.spec.slots {
+            self.start(job);
+        } else {
+            self.waiting.push_back(job);
+        }
+        true
+    }
+
+    /// All that is sent to a cold node weighs on it, what it turns away included.
+    fn weigh(&mut self, work: f64, now: Micros) {
+        if self.warmth(now) >= 1.0 {
+            return;
+        }
+        self.recent.push_back((now, work));
+        self.recent_work += work;
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) >= self.spec.fall_time) {
+            self.recent_work -= self.recent.pop_front().map_or(0.0, |(_, work)| work);
+        }
+        let power = self.spec.cores * self.spec.speed * self.warmth(now);
+        let bears = self.spec.fall_multiple * power * self.spec.fall_time.0 as f64;
+        self.fell |= self.recent_work > bears.max(self.spec.fall_work);
+    }
+
+    fn start(&mut self, job: Job) {
+        let mut work = job.work;
+        if let Some(key) = job.key {
+            if self.keys.contains(&key) {
+                work *= 1.0 - self.spec.seek;
+            }
+            self.keys.retain(|k| *k != key);
+            self.keys.push_back(key);
+            while self.keys.len() > self.spec.remembers {
+                self.keys.pop_front();
+            }
+        }
+        if job.write {
+            self.put_off += work * self.spec.put_off;
+            work *= 1.0 - self.spec.put_off;
+        }
+        self.active.push((job.id, work.max(1.0)));
+    }
+
+    /// Calls a request off; false: it is not held.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        let before = self.held();
+        self.active.retain(|(a, _)| *a != id);
+        self.waiting.retain(|w| w.id != id);
+        self.fill();
+        self.held() < before
+    }
+
+    fn fill(&mut self) {
+        while self.active.iter().filter(|(id, _)| *id != PUT_OFF).count() < self.spec.slots {
+            let Some(job) = self.waiting.pop_front() else { break };
+            self.start(job);
+        }
+    }
+
+    /// Works until now. Returns what was finished, in order.
+    pub fn advance(&mut self, now: Micros) -> Vec<u64> {
+        let mut finished = Vec::new();
+        while self.advanced < now {
+            let from = self.advanced;
+            if from < self.stalled_until {
+                self.advanced = self.stalled_until.min(now);
+                continue;
+            }
+            let until = self.next(from).map_or(now, |at| at.min(now)).max(Micros(from.0 + 1));
+            let done = self.rate(from) * until.since(from).0 as f64;
+            self.advanced = until;
+            self.active.iter_mut().for_each(|(_, left)| *left -= done);
+            // A microsecond is the least step: what is left of less is done.
+            let ended: Vec<u64> = self.active.iter().filter(|(_, l)| *l < 0.5).map(|(id, _)| *id).collect();
+            self.active.retain(|(_, left)| *left >= 0.5);
+            finished.extend(ended.into_iter().filter(|id| *id != PUT_OFF));
+            self.fill();
+            if self.put_off > 0.0 && until >= self.put_off_at {
+                self.active.push((PUT_OFF, std::mem::take(&mut self.put_off)));
+                self.put_off_at = until.after(self.spec.put_off_every);
+            }
+        }
+        finished
+    }
+
+    /// When something may be finished next, seen from `now`.
+    pub fn next(&self, now: Micros) -> Option<Micros> {
+        if self.fell {
+            return None;
+        }
+        if now < self.stalled_until {
+            return (self.held() > 0).then_some(self.stalled_until);
+        }
+        let rate = self.rate(now);
+        let least = self.active.iter().map(|(_, left)| *left).fold(f64::INFINITY, f64::min);
+        let done = (rate > 0.0).then(|| now.after(Micros((least / rate).ceil().min(1e12) as u64)));
+        let step = (self.warmth(now) < 1.0 && rate > 0.0).then(|| now.after(STEP));
+        let put_off = (self.put_off > 0.0).then_some(self.put_off_at.max(Micros(now.0 + 1)));
+        [done, step, put_off].into_iter().flatten().min()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec() -> Spec {
+        Spec {
+            cores: 1.0,
+            speed: 1.0,
+            slots: 1,
+            queue: 1_000_000,
+            cold_from: 0.2,
+            warm_after: Micros(10_000_000),
+            seek: 0.5,
+            remembers: 2,
+            put_off: 0.0,
+            put_off_every: Micros(1_000_000),
+            fall_multiple: 4.0,
+            fall_time: Micros(1_000_000),
+            fall_work: 0.0,
+        }
+    }
+
+    fn job(id: u64, work: f64) -> Job {
+        Job { id, work, key: None, write: false }
+    }
+
+    #[test]
+    fn requests_are_served_in_turn_at_the_cores_speed() {
+        let mut m = Model::new(spec(), false, Micros(0));
+        assert!(m.take(job(1, 1000.0), Micros(0)) && m.take(job(2, 500.0), Micros(0)));
+        assert_eq!(m.advance(Micros(999)), [0u64; 0]);
+        assert_eq!(m.next(Micros(999)), Some(Micros(1000)));
+        assert_eq!(m.advance(Micros(1500)), [1, 2]);
+    }
+
+    #[test]
+    fn a_stalled_node_keeps_what_it_has_and_goes_on() {
+        let mut m = Model::new(spec(), false, Micros(0));
+        m.take(job(1, 1000.0), Micros(0));
+        m.advance(Micros(400));
+        m.stall(Micros(5000), Micros(400));
+        assert!(m.advance(Micros(5400)).is_empty());
+        assert_eq!(m.advance(Micros(6000)), [1]);
+    }
+
+    #[test]
+    fn a_cold_node_ramps_up_and_falls_when_pushed() {
+        let mut m = Model::new(spec(), true, Micros(0));
+        // A third of the ramp: the mean power over it is that of its middle.
+        m.take(job(1, 1e6), Micros(0));
+        let from_zero: f64 = 0.2 * 3.0 + 0.8 * 0.5 * 9.0 / 10.0;
+        m.advance(Micros(3_000_000));
+        let left = m.active[0].1;
+        assert!((left - (1e6 - from_zero * 1e6)).abs() < 10_000.0, "left {left}");
+        assert!(!m.fell());
+        m.take(job(2, 3e6), Micros(3_000_000));
+        assert!(m.fell(), "three seconds of work at once is beyond what it bears");
+    }
+
+    #[test]
+    fn remembered_keys_save_work_and_writes_put_off_come_back() {
+        let mut m = Model::new(Spec { put_off: 0.5, ..spec() }, false, Micros(0));
+        let keyed = |id, key| Job { id, work: 1000.0, key: Some(key), write: false };
+        m.take(keyed(1, 7), Micros(0));
+        m.take(keyed(2, 7), Micros(0));
+        assert_eq!(m.advance(Micros(1500)), [1, 2]);
+        m.take(Job { id: 3, work: 1000.0, key: None, write: true }, Micros(1500));
+        assert_eq!(m.advance(Micros(2000)), [3]);
+        m.advance(Micros(1_000_001));
+        m.take(job(4, 100.0), Micros(1_000_001));
+        assert!(m.advance(Micros(1_000_101)).is_empty(), "shares its core with what was put off");
+        assert_eq!(m.advance(Micros(1_000_201)), [4]);
+    }
+
+    /// M/M/1: the mean time in the system is 1 / (mu - lambda).
+    #[test]
+    fn waits_are_those_of_a_single_server_queue() {
+        use rand_core::SeedableRng;
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(5);
+        let mut exp = |mean: f64| -mean * (1.0 - crate::random(&mut rng)).ln();
+        let mut m = Model::new(spec(), false, Micros(0));
+        let (mut at, mut total, count) = (0.0, 0.0, 40_000u64);
+        let mut began = std::collections::BTreeMap::new();
+        let mut note = |m: &mut Model, until: Micros, began: &mut std::collections::BTreeMap<u64, f64>| {
+            while let Some(next) = m.next(m.advanced).filter(|n| *n <= until) {
+                for id in m.advance(next) {
+                    total += next.0 as f64 - began.remove(&id).unwrap_or(0.0);
+                }
+            }
+            m.advance(until);
+        };
+        for id in 0..count {
+            at += exp(2000.0);
+            note(&mut m, Micros(at as u64), &mut began);
+            began.insert(id, at);
+            m.take(job(id, exp(1000.0)), Micros(at as u64));
+        }
+        note(&mut m, Micros(at as u64 + 10_000_000), &mut began);
+        let mean = total / count as f64;
+        assert!((1900.0..2100.0).contains(&mean), "mean {mean}, theory 2000");
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/node.rs
@@ -0,0 +1,420 @@
+//! An emulated storage node: takes attempts, works them off on its [`Model`], keeps the data that is
+//! written, answers, and has the troubles that its standard input names.
+//!
+//! | line | from then on |
+//! | --- | --- |
+//! | `stall MS` | stands still for that time |
+//! | `pauses MS EVERY` | stands still so long, so often (0 0: no more) |
+//! | `slow TIMES` | works that much slower (1: as usual) |
+//! | `neighbour SHARE` | something else takes that share of it (0: nothing) |
+//! | `drop SHARE` | loses that share of its answers |
+//! | `hang 0` or `1` | takes work and answers nothing |
+//! | `errors SHARE` | fails that share at once |
+//! | `full 0` or `1` | turns everything away unseen |
+//! | `refuse 0` or `1` | closes new connections at once |
+//! | `deaf 0` or `1` | greets no one |
+//! | `reset` | closes every connection |
+//! | `heavy CLASS SHARE TIMES` | that share of a class costs so many times its work |
+
+use crate::model::{Job, Model};
+use crate::shell::{Links, Peer};
+use crate::{between, random};
+use flaxstand_audit::{End, Record};
+use flaxstand_gateway::machine::{ConnId, Micros};
+use flaxstand_proto::{Attempt, Code, Done, Frame, Hello, Report, Role, VERSION, Welcome};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use tracing::warn;
+
+/// Who a node is.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity {
+    /// Its number in the list.
+    pub node: u64,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// The shard it holds.
+    pub shard: u32,
+    /// Its zone.
+    pub zone: u32,
+}
+
+/// How it works beside its model.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    /// Work of a unit, microseconds of a core of speed 1.
+    pub unit_work: f64,
+    /// A request's own work lies between these multiples of its units'.
+    pub spread: (f64, f64),
+    /// How often its load report is refreshed.
+    pub report_every: Micros,
+    /// A cancel, and a time-out that is told as one, stops work.
+    pub cancels: bool,
+    /// How long it drops repeats of an operation.
+    pub window: Micros,
+    /// Seed of its random numbers.
+    pub seed: u64,
+}
+
+/// Most operations and items remembered; the oldest goes first.
+const REMEMBERED: usize = 1 << 20;
+
+#[derive(Default)]
+struct Faults {
+    drop: f64,
+    hang: bool,
+    errors: f64,
+    full: bool,
+    refuse: bool,
+    deaf: bool,
+    pauses: Option<(Micros, Micros)>,
+    next_pause: Micros,
+    heavy: Option<(u16, f64, f64)>,
+}
+
+struct Caller {
+    initiator: u32,
+    epoch: u64,
+}
+
+struct Work {
+    conn: ConnId,
+    initiator: u32,
+    epoch: u64,
+    request: u64,
+    attempt: u32,
+    op: u64,
+    place: (u64, u64),
+    units: u32,
+    write: bool,
+    stream: bool,
+    payload: Vec<u8>,
+}
+
+/// An emulated node.
+pub struct Node {
+    id: Identity,
+    habits: Habits,
+    model: Model,
+    faults: Faults,
+    rng: Pcg64Mcg,
+    callers: BTreeMap<ConnId, Caller>,
+    work: BTreeMap<u64, Work>,
+    next: u64,
+    data: BTreeMap<(u64, u64), Vec<u8>>,
+    ran: BTreeMap<u64, Micros>,
+    /// Units served for each volume, and of those by each initiator, and what each was told.
+    served: BTreeMap<u64, u64>,
+    served_for: BTreeMap<(u64, u32), (u64, u64)>,
+    report: Report,
+    report_at: Micros,
+    fell: bool,
+}
+
+impl Node {
+    /// A node that starts now with the data that an earlier life of it stored.
+    pub fn new(id: Identity, habits: Habits, model: Model, stored: &[u8]) -> Self {
+        Node {
+            rng: Pcg64Mcg::seed_from_u64(habits.seed ^ id.node.rotate_left(20) ^ id.incarnation),
+            id,
+            habits,
+            model,
+            faults: Faults::default(),
+            callers: BTreeMap::new(),
+            work: BTreeMap::new(),
+            next: 0,
+            data: read_stored(stored),
+            ran: BTreeMap::new(),
+            served: BTreeMap::new(),
+            served_for: BTreeMap::new(),
+            report: Report::default(),
+            report_at: Micros(0),
+            fell: false,
+        }
+    }
+
+    /// The record of its start.
+    pub fn up(&self, cold: bool, now: Micros) -> Record {
+        Record::NodeUp {
+            at: now.0,
+            node: self.id.node,
+            incarnation: self.id.incarnation,
+            shard: self.id.shard,
+            zone: self.id.zone,
+            power: self.model.spec.cores * self.model.spec.speed,
+            cold_from: self.model.spec.cold_from,
+            warm_after: if cold { self.model.spec.warm_after.0 } else { 0 },
+        }
+    }
+
+    /// Work of a request, drawn anew for each attempt but in step with its operation.
+    fn weight(&mut self, a: &Attempt<'_>) -> f64 {
+        let mut own = Pcg64Mcg::seed_from_u64(a.operation);
+        let mut work = f64::from(a.units) * self.habits.unit_work * between(&mut own, self.habits.spread);
+        if let Some((class, share, times)) = self.faults.heavy
+            && class == a.class
+            && random(&mut own) < share
+        {
+            work *= times;
+        }
+        work
+    }
+
+    fn attempt(&mut self, links: &mut Links, conn: ConnId, a: &Attempt<'_>, now: Micros) {
+        let Some(caller) = self.callers.get(&conn) else { return };
+        let (initiator, epoch) = (caller.initiator, caller.epoch);
+        let extent = a.extent.unwrap_or(0);
+        let work = self.weight(a);
+        links.record(&Record::Arrived {
+            at: now.0,
+            node: self.id.node,
+            incarnation: self.id.incarnation,
+            conn: conn.0 | self.id.incarnation << 32,
+            initiator,
+            epoch,
+            request: a.request,
+            attempt: a.attempt,
+            op: a.operation,
+            class: a.class,
+            plan: a.plan,
+            volume: a.volume,
+            extent,
+            units: a.units,
+            work: work as u64,
+        });
+        self.next += 1;
+        let id = self.next;
+        self.work.insert(
+            id,
+            Work {
+                conn,
+                initiator,
+                epoch,
+                request: a.request,
+                attempt: a.attempt,
+                op: a.operation,
+                place: (a.volume, extent),
+                units: a.units,
+                write: a.write,
+                stream: a.stream,
+                payload: a.payload.to_vec(),
+            },
+        );
+        self.finish(links, now);
+        let key = a.extent.filter(|_| a.attempt == 0);
+        // A repeat of what ran here costs next to nothing and changes nothing.
+        let work = if self.ran.contains_key(&a.operation) { 1.0 } else { work };
+        if self.faults.full || !self.model.take(Job { id, work, key, write: a.write }, now) {
+            self.answer(links, id, Code::Full, now);
+        } else if random(&mut self.rng) < self.faults.errors {
+            self.model.cancel(id);
+            self.answer(links, id, Code::Error, now);
+        }
+    }
+
+    fn finish(&mut self, links: &mut Links, now: Micros) {
+        for id in self.model.advance(now) {
+            let Some(work) = self.work.get_mut(&id) else { continue };
+            if work.write && !self.ran.contains_key(&work.op) {
+                let payload = std::mem::take(&mut work.payload);
+                store(links, work.place, &payload);
+                self.data.insert(work.place, payload);
+                while self.data.len() > REMEMBERED {
+                    self.data.pop_first();
+                }
+            }
+            let op = work.op;
+            self.ran.insert(op, now);
+            if self.ran.len() > REMEMBERED || self.ran.len().is_multiple_of(1024) {
+                let window = self.habits.window;
+                self.ran.retain(|_, at| now.since(*at) <= window);
+            }
+            self.answer(links, id, Code::Served, now);
+        }
+        if self.model.fell() && !std::mem::replace(&mut self.fell, true) {
+            links.record(&Record::Fell { at: now.0, node: self.id.node });
+        }
+    }
+
+    fn answer(&mut self, links: &mut Links, id: u64, code: Code, now: Micros) {
+        let Some(work) = self.work.remove(&id) else { return };
+        let lost = self.faults.hang || random(&mut self.rng) < self.faults.drop;
+        let end = match code {
+            Code::Full => End::Full,
+            _ if lost => End::Lost,
+            Code::Served => End::Served,
+            Code::Error => End::Error,
+        };
+        links.record(&Record::Ended {
+            at: now.0,
+            node: self.id.node,
+            initiator: work.initiator,
+            epoch: work.epoch,
+            request: work.request,
+            attempt: work.attempt,
+            end,
+        });
+        if lost {
+            return;
+        }
+        let report = Report { from_others: self.news_of_others(&work, code), ..self.report };
+        let empty = Vec::new();
+        let read = if code == Code::Served && !work.write { self.data.get(&work.place) } else { None };
+        let mut payload = &read.unwrap_or(&empty)[..];
+        let (request, attempt) = (work.request, work.attempt);
+        if work.stream && code == Code::Served {
+            links.push(work.conn, &Frame::Chunk { request, attempt, payload });
+            payload = &[];
+        }
+        links.push(work.conn, &Frame::Done(Done { request, attempt, code, report, payload }));
+    }
+
+    /// Units of the volume served for other initiators since this one was last told.
+    fn news_of_others(&mut self, work: &Work, code: Code) -> u32 {
+        let (volume, units) = (work.place.0, u64::from(work.units));
+        let own = self.served_for.entry((volume, work.initiator)).or_default();
+        let all = self.served.entry(volume).or_default();
+        if code == Code::Served {
+            *all += units;
+            own.0 += units;
+        }
+        let others = *all - own.0;
+        let news = others - own.1;
+        own.1 = others;
+        u32::try_from(news).unwrap_or(u32::MAX)
+    }
+
+    fn refresh(&mut self, now: Micros) {
+        if now >= self.report_at {
+            self.report_at = now.after(self.habits.report_every);
+            self.report.inflight = Some(self.model.held() as u32);
+            self.report.queue = Some(self.model.waiting() as u32);
+            self.report.busy = Some((self.model.busy() * 1000.0) as u32);
+        }
+    }
+}
+
+/// An item as stored: volume, extent, length, payload.
+fn store(links: &mut Links, (volume, extent): (u64, u64), payload: &[u8]) {
+    links.store(&volume.to_le_bytes());
+    links.store(&extent.to_le_bytes());
+    links.store(&(payload.len() as u64).to_le_bytes());
+    links.store(payload);
+}
+
+/// What was stored; an item cut short by the writer's end is left out.
+fn read_stored(mut bytes: &[u8]) -> BTreeMap<(u64, u64), Vec<u8>> {
+    let mut data = BTreeMap::new();
+    while let Some((head, rest)) = bytes.split_first_chunk::<24>() {
+        let number = |i: usize| u64::from_le_bytes(head[i..i + 8].try_into().expect("eight bytes"));
+        let Some((payload, rest)) = rest.split_at_checked(number(16) as usize) else { break };
+        data.insert((number(0), number(8)), payload.to_vec());
+        bytes = rest;
+    }
+    data
+}
+
+impl Peer for Node {
+    fn accepts(&self) -> bool {
+        !self.faults.refuse
+    }
+
+    fn opened(&mut self, _links: &mut Links, _conn: ConnId, _now: Micros) {}
+
+    fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, now: Micros) {
+        match frame {
+            Frame::Hello(Hello { role: Role::Initiator, id, epoch, .. }) if !self.faults.deaf => {
+                self.callers.insert(conn, Caller { initiator: id as u32, epoch });
+                links.push(
+                    conn,
+                    &Frame::Welcome(Welcome {
+                        version: VERSION,
+                        role: Role::Node,
+                        id: self.id.node,
+                        epoch: self.id.incarnation,
+                        name: "emulated",
+                    }),
+                );
+            }
+            Frame::Hello(_) if self.faults.deaf => {}
+            Frame::Attempt(a) => self.attempt(links, conn, &a, now),
+            Frame::Cancel { request, attempt } => {
+                let Some(caller) = self.callers.get(&conn) else { return };
+                let (initiator, epoch) = (caller.initiator, caller.epoch);
+                let node = self.id.node;
+                links.record(&Record::Cancelled { at: now.0, node, initiator, epoch, request, attempt });
+                let of = |w: &&u64| {
+                    let w = &self.work[*w];
+                    (w.conn, w.request, w.attempt) == (conn, request, attempt)
+                };
+                if let Some(id) = self.work.keys().find(of).copied()
+                    && self.habits.cancels
+                    && self.model.cancel(id)
+                {
+                    self.work.remove(&id);
+                }
+            }
+            Frame::Probe { token } => links.push(conn, &Frame::Probed { token, report: self.report }),
+            Frame::Bye { .. } => {}
+            other => {
+                warn!(?other, "a frame that has no place here");
+                links.close(conn);
+                self.gone(links, conn, now);
+            }
+        }
+    }
+
+    fn gone(&mut self, links: &mut Links, conn: ConnId, now: Micros) {
+        if self.callers.remove(&conn).is_some() {
+            let conn = conn.0 | self.id.incarnation << 32;
+            links.record(&Record::Hung { at: now.0, node: self.id.node, conn });
+        }
+    }
+
+    fn line(&mut self, links: &mut Links, line: &str, now: Micros) {
+        self.finish(links, now);
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let number = |i: usize| words.get(i).and_then(|w| w.parse::<f64>().ok()).unwrap_or(0.0);
+        let on = number(1) > 0.0;
+        match words.first().copied() {
+            Some("stall") => self.model.stall(Micros::from_ms(number(1)), now),
+            Some("pauses") => {
+                let pair = (Micros::from_ms(number(1)), Micros::from_ms(number(2)));
+                self.faults.pauses = on.then_some(pair);
+                self.faults.next_pause = now;
+            }
+            Some("slow") => self.model.trouble.slow = number(1).max(0.001),
+            Some("neighbour") => self.model.trouble.neighbour = number(1).clamp(0.0, 0.999),
+            Some("drop") => self.faults.drop = number(1),
+            Some("hang") => self.faults.hang = on,
+            Some("errors") => self.faults.errors = number(1),
+            Some("full") => self.faults.full = on,
+            Some("refuse") => self.faults.refuse = on,
+            Some("deaf") => self.faults.deaf = on,
+            Some("reset") => {
+                for conn in links.all() {
+                    links.close(conn);
+                    self.gone(links, conn, now);
+                }
+            }
+            Some("heavy") => {
+                self.faults.heavy = (number(2) > 0.0).then(|| (number(1) as u16, number(2), number(3)))
+            }
+            _ => warn!(line, "no such trouble"),
+        }
+    }
+
+    fn settle(&mut self, links: &mut Links, now: Micros) -> Option<Micros> {
+        self.finish(links, now);
+        if let Some((length, every)) = self.faults.pauses
+            && now >= self.faults.next_pause
+        {
+            self.model.stall(length, now);
+            self.faults.next_pause = now.after(every);
+        }
+        self.refresh(now);
+        let pause = self.faults.pauses.map(|_| self.faults.next_pause);
+        [self.model.next(now), pause].into_iter().flatten().min()
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -0,0 +1,486 @@
+//! Plays a day on loopback: starts the list service, the nodes, the initiators and the clients, each a
+//! process of its own; brings about what goes wrong at its time; audits what was recorded.
+
+use crate::between;
+use crate::day::{Day, Trouble};
+use crate::list::ListService;
+use crate::load::Load;
+use crate::model::{Model, Spec};
+use crate::node::{Habits, Identity, Node};
+use crate::report::{Report, report};
+use crate::shell::{Peer, Shell};
+use flaxstand_audit::{Book, Record, audit, read_folder};
+use flaxstand_gateway::driver::{Driver, Options, clock};
+use flaxstand_gateway::machine::{Address, Micros};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write as _};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::time::Duration;
+use thiserror::Error;
+use tracing::info;
+
+/// Why a day can't be played.
+#[derive(Debug, Error)]
+pub enum RehearsalError {
+    /// The system says so.
+    #[error("{what}: {cause}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the system said.
+        cause: io::Error,
+    },
+    /// A process did not do what it was started for.
+    #[error("{0}")]
+    Process(String),
+    /// What was recorded can't be read.
+    #[error(transparent)]
+    Records(#[from] flaxstand_audit::record::RecordError),
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> RehearsalError {
+    let what = what.into();
+    move |cause| RehearsalError::Io { what, cause }
+}
+
+/// What to play and how.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The program that holds all roles.
+    pub program: PathBuf,
+    /// The day's file and its text.
+    pub file: PathBuf,
+    /// See `file`.
+    pub text: String,
+    /// The day.
+    pub day: Day,
+    /// How long requests come, seconds; what goes wrong later does not happen.
+    pub seconds: f64,
+    /// The policy of the initiators: `module` or `pipe`.
+    pub policy: String,
+    /// Where records, settings and logs go. It must be empty or absent.
+    pub folder: PathBuf,
+}
+
+/// A process that is killed when nobody holds it any more.
+struct Process {
+    name: String,
+    child: Child,
+    input: ChildStdin,
+    output: Receiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn lines_of(output: ChildStdout) -> Receiver<String> {
+    let (sender, receiver) = channel();
+    // Ends with the process, or when nobody listens any more.
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines() {
+            let Ok(line) = line else { break };
+            if sender.send(line).is_err() {
+                break;
+            }
+        }
+    });
+    receiver
+}
+
+impl Process {
+    fn start(plan: &Plan, name: &str, arguments: &[String]) -> Result<Process, RehearsalError> {
+        let log = plan.folder.join(format!("{name}.log"));
+        let log = OpenOptions::new().create(true).append(true).open(log).map_err(io_error("its log"))?;
+        let mut child = Command::new(&plan.program)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(io_error(format!("cannot start {name}")))?;
+        let (input, output) = (child.stdin.take(), child.stdout.take());
+        let (Some(input), Some(output)) = (input, output) else {
+            return Err(RehearsalError::Process(format!("{name} has no pipes")));
+        };
+        Ok(Process { name: name.into(), child, input, output: lines_of(output) })
+    }
+
+    /// Waits for a line that starts with a word; returns the rest of it.
+    fn expect(&mut self, word: &str, within: Duration) -> Result<String, RehearsalError> {
+        let until = std::time::Instant::now() + within;
+        loop {
+            let left = until.saturating_duration_since(std::time::Instant::now());
+            match self.output.recv_timeout(left) {
+                Ok(line) => {
+                    if let Some(rest) = line.strip_prefix(word) {
+                        return Ok(rest.trim().to_owned());
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {
+                    return Err(RehearsalError::Process(format!(
+                        "{} did not say {word:?} in time",
+                        self.name
+                    )));
+                }
+                Err(RecvTimeoutError::Disconnected) => {
+                    return Err(RehearsalError::Process(format!("{} ended; its log says why", self.name)));
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, lines: &str) {
+        if !lines.is_empty() {
+            // A process that is gone hears nothing: that is the trouble being played.
+            let _ = writeln!(self.input, "{lines}").and_then(|()| self.input.flush());
+        }
+    }
+}
+
+const SOON: Duration = Duration::from_secs(10);
+
+/// What happens at a moment of the day.
+enum Step {
+    Tell(usize, String),
+    TellList(String),
+    Kill(usize),
+    Return(usize),
+    Drain(usize),
+    Succeed(usize),
+    KillInitiator(usize, bool),
+    ReturnInitiator(usize),
+}
+
+struct NodeSlot {
+    process: Option<Process>,
+    node: u64,
+    incarnation: u64,
+    address: String,
+}
+
+struct Stage<'a> {
+    plan: &'a Plan,
+    list: Process,
+    list_address: String,
+    nodes: Vec<NodeSlot>,
+    initiators: Vec<Option<Process>>,
+    record: File,
+    next_node: u64,
+}
+
+impl Stage<'_> {
+    fn note(&mut self, record: &Record) -> Result<(), RehearsalError> {
+        let mut line = Vec::new();
+        record.write(&mut line);
+        self.record.write_all(&line).map_err(io_error("the rehearsal's record"))
+    }
+
+    fn start_node(&mut self, slot: usize, cold: bool, listen: &str) -> Result<(), RehearsalError> {
+        let plan = self.plan;
+        let (node, incarnation) = (self.nodes[slot].node, self.nodes[slot].incarnation);
+        let name = format!("node-{node}");
+        let mut arguments = vec!["stand-in".into(), "node".into(), plan.file.display().to_string()];
+        let folder = plan.folder.display();
+        arguments.extend([
+            format!("--node={node}"),
+            format!("--shard={slot}"),
+            format!("--incarnation={incarnation}"),
+            format!("--listen={listen}"),
+            format!("--record={folder}/{name}.jsonl"),
+            format!("--data={folder}/shard-{slot}.data"),
+        ]);
+        if cold {
+            arguments.push("--cold".into());
+        }
+        let mut process = Process::start(plan, &name, &arguments)?;
+        self.nodes[slot].address = process.expect("ready", SOON)?;
+        self.nodes[slot].process = Some(process);
+        Ok(())
+    }
+
+    fn list_node(&mut self, slot: usize, state: &str, age: &str) {
+        let zone = slot as u32 % self.plan.day.fleet.zones;
+        let n = &self.nodes[slot];
+        let line = format!("node {} {} {state} {slot} {zone} {age} {}", n.node, n.incarnation, n.address);
+        self.list.tell(&line);
+    }
+
+    fn start_initiator(&mut self, index: usize) -> Result<(), RehearsalError> {
+        let folder = self.plan.folder.display();
+        let settings = settings_of(self.plan, index, &self.list_address);
+        let file = format!("{folder}/initiator-{index}.kdl");
+        std::fs::write(&file, settings).map_err(io_error("an initiator's settings"))?;
+        let name = format!("initiator-{index}");
+        let arguments = ["run", "--config", &file, "--with-parent"].map(str::to_owned);
+        let mut process = Process::start(self.plan, &name, &arguments)?;
+        process.expect("ready", SOON)?;
+        self.initiators[index] = Some(process);
+        Ok(())
+    }
+
+    fn take(&mut self, step: Step) -> Result<(), RehearsalError> {
+        match step {
+            Step::Tell(slot, lines) => {
+                if let Some(process) = &mut self.nodes[slot].process {
+                    process.tell(&lines);
+                }
+            }
+            Step::TellList(lines) => self.list.tell(&lines),
+            Step::Kill(slot) => {
+                self.nodes[slot].process = None;
+                self.note(&Record::NodeDown { at: clock().0, node: self.nodes[slot].node })?;
+            }
+            Step::Return(slot) => {
+                self.nodes[slot].incarnation += 1;
+                let address = self.nodes[slot].address.clone();
+                self.start_node(slot, true, &address)?;
+                self.list_node(slot, "serving", "0");
+            }
+            Step::Drain(slot) => self.list_node(slot, "draining", "-"),
+            Step::Succeed(slot) => {
+                self.list_node(slot, "gone", "-");
+                self.take(Step::Kill(slot))?;
+                self.nodes[slot].node = self.next_node;
+                self.nodes[slot].incarnation = 1;
+                self.next_node += 1;
+                self.start_node(slot, true, "127.0.0.1:0")?;
+                self.list_node(slot, "serving", "0");
+            }
+            Step::KillInitiator(index, outright) => {
+                self.note(&Record::Killed { at: clock().0, initiator: index as u32 })?;
+                if let Some(process) = self.initiators[index].take()
+                    && !outright
+                {
+                    stop(process)?;
+                }
+            }
+            Step::ReturnInitiator(index) => self.start_initiator(index)?,
+        }
+        Ok(())
+    }
+}
+
+/// Asks a process to stop in good order and waits until it has.
+fn stop(mut process: Process) -> Result<(), RehearsalError> {
+    let pid = rustix::process::Pid::from_child(&process.child);
+    let asked = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+    asked.map_err(|e| io_error(format!("cannot stop {}", process.name))(e.into()))?;
+    for _ in 0..1000 {
+        if let Ok(Some(status)) = process.child.try_wait() {
+            return match status.success() {
+                true => Ok(()),
+                false => Err(RehearsalError::Process(format!("{} ended with {status}", process.name))),
+            };
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    Err(RehearsalError::Process(format!("{} did not stop", process.name)))
+}
+
+/// An initiator's settings: the site's part of the day, and what is its own.
+fn settings_of(plan: &Plan, index: usize, list: &str) -> String {
+    let folder = plan.folder.display();
+    let day = &plan.day;
+    let mut text = format!(
+        "initiator \"initiator-{index}\" {{\n    index {index}\n    seed {}\n    listen \"unix:{folder}/initiator-{index}.sock\"\n    list \"{list}\"\n    state \"{folder}/initiator-{index}.list\"\n    policy \"{}\"\n}}\n",
+        day.seed.wrapping_mul(31).wrapping_add(index as u64) >> 2,
+        plan.policy,
+    );
+    text.push_str(&flaxstand_gateway::settings::shared_part(&plan.text));
+    text
+}
+
+fn timeline(plan: &Plan) -> Vec<(f64, Step)> {
+    let mut steps = Vec::new();
+    for fault in &plan.day.faults {
+        let (from, until) = (fault.at, fault.at + fault.length);
+        for slot in fault.nodes.iter().map(|n| *n as usize) {
+            match &fault.trouble {
+                Trouble::Node(on, off) => {
+                    steps.push((from, Step::Tell(slot, on.clone())));
+                    steps.push((until, Step::Tell(slot, off.clone())));
+                }
+                Trouble::Crash => {
+                    steps.push((from, Step::Kill(slot)));
+                    steps.push((until, Step::Return(slot)));
+                }
+                Trouble::Replace => {
+                    steps.push((from, Step::Drain(slot)));
+                    steps.push((until, Step::Succeed(slot)));
+                }
+                _ => {}
+            }
+        }
+        for index in fault.initiators.iter().map(|i| *i as usize) {
+            let outright = fault.trouble == Trouble::KillInitiator;
+            steps.push((from, Step::KillInitiator(index, outright)));
+            steps.push((until, Step::ReturnInitiator(index)));
+        }
+        if let Trouble::List(on, off) = &fault.trouble {
+            steps.push((from, Step::TellList(on.clone())));
+            steps.push((until, Step::TellList(off.clone())));
+        }
+    }
+    steps.retain(|(at, _)| *at <= plan.seconds);
+    steps.sort_by(|x, y| x.0.total_cmp(&y.0));
+    steps
+}
+
+/// Plays a day. Everything it starts ends with it.
+///
+/// # Errors
+/// A process can't be started or ends by itself, or records can't be read. A broken rule is no error: the
+/// report tells of it.
+pub fn rehearse(plan: &Plan) -> Result<Report, RehearsalError> {
+    std::fs::create_dir_all(&plan.folder).map_err(io_error("the rehearsal's folder"))?;
+    let record = plan.folder.join("rehearsal.jsonl");
+    let record = File::create_new(&record).map_err(io_error(record.display().to_string()))?;
+    let folder = plan.folder.display();
+    let list_arguments =
+        ["stand-in", "list", "--listen=127.0.0.1:0", &format!("--record={folder}/list.jsonl")];
+    let mut list = Process::start(plan, "list", &list_arguments.map(str::to_owned))?;
+    let list_address = list.expect("ready", SOON)?;
+    let count = plan.day.fleet.nodes as usize;
+    let initiators = plan.day.site.site.settings.initiators as usize;
+    let slot = |node| NodeSlot { process: None, node, incarnation: 1, address: String::new() };
+    let mut stage = Stage {
+        plan,
+        list,
+        list_address,
+        nodes: (0..count as u64).map(slot).collect(),
+        initiators: (0..initiators).map(|_| None).collect(),
+        record,
+        next_node: count as u64,
+    };
+    for slot in 0..count {
+        stage.start_node(slot, false, "127.0.0.1:0")?;
+        stage.list_node(slot, "serving", "-");
+    }
+    stage.list.tell(&format!("late {}", plan.day.fleet.list_late.ms()));
+    for index in 0..initiators {
+        stage.start_initiator(index)?;
+    }
+    let mut load_arguments = vec!["stand-in".into(), "load".into(), plan.file.display().to_string()];
+    load_arguments.push(format!("--seconds={}", plan.seconds));
+    load_arguments.push(format!("--record={folder}/clients.jsonl"));
+    load_arguments.extend((0..initiators).map(|i| format!("--initiator=unix:{folder}/initiator-{i}.sock")));
+    let mut load = Process::start(plan, "clients", &load_arguments)?;
+    load.expect("ready", SOON)?;
+    // The list reaches the initiators, and clients are greeted, before the day begins.
+    std::thread::sleep(Duration::from_millis(300));
+    load.tell("start");
+    let start = clock();
+    for (at, step) in timeline(plan) {
+        let due = start.after(Micros::from_ms(at * 1000.0));
+        std::thread::sleep(Duration::from_micros(due.since(clock()).0));
+        stage.take(step)?;
+    }
+    let longest = plan.day.site.site.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let end = start.after(Micros::from_ms(plan.seconds * 1000.0 + longest + 10_000.0));
+    load.expect("done", Duration::from_micros(end.since(clock()).0) + SOON)?;
+    for process in std::mem::take(&mut stage.initiators).into_iter().flatten() {
+        stop(process)?;
+    }
+    drop((stage, load));
+    info!(folder = %plan.folder.display(), "auditing");
+    let book = Book::new(read_folder(&plan.folder)?);
+    let verdict = audit(&book, &plan.day.terms());
+    Ok(report(&plan.day, &book, verdict))
+}
+
+/// What a stand-in's process is told.
+#[derive(Clone, Debug, Default)]
+pub struct StandIn {
+    /// Where it listens, if it does.
+    pub listen: Option<Address>,
+    /// Where it writes what it saw.
+    pub record: Option<PathBuf>,
+    /// Where it keeps what is stored.
+    pub data: Option<PathBuf>,
+}
+
+fn append(path: &Option<PathBuf>) -> io::Result<Option<File>> {
+    path.as_ref().map(|p| OpenOptions::new().create(true).append(true).open(p)).transpose()
+}
+
+fn serve<P: Peer>(peer: P, what: &StandIn) -> io::Result<()> {
+    let options = Options {
+        record: append(&what.record)?,
+        data: append(&what.data)?,
+        input: true,
+        ..Options::default()
+    };
+    let mut driver = Driver::new(Shell::new(peer), options)?;
+    let at = what.listen.as_ref().map(|address| driver.listen(address)).transpose()?;
+    println!("ready {}", at.map(|a| a.to_string()).unwrap_or_default());
+    io::stdout().flush()?;
+    driver.run().map(drop)
+}
+
+/// Runs an emulated list service until its standard input ends.
+///
+/// # Errors
+/// It can't listen, or the driver fails.
+pub fn serve_list(what: &StandIn) -> io::Result<()> {
+    serve(ListService::new(Micros(0)), what)
+}
+
+/// Runs an emulated node of a day until its standard input ends.
+///
+/// # Errors
+/// It can't listen or read its data, or the driver fails.
+pub fn serve_node(day: &Day, id: Identity, cold: bool, what: &StandIn) -> io::Result<()> {
+    // A machine's speed is its own: another machine on the same shard has another.
+    let mut rng = Pcg64Mcg::seed_from_u64(day.seed ^ (id.node + 1).rotate_left(40));
+    let spec = Spec { speed: between(&mut rng, day.fleet.speed), ..day.fleet.spec };
+    let windows = day.site.site.settings.classes.iter().map(|c| match c.effect {
+        flaxstand::api::Effect::Keyed { window, .. } => window,
+        _ => 0.0,
+    });
+    let habits = Habits {
+        unit_work: day.fleet.unit_work * 1000.0,
+        spread: day.fleet.spread,
+        report_every: day.fleet.report_every,
+        cancels: day.fleet.cancels,
+        window: Micros::from_ms(windows.fold(10_000.0, f64::max)),
+        seed: day.seed,
+    };
+    let stored = match &what.data {
+        Some(path) if path.exists() => std::fs::read(path)?,
+        _ => Vec::new(),
+    };
+    let now = clock();
+    let node = Node::new(id, habits, Model::new(spec, cold, now), &stored);
+    let mut up = Vec::new();
+    node.up(cold, now).write(&mut up);
+    if let Some(mut file) = append(&what.record)? {
+        file.write_all(&up)?;
+    }
+    serve(node, what)
+}
+
+/// Runs the clients of a day until all they want is done.
+///
+/// # Errors
+/// The driver fails.
+pub fn serve_load(day: Day, seconds: f64, initiators: Vec<Address>, what: &StandIn) -> io::Result<()> {
+    serve(Load::new(day, seconds, initiators), what)
+}
+
+/// A folder for a rehearsal's records that no other process uses.
+pub fn fresh_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("flaxstand-{}-{}", std::process::id(), clock().0))
+}
+
+/// Removes what a rehearsal left.
+pub fn clean(folder: &Path) {
+    let _ = std::fs::remove_dir_all(folder);
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/report.rs
@@ -0,0 +1,204 @@
+//! What a day came to, from the records: service by class and plan, latency, refusals, tries and attempts.
+
+use crate::day::Day;
+use flaxstand_audit::{Answer, Book, Record, Verdict};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+/// What became of what clients wanted done, in one class or plan.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Operations that clients wanted done.
+    pub wanted: u64,
+    /// Served within the aim, counted from the first try.
+    pub in_time: u64,
+    /// Served later.
+    pub late: u64,
+    /// Not served; the last answer was a refusal.
+    pub refused: u64,
+    /// Not served; the last answer was a failure.
+    pub failed: u64,
+    /// Not served; the last try had no answer, or there was none.
+    pub lost: u64,
+    /// Tries.
+    pub tries: u64,
+    /// Attempts at nodes.
+    pub attempts: u64,
+    /// Median of what was served, from the first try, ms.
+    pub p50_ms: f64,
+    /// Its 99th percentile, ms.
+    pub p99_ms: f64,
+}
+
+impl Service {
+    /// Share served in time.
+    pub fn share(&self) -> f64 {
+        self.in_time as f64 / self.wanted.max(1) as f64
+    }
+}
+
+/// A day's report.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The day.
+    pub day: String,
+    /// Worth served in time over worth wanted, without regard to shares of plans.
+    pub service: f64,
+    /// By class.
+    pub classes: Vec<Service>,
+    /// By plan.
+    pub plans: Vec<Service>,
+    /// What the audit found.
+    pub audit: Verdict,
+}
+
+struct Operation {
+    class: u16,
+    plan: u16,
+    first: u64,
+    tries: u64,
+    served: Option<u64>,
+    last: Option<Answer>,
+}
+
+fn operations(book: &Book) -> BTreeMap<u64, Operation> {
+    let mut all: BTreeMap<u64, Operation> = BTreeMap::new();
+    let new = |class, plan, first| Operation { class, plan, first, tries: 0, served: None, last: None };
+    for record in &book.records {
+        match *record {
+            Record::Submitted { at, op, class, plan, .. } => {
+                all.entry(op).or_insert_with(|| new(class, plan, at)).tries += 1;
+            }
+            Record::Unreachable { at, op, class, plan } => {
+                all.entry(op).or_insert_with(|| new(class, plan, at));
+            }
+            _ => {}
+        }
+    }
+    for t in &book.tries {
+        let Some(o) = all.get_mut(&t.op) else { continue };
+        o.last = t.answers.first().map(|(_, a)| *a);
+        if let Some((at, Answer::Served { .. })) = t.answers.first() {
+            o.served = o.served.or(Some(*at));
+        }
+    }
+    all
+}
+
+/// The report of a day.
+pub fn report(day: &Day, book: &Book, audit: Verdict) -> Report {
+    let site = &day.site.site;
+    // Up to an hour, in microseconds, to three digits.
+    let histogram = || Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).expect("its bounds are sound");
+    let named = |names: Vec<&String>| -> Vec<(Service, Histogram<u64>)> {
+        let of = |n: &String| (Service { name: n.clone(), ..Service::default() }, histogram());
+        names.into_iter().map(of).collect()
+    };
+    let mut classes = named(site.classes.iter().map(|c| &c.name).collect());
+    let mut plans = named(site.plans.iter().collect());
+    let mut attempts: BTreeMap<u64, u64> = BTreeMap::new();
+    for request in book.requests.values() {
+        *attempts.entry(request.op).or_default() += request.attempts.len() as u64;
+    }
+    let (mut worth, mut wanted) = (0.0, 0.0);
+    for (op, o) in operations(book) {
+        let class = &site.settings.classes[usize::from(o.class)];
+        let lag = o.served.map(|at| at.saturating_sub(o.first));
+        let in_time = lag.is_some_and(|lag| lag as f64 <= class.aim * 1000.0);
+        wanted += class.worth;
+        worth += if in_time { class.worth } else { 0.0 };
+        for (s, lags) in [&mut classes[usize::from(o.class)], &mut plans[usize::from(o.plan)]] {
+            s.wanted += 1;
+            s.tries += o.tries;
+            s.attempts += attempts.get(&op).copied().unwrap_or(0);
+            match (lag, o.last) {
+                (Some(lag), _) => {
+                    lags.saturating_record(lag.max(1));
+                    if in_time {
+                        s.in_time += 1;
+                    } else {
+                        s.late += 1;
+                    }
+                }
+                (None, Some(Answer::Refused { .. })) => s.refused += 1,
+                (None, Some(Answer::Failed)) => s.failed += 1,
+                (None, _) => s.lost += 1,
+            }
+        }
+    }
+    let finish = |all: Vec<(Service, Histogram<u64>)>| {
+        let quantile = |lags: &Histogram<u64>, q: f64| lags.value_at_quantile(q) as f64 / 1000.0;
+        let of = |(s, lags): (Service, Histogram<u64>)| Service {
+            p50_ms: quantile(&lags, 0.5),
+            p99_ms: quantile(&lags, 0.99),
+            ..s
+        };
+        all.into_iter().map(of).collect()
+    };
+    let service = if wanted > 0.0 { worth / wanted } else { 1.0 };
+    Report { day: day.name.clone(), service, classes: finish(classes), plans: finish(plans), audit }
+}
+
+impl Report {
+    /// For people.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        let _ = writeln!(
+            out,
+            "{}: service {:.3} (worth served in time over worth wanted)\n",
+            self.day, self.service
+        );
+        let _ = writeln!(
+            out,
+            "{:16} {:>7} {:>8} {:>6} {:>8} {:>7} {:>6} {:>6} {:>9} {:>8} {:>8}",
+            "class, plan",
+            "wanted",
+            "in time",
+            "late",
+            "refused",
+            "failed",
+            "lost",
+            "tries",
+            "attempts",
+            "p50 ms",
+            "p99 ms"
+        );
+        for s in self.classes.iter().chain(&self.plans) {
+            let each = |n: u64| n as f64 / s.wanted.max(1) as f64;
+            let percent = |n: u64| format!("{:.1}%", 100.0 * each(n));
+            let _ = writeln!(
+                out,
+                "{:16} {:>7} {:>8} {:>6} {:>8} {:>7} {:>6} {:>6.2} {:>9.2} {:>8.1} {:>8.1}",
+                s.name,
+                s.wanted,
+                percent(s.in_time),
+                percent(s.late),
+                percent(s.refused),
+                percent(s.failed),
+                percent(s.lost),
+                each(s.tries),
+                each(s.attempts),
+                s.p50_ms,
+                s.p99_ms
+            );
+        }
+        out.push('\n');
+        for (rule, count) in &self.audit.checked {
+            let of = |b: &&flaxstand_audit::Breach| b.rule.to_string() == *rule;
+            let broken = self.audit.breaches.iter().filter(of).count();
+            let verdict = if broken == 0 { "kept".into() } else { format!("BROKEN {broken} times") };
+            let _ = writeln!(out, "rule {rule:22} {verdict} ({count} checked)");
+        }
+        for breach in self.audit.breaches.iter().take(20) {
+            let _ = writeln!(out, "  {breach}");
+        }
+        if self.audit.breaches.len() > 20 {
+            let _ = writeln!(out, "  and {} more", self.audit.breaches.len() - 20);
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/shell.rs
@@ -0,0 +1,192 @@
+//! What the emulated peers share: connections, greetings, records. A [`Peer`] in a [`Shell`] is a machine.
+
+use flaxstand_audit::Record;
+use flaxstand_gateway::machine::{Command, ConnId, Control, Machine, Micros, Sink};
+use flaxstand_proto::{Frame, Inbox, Outbox};
+use std::collections::BTreeMap;
+use tracing::warn;
+
+/// An emulated peer.
+pub trait Peer {
+    /// Whether it takes a connection now.
+    fn accepts(&self) -> bool {
+        true
+    }
+    /// A connection stands, by its own call or another's.
+    fn opened(&mut self, links: &mut Links, conn: ConnId, now: Micros);
+    /// A frame came.
+    fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, now: Micros);
+    /// A connection is no more, or never came to be.
+    fn gone(&mut self, links: &mut Links, conn: ConnId, now: Micros);
+    /// A line of standard input: a fault begins or ends.
+    fn line(&mut self, links: &mut Links, line: &str, now: Micros);
+    /// Everything of this moment has been told. Returns its own next moment.
+    fn settle(&mut self, links: &mut Links, now: Micros) -> Option<Micros>;
+}
+
+/// A peer's connections.
+#[derive(Default)]
+pub struct Links {
+    next: u64,
+    links: BTreeMap<ConnId, (Inbox, Outbox)>,
+    commands: Vec<Command>,
+    record: Vec<u8>,
+    data: Vec<u8>,
+}
+
+impl Links {
+    fn open(&mut self) -> ConnId {
+        self.next += 1;
+        let conn = ConnId(self.next);
+        self.links.insert(conn, Default::default());
+        conn
+    }
+
+    /// Calls a peer.
+    pub fn call(&mut self, address: flaxstand_gateway::machine::Address) -> ConnId {
+        let conn = self.open();
+        self.commands.push(Command::Connect { conn, address });
+        conn
+    }
+
+    /// Writes a frame.
+    pub fn push(&mut self, conn: ConnId, frame: &Frame<'_>) {
+        if let Some((_, outbox)) = self.links.get_mut(&conn) {
+            if outbox.is_empty() {
+                self.commands.push(Command::Flush(conn));
+            }
+            outbox.push(frame);
+        }
+    }
+
+    /// Closes a connection. What waited on it is dropped.
+    pub fn close(&mut self, conn: ConnId) {
+        if self.links.remove(&conn).is_some() {
+            self.commands.push(Command::Close { conn, last: Vec::new() });
+        }
+    }
+
+    /// Every connection that there is.
+    pub fn all(&self) -> Vec<ConnId> {
+        self.links.keys().copied().collect()
+    }
+
+    /// Notes what was seen.
+    pub fn record(&mut self, record: &Record) {
+        record.write(&mut self.record);
+    }
+
+    /// Stores bytes for the next start.
+    pub fn store(&mut self, bytes: &[u8]) {
+        self.data.extend_from_slice(bytes);
+    }
+
+    /// Has the driver do something.
+    pub fn command(&mut self, command: Command) {
+        self.commands.push(command);
+    }
+}
+
+/// A peer as a machine.
+pub struct Shell<P> {
+    /// The peer.
+    pub peer: P,
+    links: Links,
+}
+
+impl<P: Peer> Shell<P> {
+    /// A machine around a peer.
+    pub fn new(peer: P) -> Self {
+        Shell { peer, links: Links::default() }
+    }
+}
+
+impl<P: Peer> Machine for Shell<P> {
+    fn accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
+        if !self.peer.accepts() {
+            return Err(Vec::new());
+        }
+        let conn = self.links.open();
+        self.peer.opened(&mut self.links, conn, now);
+        Ok(conn)
+    }
+
+    fn connected(&mut self, conn: ConnId, now: Micros) {
+        self.peer.opened(&mut self.links, conn, now);
+    }
+
+    fn connect_failed(&mut self, conn: ConnId, cause: &str, now: Micros) {
+        self.closed(conn, cause, now);
+    }
+
+    fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
+        let Some((inbox, _)) = self.links.links.get_mut(&conn) else { return };
+        let mut inbox = std::mem::take(inbox);
+        let (peer, links) = (&mut self.peer, &mut self.links);
+        let fed = inbox.feed(bytes, |frame| {
+            peer.frame(links, conn, frame, now);
+            links.links.contains_key(&conn)
+        });
+        match fed {
+            Ok(()) => {
+                if let Some((place, _)) = self.links.links.get_mut(&conn) {
+                    *place = inbox;
+                }
+            }
+            Err(cause) => {
+                warn!(%cause, "closing a connection for what its peer sent");
+                self.links.close(conn);
+                self.peer.gone(&mut self.links, conn, now);
+            }
+        }
+    }
+
+    fn finished(&mut self, _conn: ConnId, _now: Micros) -> bool {
+        false
+    }
+
+    fn closed(&mut self, conn: ConnId, _cause: &str, now: Micros) {
+        if self.links.links.remove(&conn).is_some() {
+            self.peer.gone(&mut self.links, conn, now);
+        }
+    }
+
+    fn outgoing(&self, conn: ConnId) -> &[u8] {
+        self.links.links.get(&conn).map_or(&[], |(_, outbox)| outbox.pending())
+    }
+
+    fn wrote(&mut self, conn: ConnId, count: usize, _now: Micros) {
+        if let Some((_, outbox)) = self.links.links.get_mut(&conn) {
+            outbox.wrote(count);
+        }
+    }
+
+    fn wants_read(&self, conn: ConnId) -> bool {
+        self.links.links.contains_key(&conn)
+    }
+
+    fn control(&mut self, control: Control, now: Micros) {
+        match control {
+            // Whoever started the stand-in is gone when its input ends.
+            Control::Stop | Control::InputEnded => self.links.commands.push(Command::Exit),
+            Control::Line(line) => self.peer.line(&mut self.links, &line, now),
+            Control::Bounds(_) => {}
+        }
+    }
+
+    fn settle(&mut self, now: Micros) -> Option<Micros> {
+        self.peer.settle(&mut self.links, now)
+    }
+
+    fn take_commands(&mut self) -> Vec<Command> {
+        let mut commands = Vec::new();
+        if !self.links.record.is_empty() {
+            commands.push(Command::Append(Sink::Record, std::mem::take(&mut self.links.record)));
+        }
+        if !self.links.data.is_empty() {
+            commands.push(Command::Append(Sink::Data, std::mem::take(&mut self.links.data)));
+        }
+        commands.append(&mut self.links.commands);
+        commands
+    }
+}
