--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -315,6 +315,15 @@
         self.perform(&mut actions, now);
     }
 
+    /// The module looks at all that it was told.
+    fn decide(&mut self, now: Micros) {
+        self.undecided = false;
+        self.decided_at = Some(now);
+        let mut actions = Vec::new();
+        self.decide_on(Event::Decide, now, &mut actions);
+        self.perform(&mut actions, now);
+    }
+
     fn decide_on(&mut self, event: Event, now: Micros, actions: &mut Vec<Action>) {
         match &mut self.decider {
             Decider::Module(brain) => brain.handle(event, now.ms(), actions),
@@ -451,11 +460,7 @@
         let next = self.decided_at.map_or(now, |at| at.after(tick));
         if (self.undecided || woken) && now >= next {
             self.wake_at = self.wake_at.filter(|_| !woken);
-            self.undecided = false;
-            self.decided_at = Some(now);
-            let mut actions = Vec::new();
-            self.decide_on(Event::Decide, now, &mut actions);
-            self.perform(&mut actions, now);
+            self.decide(now);
         }
         if self.phase == Phase::Stopping && self.stopped() {
             self.exit(now);
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -189,7 +189,12 @@
             self.end_attempt(id, flight.attempt, outcome, now);
         }
         self.tell(now);
-        if self.requests.get(&id).is_some_and(|r| r.client.is_some()) {
+        let owed = |core: &Core| core.requests.get(&id).is_some_and(|r| r.client.is_some());
+        if owed(self) {
+            // It came with less time than an answer's way takes: the module has not looked at it yet.
+            self.decide(now);
+        }
+        if owed(self) {
             error!(request = id.0, "the module gave no answer in time: failed here");
             self.counts.overdue += 1;
             self.fail(id);
