--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -51,6 +51,15 @@
     },
     /// Play a day on loopback and audit it
     Rehearse(Rehearsal),
+    /// Measure what an initiator costs, beside a straight pipe, against nodes that answer at once
+    Measure {
+        /// Seconds for each figure
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+        /// Write the figures there too
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// One process of a rehearsal
     #[command(subcommand, hide = true)]
     StandIn(Role),
@@ -103,6 +112,28 @@
         #[command(flatten)]
         files: Files,
     },
+    /// Nodes that answer at once, one for each address, or that never do
+    Echo {
+        #[arg(long)]
+        mute: bool,
+        #[command(flatten)]
+        files: Files,
+    },
+    /// Clients that keep so many requests out, or send so many a second
+    Press {
+        #[arg(long)]
+        initiator: Address,
+        #[arg(long)]
+        shards: u32,
+        #[arg(long, default_value_t = 1)]
+        clients: u32,
+        #[arg(long, default_value_t = 0)]
+        window: u32,
+        #[arg(long, default_value_t = 0.0)]
+        rate: f64,
+        #[arg(long)]
+        seconds: f64,
+    },
     /// The clients
     Load {
         day: PathBuf,
@@ -118,7 +149,7 @@
 #[derive(Group)]
 pub struct Files {
     #[arg(long)]
-    pub listen: Option<Address>,
+    pub listen: Vec<Address>,
     #[arg(long)]
     pub record: Option<PathBuf>,
     #[arg(long)]
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -3,8 +3,10 @@
 use crate::Failure;
 use crate::args::{Files, Policy, Rehearsal, Role};
 use flaxstand_gateway::settings::{SettingsError, read_daemon};
-use flaxstand_lab::day::Day;
+use flaxstand_lab::day::{Day, DayError};
+use flaxstand_lab::measure;
 use flaxstand_lab::node::Identity;
+use flaxstand_lab::press::{self, Pressure};
 use flaxstand_lab::rehearse::{self, Plan, StandIn};
 use miette::GraphicalReportHandler;
 use std::path::Path;
@@ -33,22 +35,25 @@
 }
 
 fn read_day(path: &Path) -> Result<(Day, String), Failure> {
-    let text = read(path)?;
-    let day = told(Day::read(&path.display().to_string(), &text))?;
-    Ok((day, text))
+    Day::load(path).or_else(|e| match e {
+        DayError::Settings(problems) => told(Err(problems)),
+        DayError::Io { .. } => {
+            eprintln!("flaxstand: {e}");
+            Err(Failure::File)
+        }
+    })
 }
 
 pub fn check(path: &Path) -> Result<(), Failure> {
     let text = read(path)?;
-    let name = path.display().to_string();
+    let name = path.display();
     // A day says so; all else is taken for settings.
-    let is_day = text.lines().any(|l| l.trim_start().starts_with("day "));
-    if is_day {
-        let day = told(Day::read(&name, &text))?;
+    if text.lines().any(|l| l.trim_start().starts_with("day ")) {
+        let (day, _) = read_day(path)?;
         let (nodes, faults) = (day.fleet.nodes, day.faults.len());
         println!("{name}: a day of {} s with {nodes} nodes and {faults} faults", day.seconds);
     } else {
-        let daemon = told(read_daemon(&name, &text))?;
+        let daemon = told(read_daemon(&name.to_string(), &text))?;
         println!("{name}: settings of initiator {}", daemon.config.name);
     }
     Ok(())
@@ -87,6 +92,20 @@
     if report.audit.kept() { Ok(()) } else { Err(Failure::Rule) }
 }
 
+pub fn measure(seconds: f64, json: Option<&Path>) -> Result<(), Failure> {
+    let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
+    let program = std::env::current_exe().map_err(|e| system(&e))?;
+    let folder = rehearse::fresh_folder();
+    let figures = measure::measure(&program, &folder, seconds.clamp(0.5, 600.0)).map_err(|e| system(&e))?;
+    rehearse::clean(&folder);
+    print!("{}", figures.text());
+    if let Some(path) = json {
+        let json = serde_json::to_string_pretty(&figures).map_err(|e| system(&e))?;
+        std::fs::write(path, json + "\n").map_err(|e| system(&e))?;
+    }
+    Ok(())
+}
+
 pub fn stand_in(role: Role) -> Result<(), Failure> {
     let what = |f: Files| StandIn { listen: f.listen, record: f.record, data: f.data };
     let served = match role {
@@ -96,6 +115,10 @@
             let id = Identity { node, incarnation, shard, zone: shard % day.fleet.zones };
             rehearse::serve_node(&day, id, cold, &what(files))
         }
+        Role::Echo { mute, files } => press::serve_echo(mute, &what(files)),
+        Role::Press { initiator, shards, clients, window, rate, seconds } => {
+            press::serve_press(Pressure { initiator, shards, clients, window, rate, seconds })
+        }
         Role::Load { day, seconds, initiator, files } => {
             let (day, _) = read_day(&day)?;
             rehearse::serve_load(day, seconds, initiator, &what(files))
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -381,7 +381,7 @@
 }
 
 impl Machine for Core {
-    fn accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
+    fn accepted(&mut self, _listener: usize, now: Micros) -> Result<ConnId, Vec<u8>> {
         self.client_accepted(now)
     }
 
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -424,7 +424,7 @@
         for _ in 0..ACCEPT_A_TURN {
             let Some(listener) = self.listeners.get(index) else { return };
             match listener.accept() {
-                Ok(fd) => self.accepted(fd),
+                Ok(fd) => self.accepted(fd, index),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) => {
                     let code = e.raw_os_error();
@@ -442,8 +442,8 @@
         }
     }
 
-    fn accepted(&mut self, fd: OwnedFd) {
-        match self.machine.accepted(self.now) {
+    fn accepted(&mut self, fd: OwnedFd, listener: usize) {
+        match self.machine.accepted(listener, self.now) {
             Ok(conn) => {
                 let interest = epoll::EventFlags::IN;
                 match epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest) {
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -128,9 +128,9 @@
 /// A state machine that a driver runs. All calls of one turn carry the same moment, and moments never go
 /// back. The driver calls `settle` after all else of a turn, then takes the commands.
 pub trait Machine {
-    /// A peer connected here. An error refuses it: its bytes are written if they go at once, then the
-    /// connection is closed.
-    fn accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>>;
+    /// A peer connected to the so manieth address listened at. An error refuses it: its bytes are written if
+    /// they go at once, then the connection is closed.
+    fn accepted(&mut self, listener: usize, now: Micros) -> Result<ConnId, Vec<u8>>;
     /// A connection that the machine asked for stands.
     fn connected(&mut self, conn: ConnId, now: Micros);
     /// It does not stand; nothing more is told of it.
--- a/crates/flaxstand-gateway/tests/core.rs
+++ b/crates/flaxstand-gateway/tests/core.rs
@@ -349,7 +349,7 @@
     c.bounds.nodes = 1;
     let mut w = World::new(c, 2);
     let (a, b) = (w.client(), w.client());
-    let goodbye = w.core.accepted(w.now).expect_err("a third client");
+    let goodbye = w.core.accepted(0, w.now).expect_err("a third client");
     assert!(matches!(decode(&goodbye), Ok(Some((Frame::Bye { parting: Parting::Bound, .. }, _)))));
     for id in 0..4 {
         w.submit(a, id, READ, Some(1));
@@ -411,7 +411,7 @@
     w.submit(client, 2, READ, Some(0));
     w.run(5);
     assert_eq!(w.answers(client), [Said::Refused(2, Refusal::Stopping)]);
-    assert!(w.core.accepted(w.now).is_err() && !w.exited);
+    assert!(w.core.accepted(0, w.now).is_err() && !w.exited);
     w.done(w.node_conn(0), sent, Code::Served, b"");
     w.run(1);
     assert!(w.exited);
@@ -490,11 +490,11 @@
 #[test]
 fn a_client_of_another_version_or_without_a_greeting_is_turned_away() {
     let mut w = World::new(config(), 1);
-    let newer = w.core.accepted(w.now).unwrap();
+    let newer = w.core.accepted(0, w.now).unwrap();
     w.tell(newer, &Frame::Hello(Hello { role: Role::Client, versions: (7, 9), id: 1, epoch: 1, name: "" }));
     w.run(1);
     assert_eq!(w.said_on(newer), [Said::Bye(Parting::Version)]);
-    let mute = w.core.accepted(w.now).unwrap();
+    let mute = w.core.accepted(0, w.now).unwrap();
     w.run(1999);
     assert!(!w.closed.contains(&mute));
     w.run(2);
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -305,7 +305,7 @@
 
     /// A client that has been greeted.
     pub fn client(&mut self) -> ConnId {
-        let conn = self.core.accepted(self.now).expect("there is room");
+        let conn = self.core.accepted(0, self.now).expect("there is room");
         let hello = Hello { role: Role::Client, versions: (1, 1), id: 1, epoch: 1, name: "test" };
         self.tell(conn, &Frame::Hello(hello));
         self.turn();
--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -6,6 +6,8 @@
 use flaxstand_audit::{Group, Terms};
 use flaxstand_gateway::machine::Micros;
 use flaxstand_gateway::settings::{Block, SettingsError, SiteFile, Source, read_site};
+use std::path::Path;
+use thiserror::Error;
 
 /// The nodes.
 #[derive(Clone, Debug)]
@@ -113,6 +115,32 @@
     pub trouble: Trouble,
 }
 
+/// Why a day can't be read.
+#[derive(Debug, Error)]
+pub enum DayError {
+    /// The system says so.
+    #[error("cannot read {path}: {cause}")]
+    Io {
+        /// The file.
+        path: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// A file has problems.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+/// The base that a day names, if it does.
+fn base_of(name: &str, text: &str) -> Result<Option<String>, SettingsError> {
+    let source = Source::new(name, text);
+    let document = source.parse()?;
+    let root = Block::document(&source, &document);
+    let base = root.parsed("base", "a file's name", Some(None), |t| Some(Some(t.to_owned())));
+    source.verdict()?;
+    Ok(base.flatten())
+}
+
 /// A day.
 #[derive(Clone, Debug)]
 pub struct Day {
@@ -142,24 +170,56 @@
 const SHARE: std::ops::RangeInclusive<f64> = 0.0..=1.0;
 
 impl Day {
-    /// Reads a day. `name` is for messages.
+    /// Reads a day's file, and the base that it names in the same folder. Returns the text that holds the
+    /// site's part too.
     ///
     /// # Errors
-    /// Everything that is wrong with it.
-    pub fn read(name: &str, text: &str) -> Result<Day, SettingsError> {
+    /// A file can't be read, or everything that is wrong with one.
+    pub fn load(path: &Path) -> Result<(Day, String), DayError> {
+        let read = |path: &Path| {
+            let io = |cause| DayError::Io { path: path.display().to_string(), cause };
+            std::fs::read_to_string(path).map_err(io)
+        };
+        let text = read(path)?;
+        let name = path.display().to_string();
+        let Some(base) = base_of(&name, &text)? else { return Ok((Day::read(&name, &text, None)?, text)) };
+        let base = path.with_file_name(base);
+        let base_text = read(&base)?;
+        let day = Day::read(&name, &text, Some((&base.display().to_string(), &base_text)))?;
+        Ok((day, base_text))
+    }
+
+    /// Reads a day. Names are for messages. With a base, the day's own text holds `day` and faults only.
+    ///
+    /// # Errors
+    /// Everything that is wrong with the base or, if that is sound, with the day.
+    pub fn read(name: &str, text: &str, base: Option<(&str, &str)>) -> Result<Day, SettingsError> {
         let source = Source::new(name, text);
         let document = source.parse()?;
         let root = Block::document(&source, &document);
-        let site = read_site(&root);
-        // Left to the initiators.
-        root.block("bounds");
-        let day = Day::read_blocks(&root, site);
+        let day = match base {
+            Some((name, text)) => {
+                root.text("base", None);
+                let source = Source::new(name, text);
+                let document = source.parse()?;
+                let common = Block::document(&source, &document);
+                let day = Day::read_common(&common);
+                common.finish();
+                source.verdict()?;
+                day
+            }
+            None => Day::read_common(&root),
+        };
+        let day = day.read_own(&root);
         root.finish();
         source.verdict()?;
         Ok(day)
     }
 
-    fn read_blocks(root: &Block<'_>, site: SiteFile) -> Day {
+    fn read_common(root: &Block<'_>) -> Day {
+        let site = read_site(root);
+        // Left to the initiators.
+        root.block("bounds");
         let none = Source::new("", "");
         let empty = none.parse().expect("nothing is a document");
         let missing = Block::document(&none, &empty);
@@ -175,16 +235,20 @@
             faults: Vec::new(),
             site,
         };
+        day.read_mixes(root);
+        day
+    }
+
+    fn read_own(mut self, root: &Block<'_>) -> Day {
         if let Some(b) = root.needed("day") {
-            day.name = b.name();
-            day.seconds = b.number("seconds", 0.1..=86_400.0, None);
-            day.seed = b.whole("seed", 0..=u64::MAX >> 1, Some(1));
-            day.transit = Micros::from_ms(b.number("transit-ms", MS, Some(100.0)));
+            self.name = b.name();
+            self.seconds = b.number("seconds", 0.1..=86_400.0, None);
+            self.seed = b.whole("seed", 0..=u64::MAX >> 1, Some(1));
+            self.transit = Micros::from_ms(b.number("transit-ms", MS, Some(100.0)));
             b.finish();
         }
-        day.read_mixes(root);
-        day.faults = root.blocks("fault").iter().filter_map(|b| read_fault(b, &day)).collect();
-        day
+        self.faults = root.blocks("fault").iter().filter_map(|b| read_fault(b, &self)).collect();
+        self
     }
 
     fn read_mixes(&mut self, root: &Block<'_>) {
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -1,13 +1,17 @@
 //! The laboratory. Emulated peers, each a [`flaxstand_gateway::machine::Machine`] that the same driver
 //! runs as the initiator: [`node`] on its [`model`], [`list`], and the clients of [`load`]. A [`day`] says
-//! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback.
+//! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback; [`measure`] tells
+//! what an initiator costs.
 #![forbid(unsafe_code)]
 
 pub mod day;
 pub mod list;
 pub mod load;
+pub mod measure;
 pub mod model;
 pub mod node;
+pub mod press;
+pub mod process;
 pub mod rehearse;
 pub mod report;
 pub mod shell;
--- a/crates/flaxstand-lab/src/load.rs
+++ b/crates/flaxstand-lab/src/load.rs
@@ -16,6 +16,8 @@
 const LATELY: usize = 4096;
 /// Wait before a client calls its initiator again.
 const CALL_AGAIN: (f64, f64) = (50.0, 250.0);
+/// A client makes no try that can't be there and back in the time it has left.
+const LEAST_TRY: Micros = Micros(20_000);
 
 struct Volume {
     id: u64,
@@ -239,7 +241,7 @@
         let own = between(&mut self.rng, self.day.traffic.retry_wait);
         let heeded = if self.clients[client].honours { wait } else { 0.0 };
         let at = now.after(Micros::from_ms(own.max(heeded)));
-        if operation.tries <= self.day.traffic.retries && at < operation.until {
+        if operation.tries <= self.day.traffic.retries && at.after(LEAST_TRY) < operation.until {
             self.next_try += 1;
             self.resting.insert(self.next_try, (client, operation));
             self.due.insert((at, Due::Try(self.next_try)));
@@ -285,7 +287,7 @@
             }
             Due::Try(number) => {
                 if let Some((client, operation)) = self.resting.remove(&number)
-                    && now < operation.until
+                    && now.after(LEAST_TRY) < operation.until
                 {
                     self.submit(links, client, operation, now);
                 }
--- /dev/null
+++ b/crates/flaxstand-lab/src/measure.rs
@@ -0,0 +1,196 @@
+//! What an initiator costs: requests a second, latency, processor time and memory, beside a straight pipe
+//! of the same frames that sends everything at once. One run holds both, so that their ratios mean something
+//! on a machine whose speed drifts.
+
+use crate::press::Seen;
+use crate::process::{Process, RehearsalError, SOON, io_error, stop};
+use serde::Serialize;
+use std::fmt::Write as _;
+use std::path::Path;
+use std::time::Duration;
+
+/// One figure.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figure {
+    /// `module` or `pipe`.
+    pub policy: &'static str,
+    /// Nodes.
+    pub nodes: u32,
+    /// What pressed: `window 256` or `rate 5000`.
+    pub pressure: String,
+    /// What the clients saw.
+    pub seen: Seen,
+    /// Processor time of the initiator for a request, microseconds.
+    pub cpu_us: f64,
+}
+
+/// All figures of a run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// In the order in which they were taken.
+    pub figures: Vec<Figure>,
+    /// Resident memory of an idle initiator and of one that holds so many requests, KiB.
+    pub memory_kib: (u64, u64, u64),
+}
+
+impl Figures {
+    /// For people.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        let _ = writeln!(
+            out,
+            "{:7} {:>5} {:>12} {:>10} {:>8} {:>8} {:>8} {:>7}",
+            "policy", "nodes", "pressure", "served/s", "p50 us", "p99 us", "cpu us", "others"
+        );
+        for f in &self.figures {
+            let rate = f.seen.served as f64 / f.seen.seconds.max(1e-9);
+            let _ = writeln!(
+                out,
+                "{:7} {:>5} {:>12} {:>10.0} {:>8} {:>8} {:>8.1} {:>7}",
+                f.policy,
+                f.nodes,
+                f.pressure,
+                rate,
+                f.seen.p50_us,
+                f.seen.p99_us,
+                f.cpu_us,
+                f.seen.not_served
+            );
+        }
+        let (idle, holding, held) = self.memory_kib;
+        let each = (holding.saturating_sub(idle)) as f64 * 1024.0 / held.max(1) as f64;
+        let _ = writeln!(
+            out,
+            "\nmemory: {idle} KiB idle, {holding} KiB with {held} requests held: {each:.0} bytes each"
+        );
+        out
+    }
+}
+
+fn settings(folder: &Path, policy: &str, list: &str) -> String {
+    let folder = folder.display();
+    format!(
+        "initiator \"measured\" {{\n    listen \"unix:{folder}/measured.sock\"\n    list \"{list}\"\n    policy \"{policy}\"\n}}\n\
+         site {{\n    initiators 1\n    tick-ms 1\n    max-attempts 3\n}}\n\
+         class \"read\" {{\n    effect \"repeatable\"\n    aim-ms 100\n    deadline-ms 60000\n}}\n\
+         plan \"plan\" base-rate=1000000 reserve-rate=1000000\n\
+         bounds {{\n    held 100000\n    per-client 100000\n}}\n"
+    )
+}
+
+/// Processor time of a process so far, seconds, by the system's account.
+fn cpu(pid: u32) -> Option<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // Fields 14 and 15, after the name in brackets, in ticks of a hundredth.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    Some(ticks / rustix::param::clock_ticks_per_second() as f64)
+}
+
+fn memory_kib(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+struct Bench<'a> {
+    program: &'a Path,
+    folder: &'a Path,
+}
+
+impl Bench<'_> {
+    fn start(&self, name: &str, arguments: &[String]) -> Result<Process, RehearsalError> {
+        Process::start(self.program, self.folder, name, arguments)
+    }
+
+    /// Nodes, a list service that knows them, and an initiator.
+    fn stage(
+        &self,
+        policy: &str,
+        nodes: u32,
+        mute: bool,
+    ) -> Result<(Process, Process, Process), RehearsalError> {
+        let mut arguments = vec!["stand-in".to_owned(), "echo".into()];
+        arguments.extend((0..nodes).map(|_| "--listen=127.0.0.1:0".to_owned()));
+        if mute {
+            arguments.push("--mute".into());
+        }
+        let mut echo = self.start("echo", &arguments)?;
+        let addresses = echo.expect("ready", SOON)?;
+        let mut list =
+            self.start("list", &["stand-in", "list", "--listen=127.0.0.1:0"].map(str::to_owned))?;
+        let at = list.expect("ready", SOON)?;
+        for (node, address) in addresses.split_whitespace().enumerate() {
+            list.tell(&format!("node {node} 1 serving {node} 0 - {address}"));
+        }
+        let file = self.folder.join("measured.kdl");
+        std::fs::write(&file, settings(self.folder, policy, &at)).map_err(io_error("settings"))?;
+        let file = file.display().to_string();
+        let mut initiator =
+            self.start("measured", &["run", "--config", &file, "--with-parent"].map(str::to_owned))?;
+        initiator.expect("ready", SOON)?;
+        std::thread::sleep(Duration::from_millis(200));
+        Ok((echo, list, initiator))
+    }
+
+    fn press(&self, nodes: u32, more: &[String], seconds: f64) -> Result<Process, RehearsalError> {
+        let mut arguments = vec!["stand-in".to_owned(), "press".into()];
+        arguments.push(format!("--initiator=unix:{}/measured.sock", self.folder.display()));
+        arguments.extend([format!("--shards={nodes}"), format!("--seconds={seconds}"), "--clients=4".into()]);
+        arguments.extend_from_slice(more);
+        self.start("press", &arguments)
+    }
+
+    fn figure(
+        &self,
+        policy: &'static str,
+        nodes: u32,
+        pressure: (&str, u32),
+        seconds: f64,
+    ) -> Result<Figure, RehearsalError> {
+        let (_echo, _list, initiator) = self.stage(policy, nodes, false)?;
+        let (kind, amount) = pressure;
+        let argument =
+            if kind == "window" { format!("--window={}", amount / 4) } else { format!("--rate={amount}") };
+        let before = cpu(initiator.id()).unwrap_or(0.0);
+        let mut press = self.press(nodes, &[argument], seconds)?;
+        let seen = press.expect("seen", Duration::from_secs_f64(seconds * 2.0 + 10.0))?;
+        let used = cpu(initiator.id()).unwrap_or(0.0) - before;
+        let seen: Seen =
+            serde_json::from_str(&seen).map_err(|e| RehearsalError::Process(format!("press: {e}")))?;
+        stop(initiator)?;
+        // The warm-up's requests cost as much as those counted.
+        let all = (seen.served + seen.not_served) as f64 * (1.0 + super::press::WARM_UP);
+        let cpu_us = used * 1e6 / all.max(1.0);
+        Ok(Figure { policy, nodes, pressure: format!("{kind} {amount}"), seen, cpu_us })
+    }
+
+    fn memory(&self) -> Result<(u64, u64, u64), RehearsalError> {
+        const HELD: u32 = 10_000;
+        let (_echo, _list, initiator) = self.stage("module", 10, true)?;
+        let idle = memory_kib(initiator.id()).unwrap_or(0);
+        let _press = self.press(10, &[format!("--window={}", HELD / 4)], 10.0)?;
+        std::thread::sleep(Duration::from_millis(1500));
+        let holding = memory_kib(initiator.id()).unwrap_or(0);
+        Ok((idle, holding, HELD.into()))
+    }
+}
+
+/// Takes every figure.
+///
+/// # Errors
+/// A process can't be started or ends by itself.
+pub fn measure(program: &Path, folder: &Path, seconds: f64) -> Result<Figures, RehearsalError> {
+    std::fs::create_dir_all(folder).map_err(io_error("a folder for logs"))?;
+    let bench = Bench { program, folder };
+    let mut all = Figures::default();
+    for nodes in [10, 100, 300] {
+        for pressure in [("window", 256), ("rate", 2000), ("rate", 10_000)] {
+            for policy in ["pipe", "module"] {
+                all.figures.push(bench.figure(policy, nodes, pressure, seconds)?);
+            }
+        }
+    }
+    all.memory_kib = bench.memory()?;
+    Ok(all)
+}
--- /dev/null
+++ b/crates/flaxstand-lab/src/press.rs
@@ -0,0 +1,230 @@
+//! The two ends of a measurement: nodes that answer at once, all in one process, and clients that keep a
+//! number of requests out or send at a rate.
+
+use crate::rehearse::{StandIn, serve};
+use crate::shell::{Links, Peer};
+use flaxstand_gateway::machine::{Address, Command, ConnId, Micros};
+use flaxstand_proto::{Code, Done, Frame, Hello, Report, Role, Submit, VERSION, VERSION_OLDEST, Welcome};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+
+/// Bytes that a node answers with.
+const ANSWER: [u8; 64] = [7; 64];
+/// What is not counted at first, as a share of the time measured.
+pub(crate) const WARM_UP: f64 = 0.25;
+
+/// Nodes that answer at once, or never.
+struct Echo {
+    mute: bool,
+    nodes: BTreeMap<ConnId, u64>,
+}
+
+impl Peer for Echo {
+    fn taken(&mut self, conn: ConnId, listener: usize) {
+        self.nodes.insert(conn, listener as u64);
+    }
+
+    fn opened(&mut self, _links: &mut Links, _conn: ConnId, _now: Micros) {}
+
+    fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, _now: Micros) {
+        match frame {
+            Frame::Hello(_) => {
+                let id = self.nodes.get(&conn).copied().unwrap_or(0);
+                let welcome = Welcome { version: VERSION, role: Role::Node, id, epoch: 1, name: "echo" };
+                links.push(conn, &Frame::Welcome(welcome));
+            }
+            Frame::Attempt(a) if !self.mute => links.push(
+                conn,
+                &Frame::Done(Done {
+                    request: a.request,
+                    attempt: a.attempt,
+                    code: Code::Served,
+                    report: Report::default(),
+                    payload: &ANSWER,
+                }),
+            ),
+            _ => {}
+        }
+    }
+
+    fn gone(&mut self, _links: &mut Links, conn: ConnId, _now: Micros) {
+        self.nodes.remove(&conn);
+    }
+
+    fn line(&mut self, _links: &mut Links, _line: &str, _now: Micros) {}
+
+    fn settle(&mut self, _links: &mut Links, _now: Micros) -> Option<Micros> {
+        None
+    }
+}
+
+/// What the clients of a measurement do.
+#[derive(Clone, Debug)]
+pub struct Pressure {
+    /// Where to.
+    pub initiator: Address,
+    /// Shards that requests are spread over evenly.
+    pub shards: u32,
+    /// Connections.
+    pub clients: u32,
+    /// Requests that each keeps out; 0: a rate is kept instead.
+    pub window: u32,
+    /// Requests a second over all.
+    pub rate: f64,
+    /// How long is measured.
+    pub seconds: f64,
+}
+
+/// What they saw, after the warm-up.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Seen {
+    /// Seconds measured.
+    pub seconds: f64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests refused or failed.
+    pub not_served: u64,
+    /// Median latency, microseconds.
+    pub p50_us: u64,
+    /// 99th percentile, microseconds.
+    pub p99_us: u64,
+}
+
+struct Press {
+    p: Pressure,
+    open: Vec<ConnId>,
+    sent: BTreeMap<u64, Micros>,
+    next: u64,
+    from: Option<Micros>,
+    lags: Histogram<u64>,
+    seen: Seen,
+    called: bool,
+}
+
+impl Press {
+    fn submit(&mut self, links: &mut Links, conn: ConnId, at: Micros) {
+        self.next += 1;
+        let id = self.next;
+        self.sent.insert(id, at);
+        links.push(
+            conn,
+            &Frame::Submit(Submit {
+                id,
+                operation: id,
+                class: 0,
+                plan: 0,
+                writers: 1,
+                try_no: 0,
+                write: false,
+                volume: id % 64,
+                extent: Some(id),
+                shard: Some((id % u64::from(self.p.shards.max(1))) as u32),
+                units: 1,
+                time_left: 60_000_000,
+                payload: &[],
+            }),
+        );
+    }
+
+    fn answered(&mut self, links: &mut Links, conn: ConnId, id: u64, served: bool, now: Micros) {
+        let Some(at) = self.sent.remove(&id) else { return };
+        if self.from.is_some_and(|from| now >= from) {
+            if served {
+                self.seen.served += 1;
+                self.lags.saturating_record(now.since(at).0.max(1));
+            } else {
+                self.seen.not_served += 1;
+            }
+        }
+        if self.p.window > 0 {
+            self.submit(links, conn, now);
+        }
+    }
+}
+
+impl Peer for Press {
+    fn opened(&mut self, links: &mut Links, conn: ConnId, _now: Micros) {
+        let versions = (VERSION_OLDEST, VERSION);
+        links.push(
+            conn,
+            &Frame::Hello(Hello { role: Role::Client, versions, id: conn.0, epoch: 0, name: "press" }),
+        );
+    }
+
+    fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, now: Micros) {
+        match frame {
+            Frame::Welcome(_) => {
+                self.open.push(conn);
+                if self.open.len() == self.p.clients as usize {
+                    self.from = Some(now.after(Micros::from_ms(self.p.seconds * WARM_UP * 1000.0)));
+                    for _ in 0..self.p.window {
+                        for conn in self.open.clone() {
+                            self.submit(links, conn, now);
+                        }
+                    }
+                }
+            }
+            Frame::Served { id, .. } => self.answered(links, conn, id, true, now),
+            Frame::Refused { id, .. } | Frame::Failed { id } => self.answered(links, conn, id, false, now),
+            _ => {}
+        }
+    }
+
+    fn gone(&mut self, links: &mut Links, _conn: ConnId, _now: Micros) {
+        links.command(Command::Print("lost the initiator".into()));
+        links.command(Command::Exit);
+    }
+
+    fn line(&mut self, _links: &mut Links, _line: &str, _now: Micros) {}
+
+    fn settle(&mut self, links: &mut Links, now: Micros) -> Option<Micros> {
+        if !std::mem::replace(&mut self.called, true) {
+            (0..self.p.clients).for_each(|_| {
+                links.call(self.p.initiator.clone());
+            });
+        }
+        let from = self.from?;
+        let start = Micros(from.0 - Micros::from_ms(self.p.seconds * WARM_UP * 1000.0).0);
+        let end = from.after(Micros::from_ms(self.p.seconds * 1000.0));
+        if now >= end {
+            self.seen.seconds = now.since(from).ms() / 1000.0;
+            self.seen.p50_us = self.lags.value_at_quantile(0.5);
+            self.seen.p99_us = self.lags.value_at_quantile(0.99);
+            let json = serde_json::to_string(&self.seen).expect("figures are plain data");
+            links.command(Command::Print(format!("seen {json}")));
+            links.command(Command::Exit);
+            return None;
+        }
+        if self.p.window > 0 {
+            return Some(end);
+        }
+        // Each is timed from when it was due, not from when it could be sent.
+        let gap = 1e6 / self.p.rate.max(1e-3);
+        let due = |n: u64| start.after(Micros((n as f64 * gap) as u64));
+        while due(self.next) <= now {
+            let conn = self.open[(self.next % self.open.len() as u64) as usize];
+            self.submit(links, conn, due(self.next));
+        }
+        Some(due(self.next).min(end))
+    }
+}
+
+/// Runs nodes that answer at once, one for each address listened at, until standard input ends.
+///
+/// # Errors
+/// They can't listen, or the driver fails.
+pub fn serve_echo(mute: bool, what: &StandIn) -> io::Result<()> {
+    serve(Echo { mute, nodes: BTreeMap::new() }, what)
+}
+
+/// Runs the clients of a measurement, which print what they have seen.
+///
+/// # Errors
+/// The driver fails.
+pub fn serve_press(p: Pressure) -> io::Result<()> {
+    let lags = Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("its bounds are sound");
+    let (open, sent, seen) = Default::default();
+    serve(Press { p, open, sent, next: 0, from: None, lags, seen, called: false }, &StandIn::default())
+}
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -7,6 +7,7 @@
 use crate::load::Load;
 use crate::model::{Model, Spec};
 use crate::node::{Habits, Identity, Node};
+use crate::process::{Process, RehearsalError, SOON, io_error, stop};
 use crate::report::{Report, report};
 use crate::shell::{Peer, Shell};
 use flaxstand_audit::{Book, Record, audit, read_folder};
@@ -15,38 +16,11 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::fs::{File, OpenOptions};
-use std::io::{self, BufRead, BufReader, Write as _};
+use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::Duration;
-use thiserror::Error;
 use tracing::info;
 
-/// Why a day can't be played.
-#[derive(Debug, Error)]
-pub enum RehearsalError {
-    /// The system says so.
-    #[error("{what}: {cause}")]
-    Io {
-        /// What was tried.
-        what: String,
-        /// What the system said.
-        cause: io::Error,
-    },
-    /// A process did not do what it was started for.
-    #[error("{0}")]
-    Process(String),
-    /// What was recorded can't be read.
-    #[error(transparent)]
-    Records(#[from] flaxstand_audit::record::RecordError),
-}
-
-fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> RehearsalError {
-    let what = what.into();
-    move |cause| RehearsalError::Io { what, cause }
-}
-
 /// What to play and how.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -66,87 +40,6 @@
     pub folder: PathBuf,
 }
 
-/// A process that is killed when nobody holds it any more.
-struct Process {
-    name: String,
-    child: Child,
-    input: ChildStdin,
-    output: Receiver<String>,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn lines_of(output: ChildStdout) -> Receiver<String> {
-    let (sender, receiver) = channel();
-    // Ends with the process, or when nobody listens any more.
-    std::thread::spawn(move || {
-        for line in BufReader::new(output).lines() {
-            let Ok(line) = line else { break };
-            if sender.send(line).is_err() {
-                break;
-            }
-        }
-    });
-    receiver
-}
-
-impl Process {
-    fn start(plan: &Plan, name: &str, arguments: &[String]) -> Result<Process, RehearsalError> {
-        let log = plan.folder.join(format!("{name}.log"));
-        let log = OpenOptions::new().create(true).append(true).open(log).map_err(io_error("its log"))?;
-        let mut child = Command::new(&plan.program)
-            .args(arguments)
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(log)
-            .spawn()
-            .map_err(io_error(format!("cannot start {name}")))?;
-        let (input, output) = (child.stdin.take(), child.stdout.take());
-        let (Some(input), Some(output)) = (input, output) else {
-            return Err(RehearsalError::Process(format!("{name} has no pipes")));
-        };
-        Ok(Process { name: name.into(), child, input, output: lines_of(output) })
-    }
-
-    /// Waits for a line that starts with a word; returns the rest of it.
-    fn expect(&mut self, word: &str, within: Duration) -> Result<String, RehearsalError> {
-        let until = std::time::Instant::now() + within;
-        loop {
-            let left = until.saturating_duration_since(std::time::Instant::now());
-            match self.output.recv_timeout(left) {
-                Ok(line) => {
-                    if let Some(rest) = line.strip_prefix(word) {
-                        return Ok(rest.trim().to_owned());
-                    }
-                }
-                Err(RecvTimeoutError::Timeout) => {
-                    return Err(RehearsalError::Process(format!(
-                        "{} did not say {word:?} in time",
-                        self.name
-                    )));
-                }
-                Err(RecvTimeoutError::Disconnected) => {
-                    return Err(RehearsalError::Process(format!("{} ended; its log says why", self.name)));
-                }
-            }
-        }
-    }
-
-    fn tell(&mut self, lines: &str) {
-        if !lines.is_empty() {
-            // A process that is gone hears nothing: that is the trouble being played.
-            let _ = writeln!(self.input, "{lines}").and_then(|()| self.input.flush());
-        }
-    }
-}
-
-const SOON: Duration = Duration::from_secs(10);
-
 /// What happens at a moment of the day.
 enum Step {
     Tell(usize, String),
@@ -200,7 +93,7 @@
         if cold {
             arguments.push("--cold".into());
         }
-        let mut process = Process::start(plan, &name, &arguments)?;
+        let mut process = Process::start(&plan.program, &plan.folder, &name, &arguments)?;
         self.nodes[slot].address = process.expect("ready", SOON)?;
         self.nodes[slot].process = Some(process);
         Ok(())
@@ -220,7 +113,7 @@
         std::fs::write(&file, settings).map_err(io_error("an initiator's settings"))?;
         let name = format!("initiator-{index}");
         let arguments = ["run", "--config", &file, "--with-parent"].map(str::to_owned);
-        let mut process = Process::start(self.plan, &name, &arguments)?;
+        let mut process = Process::start(&self.plan.program, &self.plan.folder, &name, &arguments)?;
         process.expect("ready", SOON)?;
         self.initiators[index] = Some(process);
         Ok(())
@@ -268,23 +161,6 @@
     }
 }
 
-/// Asks a process to stop in good order and waits until it has.
-fn stop(mut process: Process) -> Result<(), RehearsalError> {
-    let pid = rustix::process::Pid::from_child(&process.child);
-    let asked = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
-    asked.map_err(|e| io_error(format!("cannot stop {}", process.name))(e.into()))?;
-    for _ in 0..1000 {
-        if let Ok(Some(status)) = process.child.try_wait() {
-            return match status.success() {
-                true => Ok(()),
-                false => Err(RehearsalError::Process(format!("{} ended with {status}", process.name))),
-            };
-        }
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    Err(RehearsalError::Process(format!("{} did not stop", process.name)))
-}
-
 /// An initiator's settings: the site's part of the day, and what is its own.
 fn settings_of(plan: &Plan, index: usize, list: &str) -> String {
     let folder = plan.folder.display();
@@ -346,7 +222,7 @@
     let folder = plan.folder.display();
     let list_arguments =
         ["stand-in", "list", "--listen=127.0.0.1:0", &format!("--record={folder}/list.jsonl")];
-    let mut list = Process::start(plan, "list", &list_arguments.map(str::to_owned))?;
+    let mut list = Process::start(&plan.program, &plan.folder, "list", &list_arguments.map(str::to_owned))?;
     let list_address = list.expect("ready", SOON)?;
     let count = plan.day.fleet.nodes as usize;
     let initiators = plan.day.site.site.settings.initiators as usize;
@@ -372,7 +248,7 @@
     load_arguments.push(format!("--seconds={}", plan.seconds));
     load_arguments.push(format!("--record={folder}/clients.jsonl"));
     load_arguments.extend((0..initiators).map(|i| format!("--initiator=unix:{folder}/initiator-{i}.sock")));
-    let mut load = Process::start(plan, "clients", &load_arguments)?;
+    let mut load = Process::start(&plan.program, &plan.folder, "clients", &load_arguments)?;
     load.expect("ready", SOON)?;
     // The list reaches the initiators, and clients are greeted, before the day begins.
     std::thread::sleep(Duration::from_millis(300));
@@ -400,7 +276,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StandIn {
     /// Where it listens, if it does.
-    pub listen: Option<Address>,
+    pub listen: Vec<Address>,
     /// Where it writes what it saw.
     pub record: Option<PathBuf>,
     /// Where it keeps what is stored.
@@ -411,7 +287,7 @@
     path.as_ref().map(|p| OpenOptions::new().create(true).append(true).open(p)).transpose()
 }
 
-fn serve<P: Peer>(peer: P, what: &StandIn) -> io::Result<()> {
+pub(crate) fn serve<P: Peer>(peer: P, what: &StandIn) -> io::Result<()> {
     let options = Options {
         record: append(&what.record)?,
         data: append(&what.data)?,
@@ -419,8 +295,9 @@
         ..Options::default()
     };
     let mut driver = Driver::new(Shell::new(peer), options)?;
-    let at = what.listen.as_ref().map(|address| driver.listen(address)).transpose()?;
-    println!("ready {}", at.map(|a| a.to_string()).unwrap_or_default());
+    let at: Vec<Address> = what.listen.iter().map(|a| driver.listen(a)).collect::<io::Result<_>>()?;
+    let at: Vec<String> = at.iter().map(Address::to_string).collect();
+    println!("ready {}", at.join(" "));
     io::stdout().flush()?;
     driver.run().map(drop)
 }
--- a/crates/flaxstand-lab/src/shell.rs
+++ b/crates/flaxstand-lab/src/shell.rs
@@ -12,6 +12,8 @@
     fn accepts(&self) -> bool {
         true
     }
+    /// A connection was taken at the so manieth address listened at; `opened` follows.
+    fn taken(&mut self, _conn: ConnId, _listener: usize) {}
     /// A connection stands, by its own call or another's.
     fn opened(&mut self, links: &mut Links, conn: ConnId, now: Micros);
     /// A frame came.
@@ -102,11 +104,12 @@
 }
 
 impl<P: Peer> Machine for Shell<P> {
-    fn accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
+    fn accepted(&mut self, listener: usize, now: Micros) -> Result<ConnId, Vec<u8>> {
         if !self.peer.accepts() {
             return Err(Vec::new());
         }
         let conn = self.links.open();
+        self.peer.taken(conn, listener);
         self.peer.opened(&mut self.links, conn, now);
         Ok(conn)
     }
