--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -2,8 +2,8 @@
 
 use crate::Failure;
 use crate::kit::{read, told};
-use flaxstand_gateway::core::{Bounds, Core};
-use flaxstand_gateway::driver::{Driver, Options, clock};
+use flaxstand_gateway::core::Core;
+use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
 use flaxstand_gateway::settings::{Daemon, read_daemon};
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
@@ -63,7 +63,7 @@
 }
 
 /// Reads the bounds anew. A file with problems changes nothing.
-fn reload(path: PathBuf) -> Box<dyn FnMut() -> Option<Bounds>> {
+fn reload(path: PathBuf) -> Reload {
     Box::new(move || {
         let text =
             std::fs::read_to_string(&path).inspect_err(|error| error!(%error, "cannot reload")).ok()?;
--- /dev/null
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -0,0 +1,314 @@
+//! The program as a user meets it: exit codes, messages, sockets, signals.
+
+use flaxstand_proto::{Frame, Hello, Inbox, Parting, Refusal, Role, Submit, encode};
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("flaxstand-test-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+    fn socket(&self) -> PathBuf {
+        self.0.join("s.sock")
+    }
+    /// Settings whose list service is out of reach.
+    fn settings(&self, more: &str) -> PathBuf {
+        let folder = self.0.display();
+        let text = format!(
+            "initiator \"tested\" {{\n listen \"unix:{folder}/s.sock\"\n list \"unix:{folder}/none.sock\"\n \
+             state \"{folder}/saved.list\"\n {more}\n}}\nsite {{\n initiators 1\n}}\n\
+             class \"read\" {{\n effect \"repeatable\"\n aim-ms 100\n deadline-ms 500\n}}\nplan \"basic\"\n"
+        );
+        self.write("settings.kdl", &text)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn flaxstand(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_flaxstand")).args(arguments).stdin(Stdio::null()).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A daemon that is ready; killed when dropped.
+struct Daemon(Child);
+
+impl Daemon {
+    fn start(settings: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_flaxstand"))
+            .args(["run", "--with-parent", "--config"])
+            .arg(settings)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        assert!(line.starts_with("ready unix:"), "{line:?}");
+        Daemon(child)
+    }
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.0), signal).unwrap();
+    }
+    /// Its exit code and log, once it has ended by itself.
+    fn ended(&mut self) -> (Option<i32>, String) {
+        let mut log = String::new();
+        self.0.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        (self.0.wait().unwrap().code(), log)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A client of few words.
+struct Client {
+    stream: UnixStream,
+    inbox: Inbox,
+}
+
+impl Client {
+    fn connect(socket: &Path) -> Self {
+        let stream = UnixStream::connect(socket).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        Client { stream, inbox: Inbox::default() }
+    }
+    fn write(&mut self, frame: &Frame<'_>, piece: usize) {
+        let mut bytes = Vec::new();
+        encode(frame, &mut bytes);
+        bytes.chunks(piece).for_each(|piece| self.stream.write_all(piece).unwrap());
+    }
+    fn hello(&mut self, piece: usize) {
+        let hello = Hello { role: Role::Client, versions: (1, 1), id: 1, epoch: 1, name: "test" };
+        self.write(&Frame::Hello(hello), piece);
+    }
+    /// Reads until a frame is one that is looked for; none: the connection ended.
+    fn until<T>(&mut self, mut look: impl FnMut(&Frame<'_>) -> Option<T>) -> Option<T> {
+        let mut buffer = [0; 4096];
+        loop {
+            let count = self.stream.read(&mut buffer).unwrap_or(0);
+            if count == 0 {
+                return None;
+            }
+            let mut found = None;
+            let looked = self.inbox.feed(&buffer[..count], |frame| {
+                found = look(&frame);
+                found.is_none()
+            });
+            looked.unwrap();
+            if found.is_some() {
+                return found;
+            }
+        }
+    }
+    fn welcomed(&mut self) -> bool {
+        self.until(|f| matches!(f, Frame::Welcome(_)).then_some(())).is_some()
+    }
+    fn submit(&mut self, id: u64, payload: &[u8]) {
+        let (class, plan, writers, try_no, units, volume) = (0, 0, 1, 0, 1, 5);
+        let (extent, shard, time_left, operation, write) = (None, Some(0), 300_000, id, true);
+        let submit = Submit {
+            id,
+            operation,
+            class,
+            plan,
+            writers,
+            try_no,
+            write,
+            volume,
+            extent,
+            shard,
+            units,
+            time_left,
+            payload,
+        };
+        self.write(&Frame::Submit(submit), 1 << 16);
+    }
+}
+
+#[test]
+fn files_with_problems_are_told_with_their_lines_and_exit_code_two() {
+    let folder = Folder::new("check");
+    let bad = folder.write("bad.kdl", "site {\n    initiators none\n}\n");
+    for task in [&["check"][..], &["run", "--config"], &["rehearse"]] {
+        let out = flaxstand(&[task, &[bad.to_str().unwrap()]].concat());
+        assert_eq!(out.status.code(), Some(2), "{task:?}: {}", text(&out.stderr));
+        assert!(text(&out.stderr).contains("bad.kdl:"), "{task:?}: {}", text(&out.stderr));
+    }
+    let missing = flaxstand(&["check", "/nowhere/at/all.kdl"]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(text(&missing.stderr).contains("cannot read /nowhere/at/all.kdl"));
+    assert_eq!(flaxstand(&["dance"]).status.code(), Some(2));
+    assert_eq!(flaxstand(&["--help"]).status.code(), Some(0));
+}
+
+#[test]
+fn every_day_and_the_example_pass_the_check() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let days = std::fs::read_dir(root.join("days")).unwrap().map(|e| e.unwrap().path());
+    let days: Vec<PathBuf> = days.filter(|p| !p.ends_with("ordinary.kdl")).collect();
+    assert!(days.len() > 10);
+    for file in days.into_iter().chain([root.join("docs/example.kdl")]) {
+        let out = flaxstand(&["check", file.to_str().unwrap()]);
+        assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
+    }
+}
+
+#[test]
+fn a_days_problems_are_told_in_the_day_or_in_its_base() {
+    let folder = Folder::new("days");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days");
+    let base = std::fs::read_to_string(root.join("ordinary.kdl")).unwrap();
+    folder.write("base.kdl", &base);
+    folder.write("broken.kdl", &base.replace("rate 260", "rate -5"));
+    let day = |base: &str, fault: &str| {
+        let text = format!("day \"d\" {{\n    seconds 1\n}}\nbase \"{base}\"\n{fault}\n");
+        let out = flaxstand(&["check", folder.write("day.kdl", &text).to_str().unwrap()]);
+        (out.status.code(), text_of(&out))
+    };
+    fn text_of(out: &Output) -> String {
+        text(&out.stderr)
+    }
+    assert_eq!(day("base.kdl", "").0, Some(0));
+    for (fault, words) in [
+        ("fault \"earthquake\" at=1", "no such fault"),
+        ("fault \"slow\" at=1 times=2", "nodes is missing"),
+        ("fault \"slow\" at=1 times=2 {\n nodes 99\n}", "expected whole numbers from 0 to 7"),
+        ("fault \"burst\" at=-1 times=2", "at in fault \"burst\" is -1"),
+        ("fault \"heavy\" at=1 class=\"cake\" times=2 {\n nodes 1\n}", "expected the name of a class"),
+        ("fault \"plan-burst\" at=1 plan=\"none\" times=2", "expected the name of a plan"),
+        ("fault \"drop\" at=1 share=7 {\n nodes 1\n}", "expected a number from 0 to 1"),
+        ("fleet nodes=3", "does not know \"fleet\""),
+    ] {
+        let (code, told) = day("base.kdl", fault);
+        assert_eq!(code, Some(2), "{fault}");
+        assert!(
+            told.contains(words) && told.contains("day.kdl:5:") || told.contains("day.kdl:6:"),
+            "{fault}: {told}"
+        );
+    }
+    let (code, told) = day("broken.kdl", "");
+    assert_eq!(code, Some(2));
+    assert!(told.contains("broken.kdl:") && told.contains("rate in traffic is -5"), "{told}");
+    let (code, told) = day("absent.kdl", "");
+    assert!(code == Some(2) && told.contains("cannot read"), "{told}");
+}
+
+#[test]
+fn a_daemon_takes_clients_refuses_what_it_cannot_serve_and_stops_at_a_signal() {
+    let folder = Folder::new("run");
+    let mut daemon = Daemon::start(&folder.settings(""));
+    let mut client = Client::connect(&folder.socket());
+    client.hello(1);
+    assert!(client.welcomed(), "a greeting that comes byte by byte is one");
+    client.submit(1, &vec![7; 1 << 20]);
+    let answer = client.until(|f| match f {
+        Frame::Refused { id: 1, refusal, .. } => Some(*refusal),
+        _ => None,
+    });
+    assert_eq!(answer, Some(Refusal::Load), "no node is known: refused before its time is up");
+    daemon.signal(Signal::HUP);
+    daemon.signal(Signal::TERM);
+    let parting = client.until(|f| match f {
+        Frame::Bye { parting, .. } => Some(*parting),
+        _ => None,
+    });
+    assert_eq!(parting, Some(Parting::Stopping));
+    let (code, log) = daemon.ended();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("new bounds") && log.contains("stopped"), "{log}");
+    assert!(!folder.socket().exists(), "its socket file is gone");
+}
+
+#[test]
+fn garbage_on_one_connection_is_told_and_the_next_client_is_served() {
+    let folder = Folder::new("garbage");
+    let mut daemon = Daemon::start(&folder.settings(""));
+    let mut bad = Client::connect(&folder.socket());
+    bad.stream.write_all(&[0xff; 64]).unwrap();
+    let said = bad.until(|f| match f {
+        Frame::Bye { parting, .. } => Some(*parting),
+        _ => None,
+    });
+    assert_eq!(said, Some(Parting::Protocol));
+    let mut good = Client::connect(&folder.socket());
+    good.hello(100);
+    assert!(good.welcomed());
+    // Whoever started it is gone: it stops.
+    drop(daemon.0.stdin.take());
+    let (code, log) = daemon.ended();
+    assert_eq!(code, Some(0));
+    assert!(log.contains("closing a connection for what its peer sent"), "{log}");
+}
+
+#[test]
+fn out_of_descriptors_clients_are_turned_away_and_come_in_again_later() {
+    let folder = Folder::new("files");
+    let mut daemon = Daemon::start(&folder.settings("files 24"));
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::connect(&folder.socket())).collect();
+    clients.iter_mut().for_each(|c| {
+        let _ = c.stream.write_all(&[]);
+    });
+    let mut welcomed = 0;
+    for client in &mut clients {
+        let hello = Hello { role: Role::Client, versions: (1, 1), id: 1, epoch: 1, name: "test" };
+        let mut bytes = Vec::new();
+        encode(&Frame::Hello(hello), &mut bytes);
+        if client.stream.write_all(&bytes).is_ok() && client.welcomed() {
+            welcomed += 1;
+        }
+    }
+    assert!((1..40).contains(&welcomed), "{welcomed} of 40 clients got in");
+    drop(clients);
+    let mut later = Client::connect(&folder.socket());
+    later.hello(100);
+    assert!(later.welcomed());
+    daemon.signal(Signal::TERM);
+    let (code, log) = daemon.ended();
+    assert_eq!(code, Some(0));
+    assert!(log.contains("no descriptors left"), "{log}");
+}
+
+#[test]
+fn a_damaged_saved_list_is_set_aside_and_a_taken_socket_is_an_error() {
+    let folder = Folder::new("saved");
+    folder.write("saved.list", "no list at all");
+    let settings = folder.settings("");
+    let mut daemon = Daemon::start(&settings);
+    assert!(folder.0.join("saved.damaged").exists());
+    let second = flaxstand(&["run", "--config", settings.to_str().unwrap()]);
+    assert_eq!(second.status.code(), Some(3));
+    assert!(text(&second.stderr).contains("cannot listen at unix:"), "{}", text(&second.stderr));
+    // Killed outright it leaves its socket file: the next start replaces it.
+    daemon.0.kill().unwrap();
+    daemon.0.wait().unwrap();
+    assert!(folder.socket().exists());
+    let mut next = Daemon::start(&settings);
+    next.signal(Signal::INT);
+    assert_eq!(next.ended().0, Some(0));
+}
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -81,6 +81,9 @@
 const SIGNAL: u64 = 1 << 61;
 const INPUT: u64 = 1 << 60;
 
+/// Reads the bounds anew; none: they stay.
+pub type Reload = Box<dyn FnMut() -> Option<crate::core::Bounds> + Send>;
+
 /// What a driver does beside running its machine.
 #[derive(Default)]
 pub struct Options {
@@ -93,7 +96,7 @@
     /// Read lines of standard input.
     pub input: bool,
     /// Called at SIGHUP; new bounds are handed to the machine.
-    pub reload: Option<Box<dyn FnMut() -> Option<crate::core::Bounds>>>,
+    pub reload: Option<Reload>,
 }
 
 /// A machine and its sockets.
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -36,9 +36,6 @@
     let daemon = root.needed("initiator").map(|b| {
         let expected = "\"IP:PORT\" or \"unix:PATH\"";
         let listen = b.all_parsed("listen", expected, |t| t.parse::<Address>().ok());
-        if listen.is_empty() {
-            b.problem(format!("listen is missing, expected {expected}"));
-        }
         let list = b.parsed("list", expected, None, |t| t.parse::<Address>().ok());
         let state = b.parsed("state", "a path", Some(None), |t| Some(Some(PathBuf::from(t))));
         let files = b.whole("files", 0..=1 << 20, Some(0));
--- a/crates/flaxstand-gateway/src/settings/reader.rs
+++ b/crates/flaxstand-gateway/src/settings/reader.rs
@@ -287,7 +287,7 @@
         String::new()
     }
 
-    /// Texts that stand for something, as `key "one" "two"`, over all such lines.
+    /// Texts that stand for something, as `key "one" "two"`, over all such lines; at least one.
     pub fn all_parsed<T>(
         &self,
         key: &'static str,
@@ -296,7 +296,12 @@
     ) -> Vec<T> {
         self.known.borrow_mut().insert(key);
         let mut all = Vec::new();
-        for entry in self.children.iter().filter(|c| c.name().value() == key).flat_map(|c| c.entries()) {
+        let lines = self.children.iter().filter(|c| c.name().value() == key);
+        let entries: Vec<&KdlEntry> = lines.flat_map(|c| c.entries()).collect();
+        if entries.is_empty() {
+            self.problem(format!("{key} is missing, expected {expected}"));
+        }
+        for entry in entries {
             match entry.value().as_string().and_then(&parse) {
                 Some(value) => all.push(value),
                 None => {
--- /dev/null
+++ b/crates/flaxstand-gateway/tests/settings.rs
@@ -0,0 +1,93 @@
+//! Settings: the example is sound, and each mistake is told with its line and what was expected.
+
+use flaxstand_gateway::settings::{SettingsError, read_daemon, shared_part};
+
+const SOUND: &str = r#"initiator "left" {
+    listen "unix:/tmp/x.sock"
+    list "127.0.0.1:7100"
+}
+site {
+    initiators 2
+    unit-most 4
+}
+class "read" {
+    effect "repeatable"
+    aim-ms 250
+    deadline-ms 1500
+}
+plan "basic"
+"#;
+
+fn problems(text: &str) -> Vec<(usize, String)> {
+    let error: SettingsError = read_daemon("test.kdl", text).expect_err("it has problems");
+    assert!(error.to_string().starts_with("test.kdl:"), "{error}");
+    error.problems.into_iter().map(|p| (p.line, p.message)).collect()
+}
+
+#[track_caller]
+fn told(from: &str, to: &str, line: usize, words: &str) {
+    assert!(SOUND.contains(from));
+    let found = problems(&SOUND.replacen(from, to, 1));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].0 == line && found[0].1.contains(words), "{found:?}");
+}
+
+#[test]
+fn a_sound_file_is_read() {
+    let daemon = read_daemon("test.kdl", SOUND).unwrap();
+    assert_eq!(daemon.config.name, "left");
+    assert_eq!(daemon.config.site.settings.initiators, 2);
+    assert_eq!(daemon.listen.len(), 1);
+    let example = include_str!("../../../docs/example.kdl");
+    let daemon = read_daemon("example.kdl", example).unwrap();
+    assert_eq!((daemon.listen.len(), daemon.config.bounds.clients), (2, 500));
+    assert_eq!(daemon.config.site.settings.cold_from, 0.2);
+}
+
+#[test]
+fn each_mistake_is_told_with_its_line() {
+    told("aim-ms 250", "aim-ms \"soon\"", 11, "aim-ms in class \"read\" is soon, expected a number");
+    told("aim-ms 250", "aim-ms -1", 11, "is -1, expected a number from 0.1");
+    told("aim-ms 250", "aim-ms 1e999", 11, "expected a number");
+    told("aim-ms 250", "aim-ms 2000", 9, "aim-ms is 2000, expected at most deadline-ms, 1500");
+    told("aim-ms 250", "aim-ms 250 300", 11, "expected one value");
+    told("    aim-ms 250\n", "", 9, "aim-ms is missing");
+    told("aim-ms 250", "aim-ms 250\n    aim-mss 3", 12, "does not know \"aim-mss\"");
+    told("\"repeatable\"", "\"sometimes\"", 10, "expected one of \"repeatable\", \"keyed\", \"once\"");
+    told("initiators 2", "initiators 0", 6, "whole number from 1");
+    told("initiators 2", "initiators 99999999999999999999", 6, "whole number from 1");
+    told("initiators 2", "initiators 2.5", 6, "whole number");
+    told("127.0.0.1:7100", "localhost:7100", 3, "expected \"IP:PORT\" or \"unix:PATH\"");
+    told("unix:/tmp/x.sock", "unix:", 2, "expected \"IP:PORT\"");
+    told("plan \"basic\"", "plan \"basic\"\nplan \"basic\"", 1, "given twice");
+    told("plan \"basic\"", "plan", 14, "expected one name");
+    told("plan \"basic\"", "", 1, "plan is missing");
+    told("plan \"basic\"", "plan \"basic\"\nsites", 15, "does not know \"sites\"");
+    told("unit-most 4", "unit-most 4\n    unit-mean 5", 5, "unit-mean is 5, expected at most unit-most, 4");
+    told("list \"127.0.0.1:7100\"", "list \"127.0.0.1:7100\"\n    index 2", 1, "index is 2");
+    told(
+        "plan \"basic\"",
+        "plan \"basic\"\nbounds client-bytes=9 client-bytes-most=3",
+        15,
+        "at most client-bytes-most",
+    );
+}
+
+#[test]
+fn all_mistakes_are_told_at_once_in_the_files_order() {
+    let text = SOUND.replace("aim-ms 250", "aim-ms 0").replace("initiators 2", "initiators \"two\"");
+    let lines: Vec<usize> = problems(&text).into_iter().map(|(line, _)| line).collect();
+    assert_eq!(lines, [6, 11]);
+    assert!(problems("").len() >= 3);
+    assert_eq!(problems(&SOUND.replace("plan \"basic\"", "plan \"basic\" {"))[0].0, 14);
+    assert!(!problems("\"").is_empty() && !problems("a {").is_empty() && !problems("\u{0}").is_empty());
+}
+
+#[test]
+fn the_shared_part_of_a_file_leaves_out_what_is_one_hosts_own() {
+    let shared = shared_part(SOUND);
+    assert!(!shared.contains("initiator \"left\"") && shared.contains("deadline-ms 1500"));
+    let whole =
+        format!("initiator \"other\" {{\n listen \"127.0.0.1:0\"\n list \"127.0.0.1:1\"\n}}\n{shared}");
+    assert!(read_daemon("test.kdl", &whole).is_ok());
+}
