--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -81,6 +81,9 @@
     /// What decides
     #[arg(long, value_enum, default_value = "module")]
     pub policy: Policy,
+    /// In one process on virtual time, in place of loopback: the same day gives the same record
+    #[arg(long = "virtual", conflicts_with = "keep")]
+    pub virtually: bool,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -8,6 +8,8 @@
 use flaxstand_lab::node::Identity;
 use flaxstand_lab::press::{self, Pressure};
 use flaxstand_lab::rehearse::{self, Plan, StandIn};
+use flaxstand_lab::report::Report;
+use flaxstand_lab::world;
 use miette::GraphicalReportHandler;
 use std::path::Path;
 
@@ -62,13 +64,20 @@
 pub fn rehearse(r: Rehearsal) -> Result<(), Failure> {
     let (day, text) = read_day(&r.day)?;
     let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
+    let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
+    if r.virtually {
+        let policy = match r.policy {
+            Policy::Module => flaxstand_gateway::core::Policy::Module,
+            Policy::Pipe => flaxstand_gateway::core::Policy::Pipe,
+        };
+        return told_report(&world::play(&day, seconds, policy).report, r.json.as_deref());
+    }
     let program = std::env::current_exe().map_err(|e| system(&e))?;
     let folder = r.keep.clone().unwrap_or_else(rehearse::fresh_folder);
     let policy = match r.policy {
         Policy::Module => "module",
         Policy::Pipe => "pipe",
     };
-    let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
     let (file, policy) = (r.day.clone(), policy.to_owned());
     let plan = Plan { program, file, text, day, seconds, policy, folder: folder.clone() };
     let played = rehearse::rehearse(&plan);
@@ -79,12 +88,15 @@
             eprintln!("flaxstand: logs and records are in {}", folder.display());
         }
     }
-    let report = played.map_err(|e| system(&e))?;
-    let json = serde_json::to_string_pretty(&report).map_err(|e| system(&e))?;
-    match &r.json {
+    told_report(&played.map_err(|e| system(&e))?, r.json.as_deref())
+}
+
+fn told_report(report: &Report, to: Option<&Path>) -> Result<(), Failure> {
+    let json = serde_json::to_string_pretty(report).map_err(|e| Failure::System(e.to_string()))?;
+    match to {
         Some(path) if path.as_os_str() == "-" => println!("{json}"),
         Some(path) => {
-            std::fs::write(path, json + "\n").map_err(|e| system(&e))?;
+            std::fs::write(path, json + "\n").map_err(|e| Failure::System(e.to_string()))?;
             print!("{}", report.text());
         }
         None => print!("{}", report.text()),
--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -154,6 +154,8 @@
     pub transit: Micros,
     /// The site.
     pub site: SiteFile,
+    /// One way through the network, ms, drawn for each piece; on virtual time only.
+    pub one_way: (f64, f64),
     /// The nodes.
     pub fleet: Fleet,
     /// The clients.
@@ -228,6 +230,7 @@
             seconds: 0.0,
             seed: 0,
             transit: Micros(0),
+            one_way: read_net(root),
             fleet: read_fleet(root.needed("fleet").as_ref().unwrap_or(&missing), &site),
             traffic: read_traffic(root.needed("traffic").as_ref().unwrap_or(&missing), &site),
             mixes: Vec::new(),
@@ -338,6 +341,14 @@
     }
 }
 
+fn read_net(root: &Block<'_>) -> (f64, f64) {
+    const DEFAULT: (f64, f64) = (0.05, 0.2);
+    let Some(b) = root.block("net") else { return DEFAULT };
+    let one_way = b.range("one-way-ms", 0.001..=60_000.0, Some(DEFAULT));
+    b.finish();
+    one_way
+}
+
 fn read_fleet(b: &Block<'_>, site: &SiteFile) -> Fleet {
     let s = &site.site.settings;
     let unit_work = b.number("unit-work-ms", 0.001..=1e6, None);
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! The laboratory. Emulated peers, each a [`flaxstand_gateway::machine::Machine`] that the same driver
 //! runs as the initiator: [`node`] on its [`model`], [`list`], and the clients of [`load`]. A [`day`] says
-//! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback; [`measure`] tells
+//! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback, [`world`] in one process on virtual time;
+//! [`measure`] tells
 //! what an initiator costs.
 #![forbid(unsafe_code)]
 
@@ -14,7 +15,9 @@
 pub mod process;
 pub mod rehearse;
 pub mod report;
+pub mod script;
 pub mod shell;
+pub mod world;
 
 /// A draw from 0 to 1.
 pub(crate) fn random(rng: &mut impl rand_core::RngCore) -> f64 {
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -2,13 +2,14 @@
 //! process of its own; brings about what goes wrong at its time; audits what was recorded.
 
 use crate::between;
-use crate::day::{Day, Trouble};
+use crate::day::Day;
 use crate::list::ListService;
 use crate::load::Load;
 use crate::model::{Model, Spec};
 use crate::node::{Habits, Identity, Node};
 use crate::process::{Process, RehearsalError, SOON, io_error, stop};
 use crate::report::{Report, report};
+use crate::script::{Step, script};
 use crate::shell::{Peer, Shell};
 use flaxstand_audit::{Book, Record, audit, read_folder};
 use flaxstand_gateway::driver::{Driver, Options, clock};
@@ -40,18 +41,6 @@
     pub folder: PathBuf,
 }
 
-/// What happens at a moment of the day.
-enum Step {
-    Tell(usize, String),
-    TellList(String),
-    Kill(usize),
-    Return(usize),
-    Drain(usize),
-    Succeed(usize),
-    KillInitiator(usize, bool),
-    ReturnInitiator(usize),
-}
-
 struct NodeSlot {
     process: Option<Process>,
     node: u64,
@@ -167,47 +156,16 @@
     let day = &plan.day;
     let mut text = format!(
         "initiator \"initiator-{index}\" {{\n    index {index}\n    seed {}\n    listen \"unix:{folder}/initiator-{index}.sock\"\n    list \"{list}\"\n    state \"{folder}/initiator-{index}.list\"\n    policy \"{}\"\n}}\n",
-        day.seed.wrapping_mul(31).wrapping_add(index as u64) >> 2,
+        initiator_seed(day, index),
         plan.policy,
     );
     text.push_str(&flaxstand_gateway::settings::shared_part(&plan.text));
     text
 }
 
-fn timeline(plan: &Plan) -> Vec<(f64, Step)> {
-    let mut steps = Vec::new();
-    for fault in &plan.day.faults {
-        let (from, until) = (fault.at, fault.at + fault.length);
-        for slot in fault.nodes.iter().map(|n| *n as usize) {
-            match &fault.trouble {
-                Trouble::Node(on, off) => {
-                    steps.push((from, Step::Tell(slot, on.clone())));
-                    steps.push((until, Step::Tell(slot, off.clone())));
-                }
-                Trouble::Crash => {
-                    steps.push((from, Step::Kill(slot)));
-                    steps.push((until, Step::Return(slot)));
-                }
-                Trouble::Replace => {
-                    steps.push((from, Step::Drain(slot)));
-                    steps.push((until, Step::Succeed(slot)));
-                }
-                _ => {}
-            }
-        }
-        for index in fault.initiators.iter().map(|i| *i as usize) {
-            let outright = fault.trouble == Trouble::KillInitiator;
-            steps.push((from, Step::KillInitiator(index, outright)));
-            steps.push((until, Step::ReturnInitiator(index)));
-        }
-        if let Trouble::List(on, off) = &fault.trouble {
-            steps.push((from, Step::TellList(on.clone())));
-            steps.push((until, Step::TellList(off.clone())));
-        }
-    }
-    steps.retain(|(at, _)| *at <= plan.seconds);
-    steps.sort_by(|x, y| x.0.total_cmp(&y.0));
-    steps
+/// Each initiator draws its own numbers.
+pub(crate) fn initiator_seed(day: &Day, index: usize) -> u64 {
+    day.seed.wrapping_mul(31).wrapping_add(index as u64) >> 2
 }
 
 /// Plays a day. Everything it starts ends with it.
@@ -254,7 +212,7 @@
     std::thread::sleep(Duration::from_millis(300));
     load.tell("start");
     let start = clock();
-    for (at, step) in timeline(plan) {
+    for (at, step) in script(&plan.day, plan.seconds) {
         let due = start.after(Micros::from_ms(at * 1000.0));
         std::thread::sleep(Duration::from_micros(due.since(clock()).0));
         stage.take(step)?;
@@ -310,11 +268,8 @@
     serve(ListService::new(Micros(0)), what)
 }
 
-/// Runs an emulated node of a day until its standard input ends.
-///
-/// # Errors
-/// It can't listen or read its data, or the driver fails.
-pub fn serve_node(day: &Day, id: Identity, cold: bool, what: &StandIn) -> io::Result<()> {
+/// A node of a day.
+pub(crate) fn emulated(day: &Day, id: Identity, cold: bool, stored: &[u8], now: Micros) -> Node {
     // A machine's speed is its own: another machine on the same shard has another.
     let mut rng = Pcg64Mcg::seed_from_u64(day.seed ^ (id.node + 1).rotate_left(40));
     let spec = Spec { speed: between(&mut rng, day.fleet.speed), ..day.fleet.spec };
@@ -330,12 +285,20 @@
         window: Micros::from_ms(windows.fold(10_000.0, f64::max)),
         seed: day.seed,
     };
+    Node::new(id, habits, Model::new(spec, cold, now), stored)
+}
+
+/// Runs an emulated node of a day until its standard input ends.
+///
+/// # Errors
+/// It can't listen or read its data, or the driver fails.
+pub fn serve_node(day: &Day, id: Identity, cold: bool, what: &StandIn) -> io::Result<()> {
     let stored = match &what.data {
         Some(path) if path.exists() => std::fs::read(path)?,
         _ => Vec::new(),
     };
     let now = clock();
-    let node = Node::new(id, habits, Model::new(spec, cold, now), &stored);
+    let node = emulated(day, id, cold, &stored, now);
     let mut up = Vec::new();
     node.up(cold, now).write(&mut up);
     if let Some(mut file) = append(&what.record)? {
--- a/crates/flaxstand-lab/src/shell.rs
+++ b/crates/flaxstand-lab/src/shell.rs
@@ -32,7 +32,7 @@
     next: u64,
     links: BTreeMap<ConnId, (Inbox, Outbox)>,
     commands: Vec<Command>,
-    record: Vec<u8>,
+    record: Vec<Record>,
     data: Vec<u8>,
 }
 
@@ -75,7 +75,7 @@
 
     /// Notes what was seen.
     pub fn record(&mut self, record: &Record) {
-        record.write(&mut self.record);
+        self.record.push(record.clone());
     }
 
     /// Stores bytes for the next start.
@@ -101,6 +101,11 @@
     pub fn new(peer: P) -> Self {
         Shell { peer, links: Links::default() }
     }
+
+    /// What was seen since the last call. A driver that does not ask is told by `Append`.
+    pub fn take_records(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.links.record)
+    }
 }
 
 impl<P: Peer> Machine for Shell<P> {
@@ -184,7 +189,9 @@
     fn take_commands(&mut self) -> Vec<Command> {
         let mut commands = Vec::new();
         if !self.links.record.is_empty() {
-            commands.push(Command::Append(Sink::Record, std::mem::take(&mut self.links.record)));
+            let mut lines = Vec::new();
+            self.links.record.drain(..).for_each(|record| record.write(&mut lines));
+            commands.push(Command::Append(Sink::Record, lines));
         }
         if !self.links.data.is_empty() {
             commands.push(Command::Append(Sink::Data, std::mem::take(&mut self.links.data)));
--- /dev/null
+++ b/crates/flaxstand-lab/src/world.rs
@@ -0,0 +1,528 @@
+//! A whole day in one process on virtual time: the same core, the same emulated peers and the same frames
+//! as on loopback, between them a network of delays. One seed decides everything: the same day gives the
+//! same record, on any machine.
+//!
+//! Order at one instant: everything that is due then is handed over in the order in which it was set in
+//! motion; then each machine that was touched settles, in the order of hosts (list service, nodes by slot,
+//! initiators by index, clients). What they set in motion arrives a microsecond later at the earliest.
+//!
+//! Not modelled: buffers of the system (a write always goes through; a peer that is not read is held back at
+//! its receiver), bandwidth, and the time that the programs themselves need.
+
+use crate::between;
+use crate::day::Day;
+use crate::list::ListService;
+use crate::load::Load;
+use crate::node::{Identity, Node};
+use crate::rehearse::{emulated, initiator_seed};
+use crate::report::{Report, report};
+use crate::script::{Step, script};
+use crate::shell::Shell;
+use flaxstand_audit::{Book, Record, audit};
+use flaxstand_gateway::core::{Bounds, Config, Core, Counts, Policy};
+use flaxstand_gateway::machine::{Address, Command, ConnId, Control, Machine, Micros, Sink};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::path::PathBuf;
+
+/// A host, by its place in the order of hosts.
+type HostId = usize;
+/// A connection's end.
+type End = (HostId, ConnId);
+
+enum Role {
+    List(Box<Shell<ListService>>),
+    Node(Box<Shell<Node>>),
+    Initiator(Box<Core>),
+    Clients(Box<Shell<Load>>),
+}
+
+impl Role {
+    fn machine(&mut self) -> &mut dyn Machine {
+        match self {
+            Role::List(m) => &mut **m,
+            Role::Node(m) => &mut **m,
+            Role::Initiator(m) => &mut **m,
+            Role::Clients(m) => &mut **m,
+        }
+    }
+
+    fn take_records(&mut self) -> Vec<Record> {
+        match self {
+            Role::List(m) => m.take_records(),
+            Role::Node(m) => m.take_records(),
+            Role::Clients(m) => m.take_records(),
+            Role::Initiator(_) => Vec::new(),
+        }
+    }
+}
+
+struct Host {
+    role: Option<Role>,
+    /// Grows when the process ends: what was under way to it is lost.
+    life: u64,
+    wake: Option<Micros>,
+    /// What the process left on disk: a node's data, an initiator's saved list.
+    disk: Vec<u8>,
+}
+
+struct Pipe {
+    peer: End,
+    /// Nothing arrives before what was sent earlier.
+    arrives: Micros,
+    /// What its receiver does not read yet.
+    unread: VecDeque<Vec<u8>>,
+}
+
+enum Event {
+    Wake,
+    Dial { from: ConnId, to: Address },
+    Connected(ConnId),
+    Refused(ConnId),
+    Bytes(ConnId, Vec<u8>),
+    Closed(ConnId),
+    Step(Box<Step>),
+}
+
+/// What a day on virtual time came to.
+pub struct Played {
+    /// The report.
+    pub report: Report,
+    /// Everything that was recorded, in the order of time.
+    pub records: Vec<Record>,
+    /// Counts of the initiators at the day's end, by index; of their last lives.
+    pub counts: Vec<Counts>,
+    /// Events handed over.
+    pub events: u64,
+    /// Length of the day, with what came after the last arrival.
+    pub lasted: Micros,
+}
+
+struct World<'a> {
+    day: &'a Day,
+    policy: Policy,
+    now: Micros,
+    rng: Pcg64Mcg,
+    hosts: Vec<Host>,
+    listeners: BTreeMap<Address, HostId>,
+    pipes: BTreeMap<End, Pipe>,
+    queue: BTreeMap<(Micros, u64), (HostId, u64, Event)>,
+    sequence: u64,
+    events: u64,
+    records: Vec<Record>,
+    /// By slot: the node's number and its start.
+    slots: Vec<(u64, u64)>,
+    next_node: u64,
+    epochs: u64,
+    finished: bool,
+}
+
+/// The day begins here: an hour in, so that ages reach back.
+const DAWN: Micros = Micros(3_600_000_000);
+
+fn list_address() -> Address {
+    Address::Unix(PathBuf::from("list"))
+}
+
+fn node_address(node: u64) -> Address {
+    Address::Unix(PathBuf::from(format!("node-{node}")))
+}
+
+fn initiator_address(index: usize) -> Address {
+    Address::Unix(PathBuf::from(format!("initiator-{index}")))
+}
+
+/// Plays a day on virtual time.
+pub fn play(day: &Day, seconds: f64, policy: Policy) -> Played {
+    let mut world = World::new(day, policy, seconds);
+    world.run(seconds);
+    let lasted = world.now.since(DAWN);
+    let counts = world.counts();
+    let World { mut records, events, .. } = world;
+    records.sort_by_key(Record::at);
+    let book = Book::new(records);
+    let verdict = audit(&book, &day.terms());
+    let report = report(day, &book, verdict);
+    Played { report, records: book.records, counts, events, lasted }
+}
+
+impl<'a> World<'a> {
+    fn new(day: &'a Day, policy: Policy, seconds: f64) -> Self {
+        let nodes = day.fleet.nodes as usize;
+        let initiators = day.site.site.settings.initiators as usize;
+        let empty = || Host { role: None, life: 0, wake: None, disk: Vec::new() };
+        let mut world = World {
+            day,
+            policy,
+            now: DAWN,
+            rng: Pcg64Mcg::seed_from_u64(day.seed ^ 0x6e65_7477_6f72_6b00),
+            hosts: (0..nodes + initiators + 2).map(|_| empty()).collect(),
+            listeners: BTreeMap::new(),
+            pipes: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            events: 0,
+            records: Vec::new(),
+            slots: (0..nodes as u64).map(|n| (n, 1)).collect(),
+            next_node: nodes as u64,
+            epochs: 0,
+            finished: false,
+        };
+        world.hosts[0].role = Some(Role::List(Box::new(Shell::new(ListService::new(Micros(0))))));
+        world.listeners.insert(list_address(), 0);
+        for slot in 0..nodes {
+            world.start_node(slot, false);
+            world.list_node(slot, "serving", "-");
+        }
+        world.settle(0);
+        world.tell(0, &format!("late {}", day.fleet.list_late.ms()));
+        for index in 0..initiators {
+            world.start_initiator(index);
+        }
+        let addresses = (0..initiators).map(initiator_address).collect();
+        let load = Load::new(day.clone(), seconds, addresses);
+        let clients = world.clients();
+        world.hosts[clients].role = Some(Role::Clients(Box::new(Shell::new(load))));
+        world.settle(clients);
+        world
+    }
+
+    fn node_host(&self, slot: usize) -> HostId {
+        1 + slot
+    }
+
+    fn initiator_host(&self, index: usize) -> HostId {
+        1 + self.day.fleet.nodes as usize + index
+    }
+
+    fn clients(&self) -> HostId {
+        self.hosts.len() - 1
+    }
+
+    fn counts(&self) -> Vec<Counts> {
+        let of = |h: &Host| match &h.role {
+            Some(Role::Initiator(core)) => Some(core.counts()),
+            _ => None,
+        };
+        self.hosts.iter().filter_map(of).collect()
+    }
+
+    fn schedule(&mut self, at: Micros, host: HostId, event: Event) {
+        self.sequence += 1;
+        let life = self.hosts[host].life;
+        self.queue.insert((at, self.sequence), (host, life, event));
+    }
+
+    fn delay(&mut self) -> Micros {
+        Micros(Micros::from_ms(between(&mut self.rng, self.day.one_way)).0.max(1))
+    }
+
+    fn run(&mut self, seconds: f64) {
+        // As on loopback: the list is heard and clients are greeted before the day begins.
+        let start = DAWN.after(Micros(300_000));
+        for (at, step) in script(self.day, seconds) {
+            let at = start.after(Micros::from_ms(at * 1000.0));
+            self.schedule(at, 0, Event::Step(Box::new(step)));
+        }
+        let deadlines = self.day.site.site.settings.classes.iter().map(|c| c.deadline);
+        let longest = deadlines.fold(0.0, f64::max);
+        let end = start.after(Micros::from_ms(seconds * 1000.0 + longest + 10_000.0));
+        let mut started = false;
+        while let Some(((at, _), _)) = self.queue.first_key_value() {
+            let at = *at;
+            if !started && at >= start {
+                (started, self.now) = (true, start);
+                self.tell(self.clients(), "start");
+                continue;
+            }
+            if self.finished || at > end {
+                break;
+            }
+            self.instant(at);
+        }
+    }
+
+    /// Everything that is due at a moment, then the machines that it touched.
+    fn instant(&mut self, at: Micros) {
+        self.now = at;
+        let mut touched = BTreeSet::new();
+        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 == at) {
+            let (host, life, event) = entry.remove();
+            self.events += 1;
+            if let Event::Step(step) = event {
+                self.step(*step);
+                continue;
+            }
+            let h = &mut self.hosts[host];
+            if h.life != life || h.role.is_none() {
+                // Whom it was for is gone: a caller hears so, all else is lost.
+                if let Event::Dial { from, .. } = event {
+                    self.refuse(host, from);
+                }
+                continue;
+            }
+            if matches!(event, Event::Wake) && h.wake != Some(at) {
+                continue;
+            }
+            self.hand_over(host, event);
+            touched.insert(host);
+        }
+        touched.into_iter().for_each(|host| self.settle(host));
+    }
+
+    fn refuse(&mut self, host: HostId, conn: ConnId) {
+        let at = self.now.after(self.delay());
+        self.schedule(at, host, Event::Refused(conn));
+    }
+
+    fn hand_over(&mut self, host: HostId, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Wake | Event::Step(_) => {}
+            Event::Dial { from, to } => self.dial(host, from, &to),
+            Event::Connected(conn) => self.machine(host, |m| m.connected(conn, now)),
+            Event::Refused(conn) => self.machine(host, |m| m.connect_failed(conn, "refused", now)),
+            Event::Bytes(conn, bytes) => {
+                let Some(pipe) = self.pipes.get_mut(&(host, conn)) else { return };
+                pipe.unread.push_back(bytes);
+                self.read(host, conn);
+            }
+            Event::Closed(conn) => {
+                self.pipes.remove(&(host, conn));
+                self.machine(host, |m| m.closed(conn, "closed by peer", now));
+            }
+        }
+    }
+
+    fn machine(&mut self, host: HostId, call: impl FnOnce(&mut dyn Machine)) {
+        if let Some(role) = &mut self.hosts[host].role {
+            call(role.machine());
+        }
+    }
+
+    fn read(&mut self, host: HostId, conn: ConnId) {
+        let now = self.now;
+        loop {
+            let Some(role) = &mut self.hosts[host].role else { return };
+            let machine = role.machine();
+            let Some(pipe) = self.pipes.get_mut(&(host, conn)) else { return };
+            if !machine.wants_read(conn) {
+                return;
+            }
+            let Some(bytes) = pipe.unread.pop_front() else { return };
+            machine.received(conn, &bytes, now);
+        }
+    }
+
+    /// A call arrives where it was meant to.
+    fn dial(&mut self, caller: HostId, from: ConnId, to: &Address) {
+        let now = self.now;
+        let taken = self.listeners.get(to).copied().and_then(|host| {
+            let role = self.hosts[host].role.as_mut()?;
+            Some((host, role.machine().accepted(0, now)))
+        });
+        match taken {
+            Some((host, Ok(conn))) => {
+                let at = now.after(self.delay());
+                let pipe = |peer, arrives| Pipe { peer, arrives, unread: VecDeque::new() };
+                self.pipes.insert((caller, from), pipe((host, conn), now));
+                // What goes back arrives after word that the connection stands.
+                self.pipes.insert((host, conn), pipe((caller, from), at));
+                self.schedule(at, caller, Event::Connected(from));
+                self.settle(host);
+            }
+            Some((_, Err(last))) => {
+                let at = now.after(self.delay());
+                self.schedule(at, caller, Event::Connected(from));
+                let gone = (usize::MAX, ConnId(0));
+                self.pipes.insert((caller, from), Pipe { peer: gone, arrives: at, unread: VecDeque::new() });
+                self.schedule(at.after(Micros(1)), caller, Event::Bytes(from, last));
+                self.schedule(at.after(Micros(2)), caller, Event::Closed(from));
+            }
+            None => self.refuse(caller, from),
+        }
+    }
+
+    /// A moment at a connection's other end, in the order of what was sent.
+    fn arrival(&mut self, end: End) -> Option<(End, Micros)> {
+        let delay = self.delay();
+        let now = self.now;
+        let pipe = self.pipes.get_mut(&end)?;
+        pipe.arrives = pipe.arrives.max(now.after(delay));
+        (pipe.peer.0 < self.hosts.len()).then_some((pipe.peer, pipe.arrives))
+    }
+
+    fn settle(&mut self, host: HostId) {
+        let now = self.now;
+        let Some(role) = &mut self.hosts[host].role else { return };
+        let wake = role.machine().settle(now);
+        self.records.append(&mut role.take_records());
+        let mut commands = role.machine().take_commands();
+        while !commands.is_empty() {
+            for command in commands {
+                self.carry_out(host, command);
+            }
+            let Some(role) = &mut self.hosts[host].role else { return };
+            self.records.append(&mut role.take_records());
+            commands = role.machine().take_commands();
+        }
+        let wake = wake.map(|at| at.max(Micros(now.0 + 1)));
+        if wake != self.hosts[host].wake {
+            self.hosts[host].wake = wake;
+            if let Some(at) = wake {
+                self.schedule(at, host, Event::Wake);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, host: HostId, command: Command) {
+        let now = self.now;
+        match command {
+            Command::Connect { conn, address } => {
+                let at = now.after(self.delay());
+                self.schedule(at, host, Event::Dial { from: conn, to: address });
+            }
+            Command::Flush(conn) => {
+                let Some(role) = &mut self.hosts[host].role else { return };
+                let machine = role.machine();
+                let bytes = machine.outgoing(conn).to_vec();
+                machine.wrote(conn, bytes.len(), now);
+                if !bytes.is_empty()
+                    && let Some((peer, at)) = self.arrival((host, conn))
+                {
+                    self.schedule(at, peer.0, Event::Bytes(peer.1, bytes));
+                }
+                self.read(host, conn);
+            }
+            Command::Close { conn, last } => {
+                if let Some((peer, at)) = self.arrival((host, conn)) {
+                    if !last.is_empty() {
+                        self.schedule(at, peer.0, Event::Bytes(peer.1, last));
+                    }
+                    self.schedule(at, peer.0, Event::Closed(peer.1));
+                }
+                self.pipes.remove(&(host, conn));
+            }
+            Command::Save(bytes) => self.hosts[host].disk = bytes,
+            Command::Append(Sink::Data, mut bytes) => self.hosts[host].disk.append(&mut bytes),
+            Command::Append(Sink::Record, _) => {}
+            Command::StopListening => self.listeners.retain(|_, h| *h != host),
+            Command::Print(line) => self.finished |= host == self.clients() && line == "done",
+            Command::Exit => self.end(host),
+        }
+    }
+
+    /// A process ends: its connections break, what was under way to it is lost.
+    fn end(&mut self, host: HostId) {
+        let ends: Vec<End> =
+            self.pipes.range((host, ConnId(0))..(host + 1, ConnId(0))).map(|(e, _)| *e).collect();
+        for end in ends {
+            if let Some((peer, at)) = self.arrival(end) {
+                self.schedule(at, peer.0, Event::Closed(peer.1));
+            }
+            self.pipes.remove(&end);
+        }
+        let h = &mut self.hosts[host];
+        if let Some(role) = &mut h.role {
+            self.records.append(&mut role.take_records());
+        }
+        (h.role, h.wake) = (None, None);
+        h.life += 1;
+        self.listeners.retain(|_, at| *at != host);
+    }
+
+    fn start_node(&mut self, slot: usize, cold: bool) {
+        let (node, incarnation) = self.slots[slot];
+        let zone = slot as u32 % self.day.fleet.zones;
+        let id = Identity { node, incarnation, shard: slot as u32, zone };
+        let host = self.node_host(slot);
+        let node_machine = emulated(self.day, id, cold, &self.hosts[host].disk, self.now);
+        self.records.push(node_machine.up(cold, self.now));
+        self.hosts[host].role = Some(Role::Node(Box::new(Shell::new(node_machine))));
+        self.listeners.insert(node_address(node), host);
+        self.settle(host);
+    }
+
+    fn list_node(&mut self, slot: usize, state: &str, age: &str) {
+        let (node, incarnation) = self.slots[slot];
+        let zone = slot as u32 % self.day.fleet.zones;
+        let address = node_address(node);
+        self.tell(0, &format!("node {node} {incarnation} {state} {slot} {zone} {age} {address}"));
+    }
+
+    fn start_initiator(&mut self, index: usize) {
+        self.epochs += 1;
+        let host = self.initiator_host(index);
+        let config = Config {
+            name: format!("initiator-{index}"),
+            index: index as u32,
+            epoch: self.epochs,
+            seed: initiator_seed(self.day, index),
+            list: list_address(),
+            site: self.day.site.site.clone(),
+            bounds: Bounds::default(),
+            policy: self.policy,
+        };
+        let saved = std::mem::take(&mut self.hosts[host].disk);
+        let saved = (!saved.is_empty()).then_some(saved);
+        let core = Core::new(config.clone(), saved.as_deref(), self.now)
+            .or_else(|_| Core::new(config, None, self.now))
+            .expect("without a saved list nothing can be wrong with it");
+        self.hosts[host].role = Some(Role::Initiator(Box::new(core)));
+        self.listeners.insert(initiator_address(index), host);
+        self.settle(host);
+    }
+
+    fn tell(&mut self, host: HostId, lines: &str) {
+        let now = self.now;
+        for line in lines.lines() {
+            self.machine(host, |m| m.control(Control::Line(line.to_owned()), now));
+        }
+        self.settle(host);
+    }
+
+    fn step(&mut self, step: Step) {
+        let at = self.now.0;
+        match step {
+            Step::Tell(slot, lines) => self.tell(self.node_host(slot), &lines),
+            Step::TellList(lines) => self.tell(0, &lines),
+            Step::Kill(slot) => {
+                self.records.push(Record::NodeDown { at, node: self.slots[slot].0 });
+                self.end(self.node_host(slot));
+            }
+            Step::Return(slot) => {
+                self.slots[slot].1 += 1;
+                self.start_node(slot, true);
+                self.list_node(slot, "serving", "0");
+            }
+            Step::Drain(slot) => self.list_node(slot, "draining", "-"),
+            Step::Succeed(slot) => {
+                self.list_node(slot, "gone", "-");
+                self.step(Step::Kill(slot));
+                self.slots[slot] = (self.next_node, 1);
+                self.next_node += 1;
+                self.start_node(slot, true);
+                self.list_node(slot, "serving", "0");
+            }
+            Step::KillInitiator(index, outright) => {
+                self.records.push(Record::Killed { at, initiator: index as u32 });
+                let host = self.initiator_host(index);
+                if outright {
+                    self.end(host);
+                } else {
+                    let now = self.now;
+                    self.machine(host, |m| m.control(Control::Stop, now));
+                    self.settle(host);
+                }
+            }
+            Step::ReturnInitiator(index) => {
+                let host = self.initiator_host(index);
+                if self.hosts[host].role.is_some() {
+                    self.end(host);
+                }
+                self.start_initiator(index);
+            }
+        }
+    }
+}
