A node that greets as a start the list has not told is cold: nothing waits to be sent to it

The greeting tells the start; the core passes it on to the module and does not send what waited (moot: it never ran).

--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -5,7 +5,7 @@
 use super::nodes::NodePeer;
 use super::{Backoff, Core, Peer, Stage, Timer, Waits};
 use crate::machine::{Address, Command, ConnId, Micros};
-use flaxstand::api::{Event, ListScope, NodeEntry, NodeId, Readiness, ShardId, ZoneId};
+use flaxstand::api::{Event, ListScope, NodeEntry, NodeId, Readiness};
 use flaxstand_proto::{
     Entry, Extent, Frame, FrameError, List, Parting, Role, State, VERSION, VERSION_OLDEST, Welcome, decode,
     encode,
@@ -195,8 +195,9 @@
             }
         };
         let node = &mut self.nodes[id.0 as usize];
-        if node.incarnation != e.incarnation {
-            // Fixed at first word of this start: a later, staler age must not make it look like another.
+        if e.incarnation > node.incarnation {
+            // Fixed at first word of this start, by the list or by the node: a staler age that comes later
+            // must not make it look like another.
             node.incarnation = e.incarnation;
             node.booted_at = e.age.map(|age| now.ms() - Micros(age).ms());
         }
@@ -206,13 +207,7 @@
             State::Gone => Readiness::Gone,
         };
         (node.shard, node.zone, node.address) = (e.shard, e.zone, address);
-        let entry = NodeEntry {
-            node: id,
-            readiness: node.readiness,
-            booted_at: node.booted_at,
-            zone: ZoneId(e.zone),
-            shard: ShardId(e.shard.into()),
-        };
+        let entry = node.entry(id);
         info!(node = e.node, state = ?e.state, shard = e.shard, address = e.address, "listed");
         Some(entry)
     }
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -4,7 +4,9 @@
 use super::clients::Fault;
 use super::{Conn, Core, Peer, Stage, Timer};
 use crate::machine::{Address, Command, ConnId, Micros};
-use flaxstand::api::{AttemptNo, Event, NodeId, Outcome, Readiness, RequestId};
+use flaxstand::api::{
+    AttemptNo, Event, ListScope, NodeEntry, NodeId, Outcome, Readiness, RequestId, ShardId, ZoneId,
+};
 use flaxstand_proto::{Attempt, Code, Done, Frame, Parting, Role, VERSION, VERSION_OLDEST, Welcome};
 use std::collections::BTreeSet;
 use tracing::{debug, info};
@@ -45,6 +47,17 @@
             idle_since: Micros(0),
         }
     }
+
+    /// What the module is told of it.
+    pub(super) fn entry(&self, node: NodeId) -> NodeEntry {
+        NodeEntry {
+            node,
+            readiness: self.readiness,
+            booted_at: self.booted_at,
+            zone: ZoneId(self.zone),
+            shard: ShardId(self.shard.into()),
+        }
+    }
 }
 
 impl Core {
@@ -139,12 +152,26 @@
         }
         node.idle_since = now;
         let waiting = std::mem::take(&mut node.waiting);
+        // A start that the list has not told yet: the node is as cold as can be. Guards the rule on cold
+        // nodes: of hundreds of hosts whose canaries wait for a dead node, each would send one at once.
+        let restarted = w.epoch > node.incarnation;
+        if restarted {
+            info!(node = node.name, incarnation = w.epoch, "met a start that the list has not told yet");
+            (node.incarnation, node.booted_at) = (w.epoch, Some(now.ms()));
+            let entry = node.entry(at);
+            self.events.push_back(Event::List(ListScope::Changes, vec![entry]));
+        }
         if let Some(c) = self.conns.get_mut(&conn) {
             c.stage = Stage::Open;
         }
         self.timers.insert((now.after(idle), Timer::Idle(conn)));
         for (id, attempt) in waiting {
-            self.hand_over(id, attempt, conn, now);
+            if restarted {
+                // Not sent: the module sends it when the node bears it.
+                self.end_attempt(id, attempt, Outcome::Moot, now);
+            } else {
+                self.hand_over(id, attempt, conn, now);
+            }
         }
         Ok(())
     }
--- a/crates/flaxstand-gateway/tests/core.rs
+++ b/crates/flaxstand-gateway/tests/core.rs
@@ -238,6 +238,37 @@
     assert_eq!(w.attempts(1).len(), 1, "the list caught up: node 0 is at the other address");
 }
 
+/// Of hundreds of hosts whose canaries wait for a dead node each would send one at once when it is back.
+#[test]
+fn a_node_that_greets_as_a_new_start_gets_nothing_until_the_module_knows_that_it_is_cold() {
+    let mut c = config();
+    // A phase of its own that is not early.
+    c.seed = 4;
+    c.site.settings.initiators = 243;
+    (c.site.settings.cold_bears, c.site.settings.fall_time) = (1.0, 300.0);
+    let mut w = World::new(c, 1);
+    w.starts.insert(0, 2);
+    let client = w.client();
+    w.submit(client, 1, READ, Some(0));
+    w.run(5);
+    assert!(w.attempts(0).is_empty(), "what waited for the connection was not sent");
+    w.run(1500);
+    assert_eq!(w.answers(client), [Said::Refused(1, Refusal::Load)], "this host's part is smaller than that");
+    // The list's word of the same start, and stale word of the one before, change nothing.
+    w.tell_list(w.list_conn());
+    w.run(5000);
+    w.submit(client, 2, READ, Some(0));
+    w.run(5);
+    assert_eq!(w.attempts(0).len(), 1, "warm by now, by when it was met");
+    // A start older than the one met is another process at the same address.
+    let node = w.node_conn(0);
+    w.core.closed(node, "reset", w.now);
+    w.called.remove(&node);
+    w.starts.insert(0, 1);
+    w.run(300);
+    assert!(w.said.values().flatten().any(|s| *s == Said::Bye(Parting::WrongPeer)));
+}
+
 #[test]
 fn a_saved_list_serves_until_the_list_service_answers() {
     let saved = World::new(config(), 2).saved.expect("a list that was told is saved");
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -134,6 +134,8 @@
     pub list: Vec<(u64, State, u32, String)>,
     pub revision: u64,
     pub list_up: bool,
+    /// Which start a node says it is, where not the first.
+    pub starts: BTreeMap<u64, u64>,
     pub saved: Option<Vec<u8>>,
     pub exited: bool,
     pub calls: u32,
@@ -174,6 +176,7 @@
             list,
             revision: 1,
             list_up: true,
+            starts: BTreeMap::new(),
             saved: None,
             exited: false,
             calls: 0,
@@ -225,7 +228,8 @@
                 self.core.connected(conn, self.now);
                 if let Dial::Greets(id) = dial {
                     let role = if list { Role::List } else { Role::Node };
-                    self.tell(conn, &Frame::Welcome(Welcome { version: 1, role, id, epoch: 1, name: "" }));
+                    let epoch = self.starts.get(&id).copied().unwrap_or(1);
+                    self.tell(conn, &Frame::Welcome(Welcome { version: 1, role, id, epoch, name: "" }));
                 }
             }
         }
