--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -1,6 +1,7 @@
 //! Arguments.
 
 use clap::{Args as Group, Parser, Subcommand, ValueEnum};
+use flaxstand_gateway::core::Policy;
 use flaxstand_gateway::machine::Address;
 use std::path::PathBuf;
 
@@ -66,6 +67,20 @@
         #[arg(long, value_name = "FOLDER", default_value = "days/found")]
         found: PathBuf,
     },
+    /// Play days with variants, paired by seed, and tell what differs
+    Experiment {
+        /// The experiment
+        file: PathBuf,
+        /// Keep each run's figures there, and go on from them
+        #[arg(long, value_name = "FILE")]
+        resume: Option<PathBuf>,
+        /// Write the result there too; `-` prints it in place of the text
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// How many runs at a time
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+    },
     /// Measure what an initiator costs, beside a straight pipe, against nodes that answer at once
     Measure {
         /// Seconds for each figure
@@ -93,20 +108,19 @@
     /// Keep records, settings and logs in this new folder
     #[arg(long, value_name = "FOLDER")]
     pub keep: Option<PathBuf>,
-    /// What decides
-    #[arg(long, value_enum, default_value = "module")]
+    /// What decides: module, or a baseline: pipe, least-out, two-choices
+    #[arg(long, value_parser = policy, default_value = "module")]
     pub policy: Policy,
     /// In one process on virtual time, in place of loopback: the same day gives the same record
     #[arg(long = "virtual", conflicts_with = "keep")]
     pub virtually: bool,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
-pub enum Policy {
-    /// The decision module
-    Module,
-    /// Everything is sent at once, once: a baseline
-    Pipe,
+/// What a policy is called.
+fn policy(name: &str) -> Result<Policy, String> {
+    let found = Policy::ALL.iter().find(|(n, _)| *n == name);
+    let names: Vec<&str> = Policy::ALL.iter().map(|(n, _)| *n).collect();
+    found.map(|(_, p)| *p).ok_or_else(|| format!("expected one of {}", names.join(", ")))
 }
 
 #[derive(Subcommand)]
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -1,9 +1,10 @@
 //! `flaxstand check`, `flaxstand rehearse`, and the processes of a rehearsal.
 
 use crate::Failure;
-use crate::args::{Files, Policy, Rehearsal, Role};
+use crate::args::{Files, Rehearsal, Role};
 use flaxstand_gateway::settings::{SettingsError, read_daemon};
 use flaxstand_lab::day::{Day, DayError};
+use flaxstand_lab::experiment::Experiment;
 use flaxstand_lab::measure;
 use flaxstand_lab::node::Identity;
 use flaxstand_lab::press::{self, Pressure};
@@ -11,7 +12,7 @@
 use flaxstand_lab::report::Report;
 use flaxstand_lab::{swarm, world};
 use miette::GraphicalReportHandler;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Instant;
 
 /// A file's text.
@@ -67,19 +68,11 @@
     let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
     let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
     if r.virtually {
-        let policy = match r.policy {
-            Policy::Module => flaxstand_gateway::core::Policy::Module,
-            Policy::Pipe => flaxstand_gateway::core::Policy::Pipe,
-        };
-        return told_report(&world::play(&day, seconds, policy).report, r.json.as_deref());
+        return told_report(&world::play(&day, seconds, r.policy).report, r.json.as_deref());
     }
     let program = std::env::current_exe().map_err(|e| system(&e))?;
     let folder = r.keep.clone().unwrap_or_else(rehearse::fresh_folder);
-    let policy = match r.policy {
-        Policy::Module => "module",
-        Policy::Pipe => "pipe",
-    };
-    let (file, policy) = (r.day.clone(), policy.to_owned());
+    let (file, policy) = (r.day.clone(), r.policy.name().to_owned());
     let plan = Plan { program, file, text, day, seconds, policy, folder: folder.clone() };
     let played = rehearse::rehearse(&plan);
     if r.keep.is_none() {
@@ -132,6 +125,40 @@
     Err(Failure::Rule)
 }
 
+pub fn experiment(
+    file: &Path,
+    resume: Option<PathBuf>,
+    json: Option<PathBuf>,
+    threads: usize,
+) -> Result<(), Failure> {
+    let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
+    let plan = Experiment::load(file).or_else(|e| match e {
+        DayError::Settings(problems) => told(Err(problems)),
+        DayError::Io { .. } => {
+            eprintln!("flaxstand: {e}");
+            Err(Failure::File)
+        }
+    })?;
+    let begun = Instant::now();
+    let outcome = plan
+        .run(resume.as_deref(), threads, |done, all| {
+            if done % 10 == 0 || done == all {
+                eprintln!("{done} of {all} runs, {:.0} s", begun.elapsed().as_secs_f64());
+            }
+        })
+        .map_err(|e| system(&e))?;
+    let text = serde_json::to_string_pretty(&outcome).map_err(|e| system(&e))?;
+    match &json {
+        Some(path) if path.as_os_str() == "-" => println!("{text}"),
+        Some(path) => {
+            std::fs::write(path, text + "\n").map_err(|e| system(&e))?;
+            print!("{}", outcome.text());
+        }
+        None => print!("{}", outcome.text()),
+    }
+    Ok(())
+}
+
 pub fn measure(seconds: f64, json: Option<&Path>) -> Result<(), Failure> {
     let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
     let program = std::env::current_exe().map_err(|e| system(&e))?;
--- a/crates/flaxstand-cli/src/main.rs
+++ b/crates/flaxstand-cli/src/main.rs
@@ -40,6 +40,7 @@
         Task::Check { file } => kit::check(&file),
         Task::Rehearse(rehearsal) => kit::rehearse(rehearsal),
         Task::Swarm { first, days, threads, found } => kit::swarm(first, days, threads, &found),
+        Task::Experiment { file, resume, json, threads } => kit::experiment(&file, resume, json, threads),
         Task::Measure { seconds, json } => kit::measure(seconds, json.as_deref()),
         Task::StandIn(role) => kit::stand_in(role),
     };
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -9,8 +9,28 @@
     /// The decision module.
     #[default]
     Module,
-    /// Everything is sent at once and tried once: a baseline to measure against, not for service.
+    /// Everything is sent at once and tried once, new objects to the nodes in turn: a baseline to measure
+    /// against, not for service. So are those below.
     Pipe,
+    /// The same, new objects to the node with the fewest requests of this host out.
+    LeastOut,
+    /// The same, new objects to the one of two nodes drawn at random that has fewer out.
+    TwoChoices,
+}
+
+impl Policy {
+    /// Every policy, with its name in files and on the command line.
+    pub const ALL: [(&'static str, Policy); 4] = [
+        ("module", Policy::Module),
+        ("pipe", Policy::Pipe),
+        ("least-out", Policy::LeastOut),
+        ("two-choices", Policy::TwoChoices),
+    ];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        Policy::ALL.iter().find(|(_, p)| *p == self).map_or("module", |(name, _)| name)
+    }
 }
 
 /// Bounds on what the core holds. `docs/settings.md` says what happens at each.
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -26,7 +26,7 @@
 use flaxstand_proto::{Frame, Hello, Inbox, Outbox, Parting, Role, VERSION, VERSION_OLDEST};
 use list::ListPeer;
 use nodes::NodePeer;
-use pipe::Pipe;
+use pipe::{Pipe, Placement};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use requests::Held;
@@ -155,7 +155,9 @@
                 config.seed ^ config.epoch.rotate_left(32),
                 now.ms(),
             ))),
-            Policy::Pipe => Decider::Pipe(Pipe::default()),
+            Policy::Pipe => Decider::Pipe(Pipe::new(Placement::RoundRobin, config.seed)),
+            Policy::LeastOut => Decider::Pipe(Pipe::new(Placement::LeastOut, config.seed)),
+            Policy::TwoChoices => Decider::Pipe(Pipe::new(Placement::TwoChoices, config.seed)),
         };
         let list = ListPeer::new(&config.site.waits);
         let mut core = Core {
--- a/crates/flaxstand-gateway/src/core/pipe.rs
+++ b/crates/flaxstand-gateway/src/core/pipe.rs
@@ -1,12 +1,29 @@
-//! The baseline beside the module: each request is sent at once, to its shard's node or to the nodes in
-//! turn, and tried once. For measurements only.
+//! Baselines beside the module: each request is sent at once and tried once, to its shard's node; a new
+//! object goes where a textbook rule says. For measurements only.
 
 use flaxstand::api::{Action, Event, ListScope, NodeEntry, NodeId, Outcome, Readiness, RequestId, ShardId};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 
+/// Where new objects go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// To the nodes in turn.
+    RoundRobin,
+    /// To the node with the fewest requests of this host out; the first of equals.
+    LeastOut,
+    /// To the one of two nodes drawn at random that has fewer requests of this host out.
+    TwoChoices,
+}
+
 /// Sends everything at once.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pipe {
+    placement: Placement,
+    rng: Pcg64Mcg,
+    out: BTreeMap<NodeId, u64>,
+    at: BTreeMap<RequestId, NodeId>,
     nodes: BTreeMap<NodeId, NodeEntry>,
     by_shard: BTreeMap<ShardId, NodeId>,
     serving: Vec<NodeId>,
@@ -14,6 +31,12 @@
 }
 
 impl Pipe {
+    /// A baseline that places new objects so.
+    pub fn new(placement: Placement, seed: u64) -> Self {
+        let (out, at, nodes, by_shard, serving, turn) = Default::default();
+        Pipe { placement, rng: Pcg64Mcg::seed_from_u64(seed), out, at, nodes, by_shard, serving, turn }
+    }
+
     /// Takes one event; what is to be done is added to `actions`.
     pub fn handle(&mut self, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -24,12 +47,23 @@
                     Some(shard) => self.by_shard.get(&shard).copied(),
                     None => self.next(),
                 };
+                if let Some(node) = node {
+                    *self.out.entry(node).or_default() += 1;
+                    self.at.insert(a.id, node);
+                }
                 actions.push(match node {
                     Some(node) => Action::Send { request: a.id, node },
                     None => Action::Refuse { request: a.id, retry_after: 0.0 },
                 });
             }
-            Event::Ended(e) if !e.complete => actions.push(Self::answer(e.request, e.outcome)),
+            Event::Ended(e) => {
+                if let Some(node) = self.at.remove(&e.request) {
+                    self.out.entry(node).and_modify(|out| *out = out.saturating_sub(1));
+                }
+                if !e.complete {
+                    actions.push(Self::answer(e.request, e.outcome));
+                }
+            }
             _ => {}
         }
     }
@@ -44,8 +78,19 @@
     }
 
     fn next(&mut self) -> Option<NodeId> {
-        self.turn += 1;
-        self.serving.get(self.turn % self.serving.len().max(1)).copied()
+        let out = |node: &NodeId| self.out.get(node).copied().unwrap_or(0);
+        match self.placement {
+            Placement::RoundRobin => {
+                self.turn += 1;
+                self.serving.get(self.turn % self.serving.len().max(1)).copied()
+            }
+            Placement::LeastOut => self.serving.iter().copied().min_by_key(out),
+            Placement::TwoChoices => {
+                let mut draw = || self.serving.get(self.rng.next_u64() as usize % self.serving.len().max(1));
+                let two = [draw(), draw()];
+                two.into_iter().flatten().copied().min_by_key(out)
+            }
+        }
     }
 
     fn listed(&mut self, scope: ListScope, entries: Vec<NodeEntry>) {
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -143,7 +143,11 @@
         if options.input {
             let stdin = io::stdin();
             rustix::io::ioctl_fionbio(&stdin, true)?;
-            epoll::add(&epoll, &stdin, epoll::EventData::new_u64(INPUT), epoll::EventFlags::IN)?;
+            match epoll::add(&epoll, &stdin, epoll::EventData::new_u64(INPUT), epoll::EventFlags::IN) {
+                // A file or /dev/null can't be waited on; there is nobody at its other end.
+                Ok(()) | Err(Errno::PERM) => {}
+                Err(e) => return Err(e.into()),
+            }
         }
         Ok(Driver {
             machine,
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -39,7 +39,6 @@
         let list = b.parsed("list", expected, None, |t| t.parse::<Address>().ok());
         let state = b.parsed("state", "a path", Some(None), |t| Some(Some(PathBuf::from(t))));
         let files = b.whole("files", 0..=1 << 20, Some(0));
-        let policies = [("module", Policy::Module), ("pipe", Policy::Pipe)];
         let daemon = Daemon {
             config: Config {
                 name: b.name(),
@@ -49,7 +48,7 @@
                 list: list.unwrap_or(Address::Unix(PathBuf::new())),
                 site: site.site.clone(),
                 bounds,
-                policy: b.choice("policy", &policies, Some(Policy::Module)).unwrap_or_default(),
+                policy: b.choice("policy", &Policy::ALL, Some(Policy::Module)).unwrap_or_default(),
             },
             listen,
             state: state.flatten(),
--- /dev/null
+++ b/crates/flaxstand-lab/src/experiment.rs
@@ -0,0 +1,336 @@
+//! What does a change do? Days × seeds × variants on virtual time. Variants of one day and seed have the
+//! same arrivals and the same faults; what is told is the mean of their differences, its interval and how many
+//! pairs it rests on.
+
+use crate::day::{Day, DayError};
+use crate::world;
+use flaxstand_gateway::core::Policy;
+use flaxstand_gateway::settings::{Block, SettingsError, Source};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, Write as _};
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// One way to play a day.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    /// Its name.
+    pub name: String,
+    /// What decides.
+    pub policy: Policy,
+    /// Times the day's traffic.
+    pub rate: f64,
+    /// In place of the site's, if given.
+    pub tick: Option<f64>,
+    /// In place of the site's, if given. Traffic stays as it is: each takes less.
+    pub initiators: Option<u32>,
+}
+
+/// What is to be played.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// Its name.
+    pub name: String,
+    /// Days.
+    pub days: Vec<Day>,
+    /// Seeds of each day.
+    pub seeds: Vec<u64>,
+    /// The first is what the others are held against.
+    pub variants: Vec<Variant>,
+    /// In place of each day's length, if given.
+    pub seconds: Option<f64>,
+}
+
+/// What one run came to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// The day's name.
+    pub day: String,
+    /// The seed.
+    pub seed: u64,
+    /// The variant's name.
+    pub variant: String,
+    /// Worth served in time over worth wanted.
+    pub service: f64,
+    /// The same for the class that fares worst: share served in time.
+    pub worst_class: f64,
+    /// Rules broken.
+    pub breaches: u64,
+}
+
+/// A variant against the first, on one day or over all.
+#[derive(Clone, Debug, Serialize)]
+pub struct Difference {
+    /// The day, or `all days`.
+    pub day: String,
+    /// The variant.
+    pub variant: String,
+    /// Mean service of the variant.
+    pub service: f64,
+    /// Mean difference to the first variant's.
+    pub mean: f64,
+    /// Half of the 95% interval of that mean.
+    pub half: f64,
+    /// Pairs.
+    pub pairs: usize,
+    /// Runs with a broken rule.
+    pub broken: usize,
+}
+
+/// What an experiment came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Its name.
+    pub name: String,
+    /// Every run.
+    pub runs: Vec<Run>,
+    /// Every comparison; the first variant stands beside itself.
+    pub differences: Vec<Difference>,
+}
+
+impl Experiment {
+    /// Reads an experiment and its days, which lie beside it or at paths from there.
+    ///
+    /// # Errors
+    /// A file can't be read, or everything that is wrong with one.
+    pub fn load(path: &Path) -> Result<Experiment, DayError> {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|cause| DayError::Io { path: name.clone(), cause })?;
+        let (mut experiment, files) = Experiment::read(&name, &text)?;
+        for file in files {
+            experiment.days.push(Day::load(&path.with_file_name(file))?.0);
+        }
+        Ok(experiment)
+    }
+
+    fn read(name: &str, text: &str) -> Result<(Experiment, Vec<String>), SettingsError> {
+        let source = Source::new(name, text);
+        let document = source.parse()?;
+        let root = Block::document(&source, &document);
+        let mut read = Experiment {
+            name: String::new(),
+            days: Vec::new(),
+            seeds: Vec::new(),
+            variants: Vec::new(),
+            seconds: None,
+        };
+        let mut files = Vec::new();
+        if let Some(b) = root.needed("experiment") {
+            read.name = b.name();
+            files = b.all_parsed("day", "a day's file", |t| Some(t.to_owned()));
+            let (first, last) = b.range("seeds", 0.0..=1e9, None);
+            read.seeds = (first as u64..=last as u64).take(10_000).collect();
+            let seconds = b.number("seconds", 0.0..=86_400.0, Some(0.0));
+            read.seconds = (seconds > 0.0).then_some(seconds);
+            for v in b.blocks("variant") {
+                let tick = v.number("tick-ms", -1.0..=1000.0, Some(-1.0));
+                let initiators = v.whole("initiators", 0..=100_000, Some(0)) as u32;
+                read.variants.push(Variant {
+                    name: v.name(),
+                    policy: v.choice("policy", &Policy::ALL, Some(Policy::Module)).unwrap_or_default(),
+                    rate: v.number("rate", 0.001..=1000.0, Some(1.0)),
+                    tick: (tick >= 0.0).then_some(tick),
+                    initiators: (initiators > 0).then_some(initiators),
+                });
+                v.finish();
+            }
+            if read.variants.is_empty() {
+                b.problem("variant is missing, expected one or more".into());
+            }
+            b.finish();
+        }
+        root.finish();
+        source.verdict()?;
+        Ok((read, files))
+    }
+
+    /// Plays every run that `resume` does not hold yet, and adds it there. `each` hears how many of how
+    /// many are done.
+    ///
+    /// # Errors
+    /// The file can't be read or written; a last line cut short is left out.
+    pub fn run(
+        &self,
+        resume: Option<&Path>,
+        threads: usize,
+        each: impl Fn(usize, usize) + Sync,
+    ) -> io::Result<Outcome> {
+        let mut runs: Vec<Run> = match resume {
+            Some(path) if path.exists() => {
+                std::fs::read_to_string(path)?.lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+            }
+            _ => Vec::new(),
+        };
+        let held = |day: &Day, seed: u64, v: &Variant| {
+            runs.iter().any(|r| (&r.day, r.seed, &r.variant) == (&day.name, seed, &v.name))
+        };
+        let mut todo = Vec::new();
+        for day in &self.days {
+            for seed in &self.seeds {
+                let missing = self.variants.iter().filter(|v| !held(day, *seed, v));
+                todo.extend(missing.map(|v| (day, *seed, v)));
+            }
+        }
+        let all = runs.len() + todo.len();
+        let file =
+            resume.map(|p| std::fs::OpenOptions::new().create(true).append(true).open(p)).transpose()?;
+        let (next, done) = (AtomicUsize::new(0), AtomicUsize::new(runs.len()));
+        let kept = Mutex::new((Vec::new(), file));
+        std::thread::scope(|scope| {
+            for _ in 0..threads.max(1) {
+                scope.spawn(|| {
+                    while let Some((day, seed, variant)) = todo.get(next.fetch_add(1, Ordering::Relaxed)) {
+                        let run = self.one(day, *seed, variant);
+                        let mut kept = kept.lock().expect("no holder panics");
+                        if let Some(file) = &mut kept.1 {
+                            // What is not kept is played again after a break; the result has it all the same.
+                            let _ = serde_json::to_string(&run).map(|line| writeln!(file, "{line}"));
+                        }
+                        kept.0.push(run);
+                        each(done.fetch_add(1, Ordering::Relaxed) + 1, all);
+                    }
+                });
+            }
+        });
+        runs.append(&mut kept.into_inner().expect("no holder panics").0);
+        // Threads end in any order; a result does not.
+        runs.sort_by(|x, y| (&x.day, x.seed, &x.variant).cmp(&(&y.day, y.seed, &y.variant)));
+        Ok(Outcome { name: self.name.clone(), differences: self.differences(&runs), runs })
+    }
+
+    fn one(&self, day: &Day, seed: u64, variant: &Variant) -> Run {
+        let mut day = Day { seed, ..day.clone() };
+        day.traffic.rate *= variant.rate;
+        let settings = &mut day.site.site.settings;
+        settings.tick = variant.tick.unwrap_or(settings.tick);
+        settings.initiators = variant.initiators.unwrap_or(settings.initiators);
+        let left = settings.initiators;
+        day.faults.iter_mut().for_each(|f| f.initiators.retain(|i| *i < left));
+        let report = world::play(&day, self.seconds.unwrap_or(day.seconds), variant.policy).report;
+        let asked = report.classes.iter().filter(|c| c.wanted > 0);
+        Run {
+            day: day.name,
+            seed,
+            variant: variant.name.clone(),
+            service: report.service,
+            worst_class: asked.map(|c| c.share()).fold(1.0, f64::min),
+            breaches: report.audit.breaches.len() as u64,
+        }
+    }
+
+    fn differences(&self, runs: &[Run]) -> Vec<Difference> {
+        let Some(first) = self.variants.first() else { return Vec::new() };
+        let service: BTreeMap<(&str, u64, &str), &Run> =
+            runs.iter().map(|r| ((&r.day[..], r.seed, &r.variant[..]), r)).collect();
+        let mut names: Vec<&str> = self.days.iter().map(|d| &d.name[..]).collect();
+        names.push("all days");
+        let mut all = Vec::new();
+        for day in names {
+            for v in &self.variants {
+                let mine = runs.iter().filter(|r| r.variant == v.name && (r.day == day || day == "all days"));
+                let mine: Vec<&Run> = mine.collect();
+                let pairs: Vec<f64> = mine
+                    .iter()
+                    .filter_map(|r| {
+                        service.get(&(&r.day[..], r.seed, &first.name[..])).map(|f| r.service - f.service)
+                    })
+                    .collect();
+                let (mean, half) = interval(&pairs);
+                all.push(Difference {
+                    day: day.to_owned(),
+                    variant: v.name.clone(),
+                    service: mine.iter().map(|r| r.service).sum::<f64>() / mine.len().max(1) as f64,
+                    mean,
+                    half,
+                    pairs: pairs.len(),
+                    broken: mine.iter().filter(|r| r.breaches > 0).count(),
+                });
+            }
+        }
+        all
+    }
+}
+
+/// Student's t for a two-sided 95% interval, by degrees of freedom; from 30 on as good as the last.
+const T: [f64; 30] = [
+    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
+    2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042,
+];
+
+/// Mean, and half of its 95% interval; infinite for fewer than two.
+fn interval(values: &[f64]) -> (f64, f64) {
+    let n = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / n.max(1.0);
+    if values.len() < 2 {
+        return (mean, f64::INFINITY);
+    }
+    let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    let t = T[(values.len() - 2).min(T.len() - 1)];
+    (mean, t * (variance / n).sqrt())
+}
+
+impl Difference {
+    /// What the interval says.
+    pub fn verdict(&self) -> &'static str {
+        if self.pairs < 2 {
+            "too few pairs"
+        } else if self.mean - self.half > 0.0 {
+            "better"
+        } else if self.mean + self.half < 0.0 {
+            "worse"
+        } else {
+            "no difference shown"
+        }
+    }
+}
+
+impl Outcome {
+    /// For people.
+    pub fn text(&self) -> String {
+        let mut out = format!("{}\n\n", self.name);
+        let _ = writeln!(
+            out,
+            "{:20} {:16} {:>8} {:>11} {:>9} {:>6} {:>7}  verdict",
+            "day", "variant", "service", "difference", "+/-", "pairs", "broken"
+        );
+        let first = self.differences.first().map(|d| d.variant.clone()).unwrap_or_default();
+        for d in &self.differences {
+            let (mean, half, verdict) = if d.variant == first {
+                (String::new(), String::new(), "held against")
+            } else {
+                (format!("{:+.4}", d.mean), format!("{:.4}", d.half), d.verdict())
+            };
+            let _ = writeln!(
+                out,
+                "{:20} {:16} {:>8.4} {mean:>11} {half:>9} {:>6} {:>7}  {verdict}",
+                d.day, d.variant, d.service, d.pairs, d.broken
+            );
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn intervals_are_students() {
+        let (mean, half) = interval(&[1.0, 2.0, 3.0, 4.0, 5.0]);
+        assert!((mean - 3.0).abs() < 1e-12 && (half - 1.963).abs() < 0.001, "{mean} {half}");
+        assert_eq!(interval(&[1.0]).1, f64::INFINITY);
+    }
+
+    #[test]
+    fn files_with_mistakes_are_told() {
+        let bad =
+            "experiment \"x\" {\n    seeds 3 1\n    day \"d.kdl\"\n    variant \"v\" policy=\"magic\"\n}\n";
+        let problems = Experiment::read("e.kdl", bad).unwrap_err().problems;
+        let lines: Vec<usize> = problems.iter().map(|p| p.line).collect();
+        assert_eq!(lines, [2, 4], "{problems:?}");
+    }
+}
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -2,10 +2,11 @@
 //! runs as the initiator: [`node`] on its [`model`], [`list`], and the clients of [`load`]. A [`day`] says
 //! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback, [`world`] in one process on virtual time;
 //! [`swarm`] looks for
-//! a day on which something breaks; [`measure`] tells what an initiator costs.
+//! a day on which something breaks, [`experiment`] tells what a change does; [`measure`] tells what an initiator costs.
 #![forbid(unsafe_code)]
 
 pub mod day;
+pub mod experiment;
 pub mod list;
 pub mod load;
 pub mod measure;
