Node model: warm-up by work, thrash, late and noisy reports, connections, handshakes, one-way cuts

A cut of one direction holds back what a node is sent, or what it says; the record keeps when it reached the host, since the cut must not count against the sender.

--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -26,6 +26,14 @@
     pub spread: (f64, f64),
     /// How often load reports are refreshed.
     pub report_every: Micros,
+    /// How old a report is when it is first told.
+    pub report_late: Micros,
+    /// Its figures are off by up to this share.
+    pub report_noise: f64,
+    /// Connections that a node takes.
+    pub connections: usize,
+    /// Work of a handshake, microseconds of a core of speed 1.
+    pub handshake: f64,
     /// Cancels and time-outs stop work.
     pub cancels: bool,
     /// Word of the list is so late.
@@ -363,6 +371,11 @@
             queue: b.whole("queue", 0..=10_000_000, Some(64)) as usize,
             cold_from: s.cold_from,
             warm_after: Micros::from_ms(s.cold_time),
+            warm_by_work: b
+                .choice("warm-by", &[("time", false), ("work", true)], Some(false))
+                .unwrap_or(false),
+            thrash: b.number("thrash", 0.0..=0.95, Some(0.0)),
+            thrash_at: b.number("thrash-at", 0.1..=1e6, Some(8.0)),
             seek: b.number("seek", SHARE, Some(0.0)),
             remembers: b.whole("remembers", 0..=10_000, Some(0)) as usize,
             put_off: b.number("put-off", 0.0..=0.99, Some(0.0)),
@@ -375,6 +388,10 @@
         unit_work,
         spread: b.range("spread", 0.0..=1000.0, Some((0.6, 1.4))),
         report_every: Micros::from_ms(b.number("report-ms", 1.0..=1e6, Some(500.0))),
+        report_late: Micros::from_ms(b.number("report-late-ms", MS, Some(0.0))),
+        report_noise: b.number("report-noise", 0.0..=0.9, Some(0.0)),
+        connections: b.whole("connections", 1..=1_000_000, Some(10_000)) as usize,
+        handshake: b.number("handshake-us", 0.0..=1e7, Some(0.0)),
         cancels: b.flag("cancels", true),
         list_late: Micros::from_ms(b.number("list-late-ms", MS, Some(500.0))),
     };
@@ -429,6 +446,8 @@
         "refuse" => node("refuse 1\nreset".into(), "refuse 0"),
         "deaf" => node("deaf 1\nreset".into(), "deaf 0\nreset"),
         "reset" => node("reset".into(), ""),
+        "cut-in" => node("cut-in 1".into(), "cut-in 0"),
+        "cut-out" => node("cut-out 1".into(), "cut-out 0"),
         "heavy" => {
             let times = b.number("times", 1.0..=1000.0, None);
             node(format!("heavy {} {} {times}", class(b), share(b)), "heavy 0 0 1")
@@ -454,7 +473,7 @@
         _ => {
             b.problem(
                 "no such fault; there are pauses, stall, slow, neighbour, drop, hang, errors, full, refuse, deaf, \
-                 reset, heavy, crash, replace, list-silent, list-fails, list-cut, list-late, kill-initiator, \
+                 reset, cut-in, cut-out, heavy, crash, replace, list-silent, list-fails, list-cut, list-late, kill-initiator, \
                  restart-initiator, burst, plan-burst"
                     .into(),
             );
--- a/crates/flaxstand-lab/src/model.rs
+++ b/crates/flaxstand-lab/src/model.rs
@@ -19,6 +19,13 @@
     pub cold_from: f64,
     /// Time from a cold start until it is warm; the share grows evenly.
     pub warm_after: Micros,
+    /// It warms with the work it has done too, if that is faster: warm after a tenth of what it could do in
+    /// that time once warm.
+    pub warm_by_work: bool,
+    /// Share of its power lost when overfull: begins at `thrash_at` requests held a core, whole at twice that.
+    pub thrash: f64,
+    /// See `thrash`.
+    pub thrash_at: f64,
     /// Work saved when a key is among the last few.
     pub seek: f64,
     /// How many keys it remembers.
@@ -71,6 +78,7 @@
     /// What is wrong.
     pub trouble: Trouble,
     booted: Option<Micros>,
+    worked: f64,
     stalled_until: Micros,
     active: Vec<(u64, f64)>,
     waiting: VecDeque<Job>,
@@ -89,6 +97,7 @@
         Model {
             trouble: Trouble { slow: 1.0, neighbour: 0.0 },
             booted: cold.then_some(now),
+            worked: 0.0,
             stalled_until: Micros(0),
             active: Vec::new(),
             waiting: VecDeque::new(),
@@ -126,7 +135,10 @@
     /// Share of its power that it has by warmth.
     pub fn warmth(&self, now: Micros) -> f64 {
         let Some(booted) = self.booted else { return 1.0 };
-        let part = now.since(booted).0 as f64 / self.spec.warm_after.0.max(1) as f64;
+        let whole = self.spec.warm_after.0.max(1) as f64;
+        let by_work = 10.0 * self.worked / (whole * self.spec.cores * self.spec.speed);
+        let part = now.since(booted).0 as f64 / whole;
+        let part = if self.spec.warm_by_work { part.max(by_work) } else { part };
         self.spec.cold_from + (1.0 - self.spec.cold_from) * part.min(1.0)
     }
 
@@ -136,7 +148,9 @@
             return 0.0;
         }
         let cores = (self.spec.cores / self.active.len() as f64).min(1.0);
-        let left = (1.0 - self.trouble.neighbour) / self.trouble.slow;
+        let over = self.held() as f64 / (self.spec.cores * self.spec.thrash_at.max(1e-9)) - 1.0;
+        let left = (1.0 - self.trouble.neighbour) / self.trouble.slow
+            * (1.0 - self.spec.thrash * over.clamp(0.0, 1.0));
         cores * self.spec.speed * self.warmth(now) * left
     }
 
@@ -194,6 +208,12 @@
         self.active.push((job.id, work.max(1.0)));
     }
 
+    /// Work beside the requests, that holds no slot: a handshake.
+    pub fn burden(&mut self, work: f64, now: Micros) {
+        self.weigh(work, now);
+        self.active.push((PUT_OFF, work.max(1.0)));
+    }
+
     /// Calls a request off; false: it is not held.
     pub fn cancel(&mut self, id: u64) -> bool {
         let before = self.held();
@@ -227,6 +247,7 @@
             let until = self.next(from).map_or(now, |at| at.min(now)).max(Micros(from.0 + 1));
             let done = self.rate(from) * until.since(from).0 as f64;
             self.advanced = until;
+            self.worked += done * self.active.len() as f64;
             self.active.iter_mut().for_each(|(_, left)| *left -= done);
             // A microsecond is the least step: what is left of less is done.
             let ended: Vec<u64> = self.active.iter().filter(|(_, l)| *l < 0.5).map(|(id, _)| *id).collect();
@@ -270,6 +291,9 @@
             queue: 1_000_000,
             cold_from: 0.2,
             warm_after: Micros(10_000_000),
+            warm_by_work: false,
+            thrash: 0.0,
+            thrash_at: 4.0,
             seek: 0.5,
             remembers: 2,
             put_off: 0.0,
@@ -331,31 +355,78 @@
         assert_eq!(m.advance(Micros(1_000_201)), [4]);
     }
 
-    /// M/M/1: the mean time in the system is 1 / (mu - lambda).
     #[test]
-    fn waits_are_those_of_a_single_server_queue() {
+    fn a_node_that_warms_by_work_is_warm_sooner_when_it_works() {
+        let mut m =
+            Model::new(Spec { warm_by_work: true, warm_after: Micros(1_000_000), ..spec() }, true, Micros(0));
+        m.take(job(1, 7e5), Micros(0));
+        m.advance(Micros(500_000));
+        let by_time = 0.2 + 0.8 * 0.5;
+        assert!(m.warmth(Micros(500_000)) >= by_time);
+        let mut busy =
+            Model::new(Spec { warm_by_work: true, cores: 4.0, slots: 4, ..spec() }, true, Micros(0));
+        (1..=4).for_each(|id| assert!(busy.take(job(id, 7e5), Micros(0))));
+        busy.advance(Micros(1_000_000));
+        let idle = Model::new(Spec { warm_by_work: true, cores: 4.0, slots: 4, ..spec() }, true, Micros(0));
+        assert!(busy.warmth(Micros(1_000_000)) > idle.warmth(Micros(1_000_000)) + 0.01);
+    }
+
+    #[test]
+    fn an_overfull_node_loses_power_and_a_handshake_takes_some() {
+        let mut m = Model::new(Spec { thrash: 0.5, thrash_at: 2.0, ..spec() }, false, Micros(0));
+        (1..=4).for_each(|id| assert!(m.take(job(id, 1000.0), Micros(0))));
+        // Four held at one core: twice what it takes without loss, so half of its power is gone.
+        assert_eq!(m.next(Micros(0)), Some(Micros(2000)));
+        let mut m = Model::new(spec(), false, Micros(0));
+        m.burden(500.0, Micros(0));
+        m.take(job(1, 1000.0), Micros(0));
+        assert!(m.advance(Micros(1000)).is_empty());
+        assert_eq!(m.advance(Micros(1500)), [1]);
+    }
+
+    /// Mean time in the system, and mean number in it over time, of Poisson arrivals and exponential work.
+    fn queue(cores: f64, gap: f64, work: f64) -> (f64, f64) {
         use rand_core::SeedableRng;
         let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(5);
         let mut exp = |mean: f64| -mean * (1.0 - crate::random(&mut rng)).ln();
-        let mut m = Model::new(spec(), false, Micros(0));
-        let (mut at, mut total, count) = (0.0, 0.0, 40_000u64);
+        let mut m = Model::new(Spec { cores, slots: cores as usize, ..spec() }, false, Micros(0));
+        let (mut at, mut total, mut area, mut last, count) = (0.0, 0.0, 0.0, 0.0, 40_000u64);
         let mut began = std::collections::BTreeMap::new();
-        let mut note = |m: &mut Model, until: Micros, began: &mut std::collections::BTreeMap<u64, f64>| {
+        let mut until = |m: &mut Model, until: Micros, began: &mut std::collections::BTreeMap<u64, f64>| {
             while let Some(next) = m.next(m.advanced).filter(|n| *n <= until) {
+                area += began.len() as f64 * (next.0 as f64 - last);
+                last = next.0 as f64;
                 for id in m.advance(next) {
                     total += next.0 as f64 - began.remove(&id).unwrap_or(0.0);
                 }
             }
-            m.advance(until);
+            area += began.len() as f64 * (until.0 as f64 - last);
+            last = until.0 as f64;
+            for id in m.advance(until) {
+                total += until.0 as f64 - began.remove(&id).unwrap_or(0.0);
+            }
         };
         for id in 0..count {
-            at += exp(2000.0);
-            note(&mut m, Micros(at as u64), &mut began);
+            at += exp(gap);
+            until(&mut m, Micros(at as u64), &mut began);
             began.insert(id, at);
-            m.take(job(id, exp(1000.0)), Micros(at as u64));
+            m.take(job(id, exp(work)), Micros(at as u64));
         }
-        note(&mut m, Micros(at as u64 + 10_000_000), &mut began);
-        let mean = total / count as f64;
-        assert!((1900.0..2100.0).contains(&mean), "mean {mean}, theory 2000");
+        until(&mut m, Micros(at as u64 + 10_000_000), &mut began);
+        assert!(began.is_empty());
+        (total / count as f64, area / at)
+    }
+
+    #[test]
+    fn times_and_numbers_are_those_of_theory() {
+        // M/M/1: 1 / (mu - lambda).
+        let (time, number) = queue(1.0, 2000.0, 1000.0);
+        assert!((1900.0..2100.0).contains(&time), "mean {time}, theory 2000");
+        // Little: the number in the system is the rate times the time in it.
+        assert!((number - time / 2000.0).abs() < 0.02 * number, "{number} in the system, {time} us in it");
+        // M/M/2 at a load of 0.75: work / (1 - load^2).
+        let (time, _) = queue(2.0, 1000.0, 1500.0);
+        let theory = 1500.0 / (1.0 - 0.75 * 0.75);
+        assert!((time / theory - 1.0).abs() < 0.06, "mean {time}, theory {theory}");
     }
 }
--- a/crates/flaxstand-lab/src/node.rs
+++ b/crates/flaxstand-lab/src/node.rs
@@ -14,6 +14,7 @@
 //! | `refuse 0` or `1` | closes new connections at once |
 //! | `deaf 0` or `1` | greets no one |
 //! | `reset` | closes every connection |
+//! | `cut-in 0` or `1`, `cut-out 0` or `1` | nothing gets in, or out, until it is over; then all that was held back |
 //! | `heavy CLASS SHARE TIMES` | that share of a class costs so many times its work |
 
 use crate::model::{Job, Model};
@@ -49,6 +50,14 @@
     pub spread: (f64, f64),
     /// How often its load report is refreshed.
     pub report_every: Micros,
+    /// How old a report is when it is first told.
+    pub report_late: Micros,
+    /// Its figures are off by up to this share.
+    pub report_noise: f64,
+    /// Connections that it takes; one more is closed as it comes.
+    pub connections: usize,
+    /// Work of a handshake, microseconds of a core of speed 1.
+    pub handshake: f64,
     /// A cancel, and a time-out that is told as one, stops work.
     pub cancels: bool,
     /// How long it drops repeats of an operation.
@@ -108,6 +117,8 @@
     served: BTreeMap<u64, u64>,
     served_for: BTreeMap<(u64, u32), (u64, u64)>,
     report: Report,
+    /// Measured, and told from then on.
+    coming: Option<(Micros, Report)>,
     report_at: Micros,
     fell: bool,
 }
@@ -129,6 +140,7 @@
             served: BTreeMap::new(),
             served_for: BTreeMap::new(),
             report: Report::default(),
+            coming: None,
             report_at: Micros(0),
             fell: false,
         }
@@ -167,7 +179,7 @@
         let extent = a.extent.unwrap_or(0);
         let work = self.weight(a);
         links.record(&Record::Arrived {
-            at: now.0,
+            at: links.reached(now).0,
             node: self.id.node,
             incarnation: self.id.incarnation,
             conn: conn.0 | self.id.incarnation << 32,
@@ -286,11 +298,20 @@
     }
 
     fn refresh(&mut self, now: Micros) {
-        if now >= self.report_at {
+        if let Some((_, report)) = self.coming.filter(|(at, _)| *at <= now) {
+            (self.report, self.coming) = (report, None);
+        }
+        if now >= self.report_at && self.coming.is_none() {
             self.report_at = now.after(self.habits.report_every);
-            self.report.inflight = Some(self.model.held() as u32);
-            self.report.queue = Some(self.model.waiting() as u32);
-            self.report.busy = Some((self.model.busy() * 1000.0) as u32);
+            let noise = self.habits.report_noise;
+            let mut off = |n: f64| (n * between(&mut self.rng, (1.0 - noise, 1.0 + noise))).round() as u32;
+            let report = Report {
+                inflight: Some(off(self.model.held() as f64)),
+                queue: Some(off(self.model.waiting() as f64)),
+                busy: Some(off(self.model.busy() * 1000.0)),
+                ..Report::default()
+            };
+            self.coming = Some((now.after(self.habits.report_late), report));
         }
     }
 }
@@ -317,7 +338,7 @@
 
 impl Peer for Node {
     fn accepts(&self) -> bool {
-        !self.faults.refuse
+        !self.faults.refuse && self.callers.len() < self.habits.connections
     }
 
     fn opened(&mut self, _links: &mut Links, _conn: ConnId, _now: Micros) {}
@@ -325,6 +346,10 @@
     fn frame(&mut self, links: &mut Links, conn: ConnId, frame: Frame<'_>, now: Micros) {
         match frame {
             Frame::Hello(Hello { role: Role::Initiator, id, epoch, .. }) if !self.faults.deaf => {
+                self.finish(links, now);
+                if self.habits.handshake > 0.0 {
+                    self.model.burden(self.habits.handshake, now);
+                }
                 self.callers.insert(conn, Caller { initiator: id as u32, epoch });
                 links.push(
                     conn,
@@ -342,8 +367,8 @@
             Frame::Cancel { request, attempt } => {
                 let Some(caller) = self.callers.get(&conn) else { return };
                 let (initiator, epoch) = (caller.initiator, caller.epoch);
-                let node = self.id.node;
-                links.record(&Record::Cancelled { at: now.0, node, initiator, epoch, request, attempt });
+                let (node, at) = (self.id.node, links.reached(now).0);
+                links.record(&Record::Cancelled { at, node, initiator, epoch, request, attempt });
                 let of = |w: &&u64| {
                     let w = &self.work[*w];
                     (w.conn, w.request, w.attempt) == (conn, request, attempt)
@@ -398,6 +423,8 @@
                     self.gone(links, conn, now);
                 }
             }
+            Some("cut-in") => links.cut_in(on),
+            Some("cut-out") => links.cut_out(on),
             Some("heavy") => {
                 self.faults.heavy = (number(2) > 0.0).then(|| (number(1) as u16, number(2), number(3)))
             }
--- a/crates/flaxstand-lab/src/shell.rs
+++ b/crates/flaxstand-lab/src/shell.rs
@@ -34,6 +34,12 @@
     commands: Vec<Command>,
     record: Vec<Record>,
     data: Vec<u8>,
+    cut_out: bool,
+    cut_in: bool,
+    /// What came while nothing could.
+    kept: Vec<(Micros, ConnId, Vec<u8>)>,
+    /// When what is handed over now reached this host, if that was earlier.
+    reached: Option<Micros>,
 }
 
 impl Links {
@@ -83,6 +89,24 @@
         self.data.extend_from_slice(bytes);
     }
 
+    /// Nothing of ours gets out any more, or all that was held back does.
+    pub fn cut_out(&mut self, cut: bool) {
+        self.cut_out = cut;
+        let all = self.all();
+        self.commands.extend(all.into_iter().filter(|_| !cut).map(Command::Flush));
+    }
+
+    /// Nothing gets in any more, or all that was held back does, at this turn's end.
+    pub fn cut_in(&mut self, cut: bool) {
+        self.cut_in = cut;
+    }
+
+    /// When the frame that is handed over now reached this host: what the audit takes for its sending must
+    /// not hold the emulated cut against whoever sent it.
+    pub fn reached(&self, now: Micros) -> Micros {
+        self.reached.unwrap_or(now)
+    }
+
     /// Has the driver do something.
     pub fn command(&mut self, command: Command) {
         self.commands.push(command);
@@ -128,6 +152,10 @@
     }
 
     fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
+        if self.links.cut_in {
+            self.links.kept.push((now, conn, bytes.to_vec()));
+            return;
+        }
         let Some((inbox, _)) = self.links.links.get_mut(&conn) else { return };
         let mut inbox = std::mem::take(inbox);
         let (peer, links) = (&mut self.peer, &mut self.links);
@@ -160,6 +188,9 @@
     }
 
     fn outgoing(&self, conn: ConnId) -> &[u8] {
+        if self.links.cut_out {
+            return &[];
+        }
         self.links.links.get(&conn).map_or(&[], |(_, outbox)| outbox.pending())
     }
 
@@ -183,6 +214,13 @@
     }
 
     fn settle(&mut self, now: Micros) -> Option<Micros> {
+        if !self.links.cut_in {
+            for (reached, conn, bytes) in std::mem::take(&mut self.links.kept) {
+                self.links.reached = Some(reached);
+                self.received(conn, &bytes, now);
+            }
+            self.links.reached = None;
+        }
         self.peer.settle(&mut self.links, now)
     }
 
--- a/crates/flaxstand-lab/src/swarm.rs
+++ b/crates/flaxstand-lab/src/swarm.rs
@@ -136,7 +136,8 @@
         let _ = write!(
             common,
             "fleet {{\n    nodes {nodes}\n    zones {}\n    speed 0.7 1.3\n    slots {}\n    queue {}\n    unit-work-ms {unit_work:.1}\n    \
-             seek {:.2}\n    remembers {}\n    put-off {:.2}\n    put-off-every-ms {}\n    cancels #{}\n    list-late-ms {}\n}}\n",
+             seek {:.2}\n    remembers {}\n    put-off {:.2}\n    put-off-every-ms {}\n    cancels #{}\n    list-late-ms {}\n    \
+             warm-by \"{}\"\n    thrash {:.2}\n    thrash-at {}\n    connections {}\n    handshake-us {}\n}}\n",
             whole(r, 1, 3),
             whole(r, 1, 8),
             whole(r, 0, 64),
@@ -146,6 +147,11 @@
             whole(r, 500, 4000),
             random(r) < 0.5,
             whole(r, 0, 3000),
+            ["time", "work"][whole(r, 0, 1) as usize],
+            between(r, (0.0, 0.4)),
+            whole(r, 2, 8),
+            whole(r, 2, 20),
+            whole(r, 0, 2000),
         );
         let _ = writeln!(common, "net one-way-ms={:.2}", [0.05, 0.3, 2.0][whole(r, 0, 2) as usize]);
         let traffic = format!(
@@ -267,6 +273,8 @@
         "refuse",
         "deaf",
         "reset",
+        "cut-in",
+        "cut-out",
         "heavy",
         "list-late",
         "list-silent",
