--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -67,6 +67,19 @@
         #[arg(long, value_name = "FOLDER", default_value = "days/found")]
         found: PathBuf,
     },
+    /// Audit what a rehearsal kept, and report on it
+    Report {
+        /// The day that was played
+        day: PathBuf,
+        /// What `rehearse --keep` left
+        folder: PathBuf,
+        /// Write the report there too; `-` prints it in place of the text
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Write a page with plots there
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+    },
     /// Play days with variants, paired by seed, and tell what differs
     Experiment {
         /// The experiment
@@ -81,6 +94,8 @@
         #[arg(long, default_value_t = 4)]
         threads: usize,
     },
+    /// Press on a running initiator, open or closed loop; prints what was served and how fast, as JSON
+    Load(Press),
     /// Measure what an initiator costs, beside a straight pipe, against nodes that answer at once
     Measure {
         /// Seconds for each figure
@@ -105,6 +120,9 @@
     /// Write the report there too; `-` prints it in place of the text
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
+    /// Write a page with plots there
+    #[arg(long, value_name = "FILE")]
+    pub html: Option<PathBuf>,
     /// Keep records, settings and logs in this new folder
     #[arg(long, value_name = "FOLDER")]
     pub keep: Option<PathBuf>,
@@ -152,20 +170,7 @@
         files: Files,
     },
     /// Clients that keep so many requests out, or send so many a second
-    Press {
-        #[arg(long)]
-        initiator: Address,
-        #[arg(long)]
-        shards: u32,
-        #[arg(long, default_value_t = 1)]
-        clients: u32,
-        #[arg(long, default_value_t = 0)]
-        window: u32,
-        #[arg(long, default_value_t = 0.0)]
-        rate: f64,
-        #[arg(long)]
-        seconds: f64,
-    },
+    Press(Press),
     /// The clients
     Load {
         day: PathBuf,
@@ -178,6 +183,28 @@
     },
 }
 
+#[derive(Group)]
+pub struct Press {
+    /// The initiator's address
+    #[arg(long)]
+    pub initiator: Address,
+    /// Shards that requests are spread over evenly, from 0
+    #[arg(long)]
+    pub shards: u32,
+    /// Connections
+    #[arg(long, default_value_t = 1)]
+    pub clients: u32,
+    /// Requests that each connection keeps out (closed loop)
+    #[arg(long, default_value_t = 0, conflicts_with = "rate", required_unless_present = "rate")]
+    pub window: u32,
+    /// Requests a second over all connections, whatever is answered (open loop)
+    #[arg(long, default_value_t = 0.0)]
+    pub rate: f64,
+    /// How long is measured, after a warm-up of a quarter of that
+    #[arg(long)]
+    pub seconds: f64,
+}
+
 #[derive(Group)]
 pub struct Files {
     #[arg(long)]
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -1,7 +1,8 @@
 //! `flaxstand check`, `flaxstand rehearse`, and the processes of a rehearsal.
 
 use crate::Failure;
-use crate::args::{Files, Rehearsal, Role};
+use crate::args::{Files, Press, Rehearsal, Role};
+use flaxstand_audit::Book;
 use flaxstand_gateway::settings::{SettingsError, read_daemon};
 use flaxstand_lab::day::{Day, DayError};
 use flaxstand_lab::experiment::Experiment;
@@ -68,7 +69,8 @@
     let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
     let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
     if r.virtually {
-        return told_report(&world::play(&day, seconds, r.policy).report, r.json.as_deref());
+        let played = world::play(&day, seconds, r.policy);
+        return told_report(&day, &played.book, &played.report, r.json.as_deref(), r.html.as_deref());
     }
     let program = std::env::current_exe().map_err(|e| system(&e))?;
     let folder = r.keep.clone().unwrap_or_else(rehearse::fresh_folder);
@@ -82,10 +84,29 @@
             eprintln!("flaxstand: logs and records are in {}", folder.display());
         }
     }
-    told_report(&played.map_err(|e| system(&e))?, r.json.as_deref())
+    let (report, book) = played.map_err(|e| system(&e))?;
+    told_report(&plan.day, &book, &report, r.json.as_deref(), r.html.as_deref())
 }
 
-fn told_report(report: &Report, to: Option<&Path>) -> Result<(), Failure> {
+pub fn report(day: &Path, folder: &Path, json: Option<&Path>, html: Option<&Path>) -> Result<(), Failure> {
+    let (day, _) = read_day(day)?;
+    let (report, book) = rehearse::audited(&day, folder).map_err(|e| Failure::System(e.to_string()))?;
+    told_report(&day, &book, &report, json, html)
+}
+
+fn told_report(
+    day: &Day,
+    book: &Book,
+    report: &Report,
+    to: Option<&Path>,
+    html: Option<&Path>,
+) -> Result<(), Failure> {
+    if let Some(path) = html {
+        let page =
+            flaxstand_lab::html::page(day, book, report).map_err(|e| Failure::System(e.to_string()))?;
+        std::fs::write(path, page)
+            .map_err(|e| Failure::System(format!("cannot write {}: {e}", path.display())))?;
+    }
     let json = serde_json::to_string_pretty(report).map_err(|e| Failure::System(e.to_string()))?;
     match to {
         Some(path) if path.as_os_str() == "-" => println!("{json}"),
@@ -173,8 +194,14 @@
     Ok(())
 }
 
+pub fn load(p: Press, alone: bool) -> Result<(), Failure> {
+    let Press { initiator, shards, clients, window, rate, seconds } = p;
+    let pressure = Pressure { initiator, shards, clients, window, rate, seconds };
+    press::serve_press(pressure, alone).map_err(|e| Failure::System(e.to_string()))
+}
+
 pub fn stand_in(role: Role) -> Result<(), Failure> {
-    let what = |f: Files| StandIn { listen: f.listen, record: f.record, data: f.data };
+    let what = |f: Files| StandIn { listen: f.listen, record: f.record, data: f.data, alone: false };
     let served = match role {
         Role::List { files } => rehearse::serve_list(&what(files)),
         Role::Node { day, node, shard, incarnation, cold, files } => {
@@ -183,9 +210,7 @@
             rehearse::serve_node(&day, id, cold, &what(files))
         }
         Role::Echo { mute, files } => press::serve_echo(mute, &what(files)),
-        Role::Press { initiator, shards, clients, window, rate, seconds } => {
-            press::serve_press(Pressure { initiator, shards, clients, window, rate, seconds })
-        }
+        Role::Press(press) => return load(press, false),
         Role::Load { day, seconds, initiator, files } => {
             let (day, _) = read_day(&day)?;
             rehearse::serve_load(day, seconds, initiator, &what(files))
--- a/crates/flaxstand-cli/src/main.rs
+++ b/crates/flaxstand-cli/src/main.rs
@@ -39,8 +39,12 @@
         Task::Run { config, with_parent } => daemon::run(&config, with_parent),
         Task::Check { file } => kit::check(&file),
         Task::Rehearse(rehearsal) => kit::rehearse(rehearsal),
+        Task::Report { day, folder, json, html } => {
+            kit::report(&day, &folder, json.as_deref(), html.as_deref())
+        }
         Task::Swarm { first, days, threads, found } => kit::swarm(first, days, threads, &found),
         Task::Experiment { file, resume, json, threads } => kit::experiment(&file, resume, json, threads),
+        Task::Load(press) => kit::load(press, true),
         Task::Measure { seconds, json } => kit::measure(seconds, json.as_deref()),
         Task::StandIn(role) => kit::stand_in(role),
     };
--- a/crates/flaxstand-cli/tests/program.rs
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -245,6 +245,22 @@
     assert!(!folder.socket().exists(), "its socket file is gone");
 }
 
+#[test]
+fn load_presses_on_a_running_initiator_and_says_what_it_saw() {
+    let folder = Folder::new("load");
+    let _daemon = Daemon::start(&folder.settings(""));
+    let to = format!("--initiator=unix:{}", folder.socket().display());
+    let out = flaxstand(&["load", &to, "--shards=1", "--rate=200", "--seconds=0.4"]);
+    assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
+    let said = text(&out.stdout);
+    assert!(said.starts_with("seen {") && said.contains("\"served\":0"), "no node is known: {said}");
+    assert_eq!(
+        flaxstand(&["load", &to, "--shards=1", "--seconds=1"]).status.code(),
+        Some(2),
+        "rate or window"
+    );
+}
+
 #[test]
 fn garbage_on_one_connection_is_told_and_the_next_client_is_served() {
     let folder = Folder::new("garbage");
--- /dev/null
+++ b/crates/flaxstand-lab/src/html.rs
@@ -0,0 +1,270 @@
+//! A day's report as one page with plots, nothing beside it: service by class over time, latency, refusals,
+//! requests at each node, and what went wrong when. Readable in light and dark.
+
+use crate::day::Day;
+use crate::report::{Report, operations};
+use flaxstand_audit::{Answer, Book, Record};
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+/// Points on the time axis.
+const BINS: usize = 60;
+const WIDTH: u32 = 900;
+
+/// Colours that stand out on white and on black.
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(0x1f, 0x8a, 0xc9),
+    RGBColor(0xd9, 0x7a, 0x1a),
+    RGBColor(0x3d, 0xa3, 0x5a),
+    RGBColor(0xc4, 0x4e, 0x8f),
+    RGBColor(0x8a, 0x6f, 0xd1),
+    RGBColor(0x9a, 0x8f, 0x2a),
+];
+
+type Drawn = Result<String, Box<dyn std::error::Error>>;
+
+/// A day's moments as bins.
+struct Axis {
+    start: u64,
+    seconds: f64,
+}
+
+impl Axis {
+    fn of(book: &Book) -> Axis {
+        let at = |r: &Record| match r {
+            Record::Submitted { at, .. } | Record::Unreachable { at, .. } => Some(*at),
+            _ => None,
+        };
+        let start = book.records.iter().find_map(at).unwrap_or(0);
+        let end = book.records.iter().rev().find_map(at).unwrap_or(start);
+        Axis { start, seconds: ((end - start) as f64 / 1e6).max(1.0) }
+    }
+    fn bin(&self, at: u64) -> usize {
+        let part = at.saturating_sub(self.start) as f64 / 1e6 / self.seconds;
+        ((part * BINS as f64) as usize).min(BINS - 1)
+    }
+    /// The second in a bin's middle.
+    fn second(&self, bin: usize) -> f64 {
+        (bin as f64 + 0.5) * self.seconds / BINS as f64
+    }
+}
+
+struct Line {
+    name: String,
+    points: Vec<(f64, f64)>,
+}
+
+fn lines(axis: &Axis, top: f64, unit: &str, all: &[Line]) -> Drawn {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, 230)).into_drawing_area();
+        let mut chart = ChartBuilder::on(&root)
+            .margin(8)
+            .x_label_area_size(30)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..axis.seconds, 0.0..top.max(1e-9))?;
+        chart.configure_mesh().x_desc("seconds").y_desc(unit).light_line_style(TRANSPARENT).draw()?;
+        for (i, line) in all.iter().enumerate() {
+            let colour = COLOURS[i % COLOURS.len()];
+            let series = LineSeries::new(line.points.iter().copied(), colour.stroke_width(2));
+            chart
+                .draw_series(series)?
+                .label(&line.name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(3)));
+        }
+        chart
+            .configure_series_labels()
+            .border_style(TRANSPARENT)
+            .position(SeriesLabelPosition::LowerLeft)
+            .draw()?;
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+fn by_class<T: Default + Clone>(day: &Day) -> Vec<Vec<T>> {
+    vec![vec![T::default(); BINS]; day.site.site.classes.len()]
+}
+
+fn named(day: &Day, points: Vec<Vec<(f64, f64)>>) -> Vec<Line> {
+    let names = day.site.site.classes.iter().map(|c| c.name.clone());
+    names.zip(points).map(|(name, points)| Line { name, points }).collect()
+}
+
+fn service(day: &Day, book: &Book, axis: &Axis) -> Drawn {
+    let mut counts = by_class::<(u32, u32)>(day);
+    for o in operations(book).values() {
+        let aim = day.site.site.settings.classes[usize::from(o.class)].aim * 1000.0;
+        let place = &mut counts[usize::from(o.class)][axis.bin(o.first)];
+        place.0 += 1;
+        place.1 += u32::from(o.served.is_some_and(|at| at.saturating_sub(o.first) as f64 <= aim));
+    }
+    let points = |bins: &Vec<(u32, u32)>| {
+        let asked = bins.iter().enumerate().filter(|(_, (wanted, _))| *wanted > 0);
+        asked.map(|(i, (wanted, served))| (axis.second(i), f64::from(*served) / f64::from(*wanted))).collect()
+    };
+    lines(axis, 1.02, "share in time", &named(day, counts.iter().map(points).collect()))
+}
+
+fn latency(day: &Day, book: &Book, axis: &Axis) -> Drawn {
+    let mut lags = by_class::<Vec<u64>>(day);
+    for o in operations(book).values() {
+        if let Some(at) = o.served {
+            lags[usize::from(o.class)][axis.bin(o.first)].push(at.saturating_sub(o.first));
+        }
+    }
+    let mut all = Vec::new();
+    for (class, bins) in day.site.site.classes.iter().zip(&mut lags) {
+        let mut points = Vec::new();
+        for (i, bin) in bins.iter_mut().enumerate().filter(|(_, bin)| !bin.is_empty()) {
+            bin.sort_unstable();
+            points.push((axis.second(i), bin[(bin.len() - 1) * 95 / 100] as f64 / 1000.0));
+        }
+        all.push(Line { name: class.name.clone(), points });
+    }
+    let top = all.iter().flat_map(|l| &l.points).map(|(_, y)| *y).fold(1.0, f64::max);
+    lines(axis, top * 1.05, "ms, 95th percentile", &all)
+}
+
+fn refusals(day: &Day, book: &Book, axis: &Axis) -> Drawn {
+    let mut counts = by_class::<f64>(day);
+    for t in &book.tries {
+        if let Some((at, Answer::Refused { .. } | Answer::Failed)) = t.answers.first() {
+            counts[usize::from(t.class)][axis.bin(*at)] += BINS as f64 / axis.seconds;
+        }
+    }
+    let points = |bins: &Vec<f64>| bins.iter().enumerate().map(|(i, n)| (axis.second(i), *n)).collect();
+    let all = named(day, counts.iter().map(points).collect());
+    let top = all.iter().flat_map(|l| &l.points).map(|(_, y)| *y).fold(1.0, f64::max);
+    lines(axis, top * 1.05, "refused, failed a second", &all)
+}
+
+/// Requests at each node, in the mean of each bin.
+fn heat(day: &Day, book: &Book, axis: &Axis) -> Drawn {
+    let shards = day.fleet.nodes.max(1) as usize;
+    let mut load = vec![vec![0.0; BINS]; shards];
+    let width = axis.seconds / BINS as f64;
+    for a in book.requests.values().flat_map(|r| &r.attempts) {
+        let Some(life) = book.lives.get(&(a.node, a.incarnation)) else { continue };
+        let until = a.end.map(|(at, _)| at).or(a.over).unwrap_or(a.at);
+        let second = |at: u64| at.saturating_sub(axis.start) as f64 / 1e6;
+        let (from, to) = (second(a.at), second(until));
+        for (bin, place) in load[life.shard as usize % shards].iter_mut().enumerate().skip(axis.bin(a.at)) {
+            let begins = bin as f64 * width;
+            if begins > to {
+                break;
+            }
+            *place += ((to.min(begins + width) - from.max(begins)) / width).max(0.0);
+        }
+    }
+    let most = load.iter().flatten().copied().fold(1.0, f64::max);
+    let mut svg = String::new();
+    {
+        let height = (shards as u32 * 16 + 60).clamp(120, 700);
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        let mut chart = ChartBuilder::on(&root)
+            .margin(8)
+            .x_label_area_size(30)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..axis.seconds, 0.0..shards as f64)?;
+        chart
+            .configure_mesh()
+            .disable_mesh()
+            .x_desc("seconds")
+            .y_desc("shard")
+            .y_label_formatter(&|y| format!("{y:.0}"))
+            .draw()?;
+        for (shard, bins) in load.iter().enumerate() {
+            chart.draw_series(bins.iter().enumerate().filter(|(_, n)| **n > 0.0).map(|(bin, n)| {
+                let corner = |b: usize, s: usize| (b as f64 * width, s as f64);
+                let style = COLOURS[1].mix((n / most).sqrt()).filled();
+                Rectangle::new([corner(bin, shard), corner(bin + 1, shard + 1)], style)
+            }))?;
+        }
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+/// What went wrong, a row each.
+fn faults(day: &Day, axis: &Axis) -> Drawn {
+    let rows: Vec<_> = day.faults.iter().filter(|f| f.at < axis.seconds).collect();
+    let mut svg = String::new();
+    {
+        let height = (rows.len() as u32 * 22 + 44).max(110);
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        let count = rows.len().max(1) as f64;
+        let mut chart = ChartBuilder::on(&root)
+            .margin(8)
+            .x_label_area_size(26)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..axis.seconds, 0.0..count)?;
+        chart.configure_mesh().disable_mesh().y_labels(0).draw()?;
+        for (i, fault) in rows.iter().enumerate() {
+            let (low, high) = (count - i as f64 - 0.9, count - i as f64 - 0.1);
+            // What happens at once is a stroke.
+            let end = (fault.at + fault.length.max(axis.seconds / 300.0)).min(axis.seconds);
+            let bar = Rectangle::new([(fault.at, low), (end, high)], COLOURS[3].mix(0.45).filled());
+            chart.draw_series([bar])?;
+            let places: Vec<String> =
+                fault.nodes.iter().chain(&fault.initiators).map(u32::to_string).collect();
+            let label = format!("{} {}", fault.name, places.join(" "));
+            let style = ("sans-serif", 12).into_font().color(&BLACK);
+            let at = fault.at.min(axis.seconds * 0.8);
+            chart.draw_series([Text::new(label, (at, high - 0.15), style)])?;
+        }
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The page.
+///
+/// # Errors
+/// A plot can't be drawn.
+pub fn page(day: &Day, book: &Book, report: &Report) -> Drawn {
+    let axis = Axis::of(book);
+    let mut plots: BTreeMap<u32, (&str, String)> = BTreeMap::new();
+    plots.insert(
+        0,
+        ("Service: share of what clients wanted that was served within its aim", service(day, book, &axis)?),
+    );
+    if !day.faults.is_empty() {
+        plots.insert(1, ("What went wrong", faults(day, &axis)?));
+    }
+    plots.insert(2, ("Latency of what was served, from its first try", latency(day, book, &axis)?));
+    plots.insert(3, ("Refusals and failures", refusals(day, book, &axis)?));
+    plots.insert(4, ("Requests at each node (stronger: more)", heat(day, book, &axis)?));
+    let title = escape(&day.name);
+    let mut out = format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\n<style>\n\
+         :root {{ color-scheme: light dark; }}\n\
+         body {{ font: 15px/1.5 sans-serif; max-width: 960px; margin: 2em auto; padding: 0 1em; }}\n\
+         svg {{ max-width: 100%; height: auto; }}\n\
+         pre {{ overflow-x: auto; font-size: 12px; }}\n\
+         .broken {{ color: #d33; font-weight: bold; }}\n\
+         </style></head><body>\n<h1>{title}</h1>\n"
+    );
+    let (initiators, nodes) = (day.site.site.settings.initiators, day.fleet.nodes);
+    let verdict = match report.audit.breaches.len() {
+        0 => "every rule kept".to_owned(),
+        n => format!("<span class=\"broken\">rules broken: {n} times</span>"),
+    };
+    let _ = writeln!(
+        out,
+        "<p>{initiators} initiators, {nodes} nodes, {:.0} s, seed {}; service {:.3}; {verdict}.</p>",
+        axis.seconds, day.seed, report.service
+    );
+    for (title, svg) in plots.values() {
+        // Black is the text's colour, whichever that is; what is white shows the page.
+        let svg = svg.replace("#000000", "currentColor").replace("fill=\"#FFFFFF\"", "fill=\"none\"");
+        let _ = writeln!(out, "<h2>{title}</h2>\n{svg}");
+    }
+    let _ = writeln!(out, "<h2>Figures</h2>\n<pre>{}</pre>\n</body></html>", escape(&report.text()));
+    Ok(out)
+}
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod day;
 pub mod experiment;
+pub mod html;
 pub mod list;
 pub mod load;
 pub mod measure;
--- a/crates/flaxstand-lab/src/press.rs
+++ b/crates/flaxstand-lab/src/press.rs
@@ -223,8 +223,11 @@
 ///
 /// # Errors
 /// The driver fails.
-pub fn serve_press(p: Pressure) -> io::Result<()> {
+pub fn serve_press(p: Pressure, alone: bool) -> io::Result<()> {
     let lags = Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("its bounds are sound");
     let (open, sent, seen) = Default::default();
-    serve(Press { p, open, sent, next: 0, from: None, lags, seen, called: false }, &StandIn::default())
+    serve(
+        Press { p, open, sent, next: 0, from: None, lags, seen, called: false },
+        &StandIn { alone, ..StandIn::default() },
+    )
 }
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -178,7 +178,7 @@
 /// # Errors
 /// A process can't be started or ends by itself, or records can't be read. A broken rule is no error: the
 /// report tells of it.
-pub fn rehearse(plan: &Plan) -> Result<Report, RehearsalError> {
+pub fn rehearse(plan: &Plan) -> Result<(Report, Book), RehearsalError> {
     std::fs::create_dir_all(&plan.folder).map_err(io_error("the rehearsal's folder"))?;
     let record = plan.folder.join("rehearsal.jsonl");
     let record = File::create_new(&record).map_err(io_error(record.display().to_string()))?;
@@ -231,9 +231,17 @@
     }
     drop((stage, load));
     info!(folder = %plan.folder.display(), "auditing");
-    let book = Book::new(read_folder(&plan.folder)?);
-    let verdict = audit(&book, &plan.day.terms());
-    Ok(report(&plan.day, &book, verdict))
+    audited(&plan.day, &plan.folder)
+}
+
+/// The report on the records in a folder, as a rehearsal of that day left them.
+///
+/// # Errors
+/// They can't be read.
+pub fn audited(day: &Day, folder: &Path) -> Result<(Report, Book), RehearsalError> {
+    let book = Book::new(read_folder(folder)?);
+    let verdict = audit(&book, &day.terms());
+    Ok((report(day, &book, verdict), book))
 }
 
 /// What a stand-in's process is told.
@@ -245,6 +253,8 @@
     pub record: Option<PathBuf>,
     /// Where it keeps what is stored.
     pub data: Option<PathBuf>,
+    /// It is not a rehearsal's: it says nothing at its start, and the end of its input is not its own.
+    pub alone: bool,
 }
 
 fn append(path: &Option<PathBuf>) -> io::Result<Option<File>> {
@@ -261,8 +271,10 @@
     let mut driver = Driver::new(Shell::new(peer), options)?;
     let at: Vec<Address> = what.listen.iter().map(|a| driver.listen(a)).collect::<io::Result<_>>()?;
     let at: Vec<String> = at.iter().map(Address::to_string).collect();
-    println!("ready {}", at.join(" "));
-    io::stdout().flush()?;
+    if !what.alone {
+        println!("ready {}", at.join(" "));
+        io::stdout().flush()?;
+    }
     driver.run().map(drop)
 }
 
--- a/crates/flaxstand-lab/src/report.rs
+++ b/crates/flaxstand-lab/src/report.rs
@@ -56,16 +56,17 @@
     pub audit: Verdict,
 }
 
-struct Operation {
-    class: u16,
+/// What a client wanted done, over all its tries.
+pub(crate) struct Operation {
+    pub(crate) class: u16,
     plan: u16,
-    first: u64,
+    pub(crate) first: u64,
     tries: u64,
-    served: Option<u64>,
+    pub(crate) served: Option<u64>,
     last: Option<Answer>,
 }
 
-fn operations(book: &Book) -> BTreeMap<u64, Operation> {
+pub(crate) fn operations(book: &Book) -> BTreeMap<u64, Operation> {
     let mut all: BTreeMap<u64, Operation> = BTreeMap::new();
     let new = |class, plan, first| Operation { class, plan, first, tries: 0, served: None, last: None };
     for record in &book.records {
--- a/crates/flaxstand-lab/src/world.rs
+++ b/crates/flaxstand-lab/src/world.rs
@@ -89,8 +89,8 @@
 pub struct Played {
     /// The report.
     pub report: Report,
-    /// Everything that was recorded, in the order of time.
-    pub records: Vec<Record>,
+    /// Everything that was recorded, in order.
+    pub book: Book,
     /// Counts of the initiators at the day's end, by index; of their last lives.
     pub counts: Vec<Counts>,
     /// Events handed over.
@@ -146,7 +146,7 @@
     let book = Book::new(records);
     let verdict = audit(&book, &day.terms());
     let report = report(day, &book, verdict);
-    Played { report, records: book.records, counts, events, lasted }
+    Played { report, book, counts, events, lasted }
 }
 
 impl<'a> World<'a> {
--- a/crates/flaxstand-lab/tests/world.rs
+++ b/crates/flaxstand-lab/tests/world.rs
@@ -32,11 +32,11 @@
         (runs.next().unwrap(), runs.collect::<Vec<_>>())
     });
     kept(&first);
-    assert!(first.records.len() > 10_000);
-    let record = bytes(&first.records);
-    assert!(others.iter().all(|o| bytes(&o.records) == record));
+    assert!(first.book.records.len() > 10_000);
+    let record = bytes(&first.book.records);
+    assert!(others.iter().all(|o| bytes(&o.book.records) == record));
     let other_seed = play(&Day { seed: bad.seed + 1, ..bad }, 15.0, Policy::Module);
-    assert_ne!(bytes(&other_seed.records), record);
+    assert_ne!(bytes(&other_seed.book.records), record);
 }
 
 #[test]
@@ -53,6 +53,23 @@
     }
 }
 
+#[test]
+fn a_page_holds_every_plot_and_nothing_from_outside() {
+    let bad = day("bad-day.kdl");
+    let played = play(&bad, 5.0, Policy::Module);
+    let page = flaxstand_lab::html::page(&bad, &played.book, &played.report).unwrap();
+    assert_eq!(page.matches("<svg").count(), 5);
+    for class in &bad.site.site.classes {
+        assert!(page.matches(&class.name[..]).count() >= 4, "{} is named in plots and figures", class.name);
+    }
+    assert!(page.contains("crash 2") || page.contains("pauses 1"), "faults are marked");
+    assert!(!page.contains("<script") && !page.contains("src=") && !page.contains("href="));
+    let mut empty = day("quiet.kdl");
+    empty.traffic.rate = 0.0;
+    let played = play(&empty, 1.0, Policy::Module);
+    assert!(flaxstand_lab::html::page(&empty, &played.book, &played.report).is_ok());
+}
+
 #[test]
 fn an_hour_with_nothing_to_do_passes() {
     let mut quiet = day("quiet.kdl");
