--- a/src/brain.rs
+++ b/src/brain.rs
@@ -188,9 +188,7 @@
     fn word(&self, usual: &Usual, now: Ms) -> Option<Ms> {
         let lately = now - self.last_sent < 2.0 * LATELY;
         let last = self.out.iter().find(|o| o.sent == self.last_sent);
-        // A last attempt that ended without an answer taught nothing: what was heard before it fades.
-        let heard = if self.queued_at < self.last_sent { self.queued * self.fresh(now) } else { self.queued };
-        let word = last.map_or(heard, |o| self.shown_by(o, usual, now));
+        let word = last.map_or(self.queued, |o| self.shown_by(o, usual, now));
         (lately && (last.is_none() || word > 0.0)).then_some(word)
     }
 
