--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -2,6 +2,7 @@
 //! site's part of a settings file too. `docs/rehearsal.md` describes every key.
 
 use crate::model::Spec;
+use crate::node::Habits;
 use flaxstand::api::{Effect, RepeatGroup};
 use flaxstand_audit::{Group, Terms};
 use flaxstand_gateway::machine::Micros;
@@ -20,22 +21,8 @@
     pub speed: (f64, f64),
     /// What each is, but for its speed.
     pub spec: Spec,
-    /// Work of a unit, ms of a core of speed 1.
-    pub unit_work: f64,
-    /// A request's own work lies between these multiples of that.
-    pub spread: (f64, f64),
-    /// How often load reports are refreshed.
-    pub report_every: Micros,
-    /// How old a report is when it is first told.
-    pub report_late: Micros,
-    /// Its figures are off by up to this share.
-    pub report_noise: f64,
-    /// Connections that a node takes.
-    pub connections: usize,
-    /// Work of a handshake, microseconds of a core of speed 1.
-    pub handshake: f64,
-    /// Cancels and time-outs stop work.
-    pub cancels: bool,
+    /// How each works beside its model.
+    pub habits: Habits,
     /// Word of the list is so late.
     pub list_late: Micros,
 }
@@ -360,6 +347,10 @@
 fn read_fleet(b: &Block<'_>, site: &SiteFile) -> Fleet {
     let s = &site.site.settings;
     let unit_work = b.number("unit-work-ms", 0.001..=1e6, None);
+    let windows = s.classes.iter().map(|c| match c.effect {
+        Effect::Keyed { window, .. } => window,
+        _ => 0.0,
+    });
     let fleet = Fleet {
         nodes: b.whole("nodes", 0..=1000, None) as u32,
         zones: b.whole("zones", 1..=100, Some(1)) as u32,
@@ -385,14 +376,17 @@
             // The stated units, at the most work that they may hold.
             fall_work: s.cold_bears * unit_work * 1000.0,
         },
-        unit_work,
-        spread: b.range("spread", 0.0..=1000.0, Some((0.6, 1.4))),
-        report_every: Micros::from_ms(b.number("report-ms", 1.0..=1e6, Some(500.0))),
-        report_late: Micros::from_ms(b.number("report-late-ms", MS, Some(0.0))),
-        report_noise: b.number("report-noise", 0.0..=0.9, Some(0.0)),
-        connections: b.whole("connections", 1..=1_000_000, Some(10_000)) as usize,
-        handshake: b.number("handshake-us", 0.0..=1e7, Some(0.0)),
-        cancels: b.flag("cancels", true),
+        habits: Habits {
+            unit_work: unit_work * 1000.0,
+            spread: b.range("spread", 0.0..=1000.0, Some((0.6, 1.4))),
+            report_every: Micros::from_ms(b.number("report-ms", 1.0..=1e6, Some(500.0))),
+            report_late: Micros::from_ms(b.number("report-late-ms", MS, Some(0.0))),
+            report_noise: b.number("report-noise", 0.0..=0.9, Some(0.0)),
+            connections: b.whole("connections", 1..=1_000_000, Some(10_000)) as usize,
+            handshake: b.number("handshake-us", 0.0..=1e7, Some(0.0)),
+            cancels: b.flag("cancels", true),
+            window: Micros::from_ms(windows.fold(10_000.0, f64::max)),
+        },
         list_late: Micros::from_ms(b.number("list-late-ms", MS, Some(500.0))),
     };
     b.finish();
--- a/crates/flaxstand-lab/src/node.rs
+++ b/crates/flaxstand-lab/src/node.rs
@@ -62,8 +62,6 @@
     pub cancels: bool,
     /// How long it drops repeats of an operation.
     pub window: Micros,
-    /// Seed of its random numbers.
-    pub seed: u64,
 }
 
 /// Most operations and items remembered; the oldest goes first.
@@ -124,10 +122,10 @@
 }
 
 impl Node {
-    /// A node that starts now with the data that an earlier life of it stored.
-    pub fn new(id: Identity, habits: Habits, model: Model, stored: &[u8]) -> Self {
+    /// A node that starts now with the data that an earlier life of it stored, and draws from a seed.
+    pub fn new(id: Identity, habits: Habits, seed: u64, model: Model, stored: &[u8]) -> Self {
         Node {
-            rng: Pcg64Mcg::seed_from_u64(habits.seed ^ id.node.rotate_left(20) ^ id.incarnation),
+            rng: Pcg64Mcg::seed_from_u64(seed ^ id.node.rotate_left(20) ^ id.incarnation),
             id,
             habits,
             model,
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -6,7 +6,7 @@
 use crate::list::ListService;
 use crate::load::Load;
 use crate::model::{Model, Spec};
-use crate::node::{Habits, Identity, Node};
+use crate::node::{Identity, Node};
 use crate::process::{Process, RehearsalError, SOON, ask_to_stop, io_error, stopped};
 use crate::report::{Report, report};
 use crate::script::{Step, script};
@@ -291,23 +291,7 @@
     // A machine's speed is its own: another machine on the same shard has another.
     let mut rng = Pcg64Mcg::seed_from_u64(day.seed ^ (id.node + 1).rotate_left(40));
     let spec = Spec { speed: between(&mut rng, day.fleet.speed), ..day.fleet.spec };
-    let windows = day.site.site.settings.classes.iter().map(|c| match c.effect {
-        flaxstand::api::Effect::Keyed { window, .. } => window,
-        _ => 0.0,
-    });
-    let habits = Habits {
-        unit_work: day.fleet.unit_work * 1000.0,
-        spread: day.fleet.spread,
-        report_every: day.fleet.report_every,
-        report_late: day.fleet.report_late,
-        report_noise: day.fleet.report_noise,
-        connections: day.fleet.connections,
-        handshake: day.fleet.handshake,
-        cancels: day.fleet.cancels,
-        window: Micros::from_ms(windows.fold(10_000.0, f64::max)),
-        seed: day.seed,
-    };
-    Node::new(id, habits, Model::new(spec, cold, now), stored)
+    Node::new(id, day.fleet.habits, day.seed, Model::new(spec, cold, now), stored)
 }
 
 /// Runs an emulated node of a day until its standard input ends.
--- a/crates/flaxstand-lab/src/world.rs
+++ b/crates/flaxstand-lab/src/world.rs
@@ -95,6 +95,8 @@
     pub counts: Vec<Counts>,
     /// Events handed over.
     pub events: u64,
+    /// The most of them at one instant.
+    pub most_at_once: u64,
     /// Length of the day, with what came after the last arrival.
     pub lasted: Micros,
 }
@@ -110,6 +112,7 @@
     queue: BTreeMap<(Micros, u64), (HostId, u64, Event)>,
     sequence: u64,
     events: u64,
+    most_at_once: u64,
     records: Vec<Record>,
     /// Initiators that are about to be killed, after so many more outputs of theirs.
     doomed: BTreeMap<HostId, u32>,
@@ -141,12 +144,12 @@
     world.run(seconds);
     let lasted = world.now.since(DAWN);
     let counts = world.counts();
-    let World { mut records, events, .. } = world;
+    let World { mut records, events, most_at_once, .. } = world;
     records.sort_by_key(Record::at);
     let book = Book::new(records);
     let verdict = audit(&book, &day.terms());
     let report = report(day, &book, verdict);
-    Played { report, book, counts, events, lasted }
+    Played { report, book, counts, events, most_at_once, lasted }
 }
 
 impl<'a> World<'a> {
@@ -165,6 +168,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             events: 0,
+            most_at_once: 0,
             records: Vec::new(),
             doomed: BTreeMap::new(),
             slots: (0..nodes as u64).map(|n| (n, 1)).collect(),
@@ -250,6 +254,7 @@
     fn instant(&mut self, at: Micros) {
         self.now = at;
         let mut touched = BTreeSet::new();
+        let before = self.events;
         while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 == at) {
             let (host, life, event) = entry.remove();
             self.events += 1;
@@ -271,6 +276,7 @@
             self.hand_over(host, event);
             touched.insert(host);
         }
+        self.most_at_once = self.most_at_once.max(self.events - before);
         touched.into_iter().for_each(|host| self.settle(host));
     }
 
@@ -441,6 +447,23 @@
         }
     }
 
+    /// A process dies inside what it writes: of the last piece under way on each of its connections only a
+    /// part was written.
+    fn cut_short(&mut self, host: HostId) {
+        let peers: BTreeSet<End> =
+            self.pipes.range((host, ConnId(0))..(host + 1, ConnId(0))).map(|(_, p)| p.peer).collect();
+        let mut cut = BTreeSet::new();
+        let rng = &mut self.rng;
+        for (to, _, event) in self.queue.values_mut().rev() {
+            if let Event::Bytes(conn, bytes) = event
+                && peers.contains(&(*to, *conn))
+                && cut.insert((*to, *conn))
+            {
+                bytes.truncate((random(rng) * bytes.len() as f64) as usize);
+            }
+        }
+    }
+
     /// A process ends: its connections break, what was under way to it is lost.
     fn end(&mut self, host: HostId) {
         let ends: Vec<End> =
@@ -517,6 +540,7 @@
             Step::TellList(lines) => self.tell(0, &lines),
             Step::Kill(slot) => {
                 self.records.push(Record::NodeDown { at, node: self.slots[slot].0 });
+                self.cut_short(self.node_host(slot));
                 self.end(self.node_host(slot));
             }
             Step::Return(slot) => {
--- a/crates/flaxstand-lab/tests/world.rs
+++ b/crates/flaxstand-lab/tests/world.rs
@@ -70,6 +70,32 @@
     assert!(flaxstand_lab::html::page(&empty, &played.book, &played.report).is_ok());
 }
 
+#[test]
+fn hundreds_of_events_at_one_instant_have_one_order() {
+    let mut large = day("large.kdl");
+    // Every piece takes as long as every other: what is sent together arrives together.
+    (large.one_way, large.traffic.rate) = ((0.1, 0.1), 300.0);
+    large.faults.iter_mut().for_each(|f| f.at /= 20.0);
+    let first = play(&large, 1.5, Policy::Module);
+    kept(&first);
+    assert!(first.most_at_once >= 243, "{} at once", first.most_at_once);
+    let second = play(&large, 1.5, Policy::Module);
+    assert_eq!(bytes(&first.book.records), bytes(&second.book.records));
+}
+
+/// Nodes die inside an answer, initiators between two outputs of one turn: whatever the seed.
+#[test]
+fn whatever_moment_a_process_dies_at_every_rule_is_kept() {
+    for seed in 0..6 {
+        for name in ["crash.kdl", "initiator-roll.kdl"] {
+            let mut dying = day(name);
+            dying.seed = seed;
+            let seconds = dying.seconds * 0.8;
+            kept(&play(&dying, seconds, Policy::Module));
+        }
+    }
+}
+
 #[test]
 fn an_hour_with_nothing_to_do_passes() {
     let mut quiet = day("quiet.kdl");
