--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -123,14 +123,14 @@
     /// Write a page with plots there
     #[arg(long, value_name = "FILE")]
     pub html: Option<PathBuf>,
-    /// Keep records, settings and logs in this new folder
+    /// Keep records (and, on loopback, settings and logs) in this new folder
     #[arg(long, value_name = "FOLDER")]
     pub keep: Option<PathBuf>,
     /// What decides: module, or a baseline: pipe, least-out, two-choices
     #[arg(long, value_parser = policy, default_value = "module")]
     pub policy: Policy,
     /// In one process on virtual time, in place of loopback: the same day gives the same record
-    #[arg(long = "virtual", conflicts_with = "keep")]
+    #[arg(long = "virtual")]
     pub virtually: bool,
 }
 
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -70,6 +70,13 @@
     let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
     if r.virtually {
         let played = world::play(&day, seconds, r.policy);
+        if let Some(folder) = &r.keep {
+            let mut lines = Vec::new();
+            played.book.records.iter().for_each(|record| record.write(&mut lines));
+            let kept = std::fs::create_dir_all(folder);
+            kept.and_then(|()| std::fs::write(folder.join("records.jsonl"), lines))
+                .map_err(|e| system(&e))?;
+        }
         return told_report(&day, &played.book, &played.report, r.json.as_deref(), r.html.as_deref());
     }
     let program = std::env::current_exe().map_err(|e| system(&e))?;
--- a/crates/flaxstand-cli/tests/program.rs
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -170,7 +170,8 @@
 #[test]
 fn every_day_and_the_example_pass_the_check() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let days = std::fs::read_dir(root.join("days")).unwrap().map(|e| e.unwrap().path());
+    let all = ["days", "days/found"].into_iter().flat_map(|f| std::fs::read_dir(root.join(f)).unwrap());
+    let days = all.map(|e| e.unwrap().path()).filter(|p| p.extension().is_some_and(|e| e == "kdl"));
     let days: Vec<PathBuf> = days.filter(|p| !p.ends_with("ordinary.kdl")).collect();
     assert!(days.len() > 10);
     for file in days.into_iter().chain([root.join("docs/example.kdl")]) {
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -16,6 +16,7 @@
 use flaxstand_gateway::machine::{Address, Micros};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
@@ -54,6 +55,8 @@
     list_address: String,
     nodes: Vec<NodeSlot>,
     initiators: Vec<Option<Process>>,
+    /// Those that were killed or told to stop and have not come back.
+    leaving: BTreeSet<usize>,
     record: File,
     next_node: u64,
 }
@@ -116,6 +119,11 @@
                 }
             }
             Step::TellList(lines) => self.list.tell(&lines),
+            // Faults overlap: what is down already, or up again, stays as it is.
+            Step::Kill(slot) if self.nodes[slot].process.is_none() => {}
+            Step::Return(slot) if self.nodes[slot].process.is_some() => {}
+            Step::KillInitiator(index, _) if self.leaving.contains(&index) => {}
+            Step::ReturnInitiator(index) if !self.leaving.contains(&index) => {}
             Step::Kill(slot) => {
                 self.nodes[slot].process = None;
                 self.note(&Record::NodeDown { at: clock().0, node: self.nodes[slot].node })?;
@@ -137,6 +145,7 @@
                 self.list_node(slot, "serving", "0");
             }
             Step::KillInitiator(index, outright) => {
+                self.leaving.insert(index);
                 self.note(&Record::Killed { at: clock().0, initiator: index as u32 })?;
                 if outright {
                     self.initiators[index] = None;
@@ -145,6 +154,7 @@
                 }
             }
             Step::ReturnInitiator(index) => {
+                self.leaving.remove(&index);
                 if let Some(process) = self.initiators[index].take() {
                     stopped(process)?;
                 }
@@ -196,6 +206,7 @@
         list_address,
         nodes: (0..count as u64).map(slot).collect(),
         initiators: (0..initiators).map(|_| None).collect(),
+        leaving: BTreeSet::new(),
         record,
         next_node: count as u64,
     };
--- a/crates/flaxstand-lab/src/world.rs
+++ b/crates/flaxstand-lab/src/world.rs
@@ -116,6 +116,8 @@
     records: Vec<Record>,
     /// Initiators that are about to be killed, after so many more outputs of theirs.
     doomed: BTreeMap<HostId, u32>,
+    /// Initiators that were killed or told to stop and have not come back.
+    leaving: BTreeSet<HostId>,
     /// By slot: the node's number and its start.
     slots: Vec<(u64, u64)>,
     next_node: u64,
@@ -171,6 +173,7 @@
             most_at_once: 0,
             records: Vec::new(),
             doomed: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             slots: (0..nodes as u64).map(|n| (n, 1)).collect(),
             next_node: nodes as u64,
             epochs: 0,
@@ -538,6 +541,9 @@
         match step {
             Step::Tell(slot, lines) => self.tell(self.node_host(slot), &lines),
             Step::TellList(lines) => self.tell(0, &lines),
+            // Faults overlap: what is down already, or up again, stays as it is.
+            Step::Kill(slot) if self.hosts[self.node_host(slot)].role.is_none() => {}
+            Step::Return(slot) if self.hosts[self.node_host(slot)].role.is_some() => {}
             Step::Kill(slot) => {
                 self.records.push(Record::NodeDown { at, node: self.slots[slot].0 });
                 self.cut_short(self.node_host(slot));
@@ -557,8 +563,11 @@
                 self.start_node(slot, true);
                 self.list_node(slot, "serving", "0");
             }
+            Step::KillInitiator(index, _) if self.leaving.contains(&self.initiator_host(index)) => {}
+            Step::ReturnInitiator(index) if !self.leaving.contains(&self.initiator_host(index)) => {}
             Step::KillInitiator(index, outright) => {
                 let host = self.initiator_host(index);
+                self.leaving.insert(host);
                 if outright {
                     // A busy process dies somewhere within its next few outputs.
                     let outputs = (random(&mut self.rng) * 6.0) as u32;
@@ -580,6 +589,7 @@
                     let again = self.now.after(Micros(10_000));
                     self.schedule(again, 0, Event::Step(Box::new(step)));
                 } else {
+                    self.leaving.remove(&host);
                     self.start_initiator(index);
                 }
             }
--- a/crates/flaxstand-lab/tests/world.rs
+++ b/crates/flaxstand-lab/tests/world.rs
@@ -47,6 +47,8 @@
     names.retain(|n| n != "ordinary.kdl" && n != "large.kdl");
     names.sort();
     assert!(names.len() > 15);
+    let found = std::fs::read_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/found")).unwrap();
+    names.extend(found.map(|e| format!("found/{}", e.unwrap().file_name().into_string().unwrap())));
     for name in names {
         let day = day(&name);
         kept(&play(&day, day.seconds, Policy::Module));
@@ -96,6 +98,22 @@
     }
 }
 
+/// A process that two faults bring back starts once: its first start is not replaced unseen.
+#[test]
+fn faults_that_overlap_on_one_process_bring_it_back_once() {
+    let mut crash = day("crash.kdl");
+    let again = flaxstand_lab::day::Fault { at: 4.5, length: 5.0, ..crash.faults[0].clone() };
+    crash.faults.push(again);
+    let played = play(&crash, 12.0, Policy::Module);
+    kept(&played);
+    let up = played.book.lives.keys().filter(|(node, _)| *node == 1).count();
+    assert_eq!(up, 2, "its start at dawn, and one return");
+    let mut roll = day("initiator-roll.kdl");
+    let again = flaxstand_lab::day::Fault { at: 3.2, length: 0.1, ..roll.faults[0].clone() };
+    roll.faults.push(again);
+    kept(&play(&roll, 6.0, Policy::Module));
+}
+
 #[test]
 fn an_hour_with_nothing_to_do_passes() {
     let mut quiet = day("quiet.kdl");
