Experiments as a page: each difference with its interval

Measured: looked at as rendered; a run resumed from half of its figures plays the other half and comes to the same.

--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -90,6 +90,9 @@
         /// Write the result there too; `-` prints it in place of the text
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
+        /// Write a page with a plot there
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
         /// How many runs at a time
         #[arg(long, default_value_t = 4)]
         threads: usize,
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -13,7 +13,7 @@
 use flaxstand_lab::report::Report;
 use flaxstand_lab::{swarm, world};
 use miette::GraphicalReportHandler;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Instant;
 
 /// A file's text.
@@ -155,8 +155,9 @@
 
 pub fn experiment(
     file: &Path,
-    resume: Option<PathBuf>,
-    json: Option<PathBuf>,
+    resume: Option<&Path>,
+    json: Option<&Path>,
+    html: Option<&Path>,
     threads: usize,
 ) -> Result<(), Failure> {
     let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
@@ -169,14 +170,18 @@
     })?;
     let begun = Instant::now();
     let outcome = plan
-        .run(resume.as_deref(), threads, |done, all| {
+        .run(resume, threads, |done, all| {
             if done % 10 == 0 || done == all {
                 eprintln!("{done} of {all} runs, {:.0} s", begun.elapsed().as_secs_f64());
             }
         })
         .map_err(|e| system(&e))?;
+    if let Some(path) = html {
+        let page = flaxstand_lab::html::experiment_page(&outcome).map_err(|e| system(&e))?;
+        std::fs::write(path, page).map_err(|e| system(&e))?;
+    }
     let text = serde_json::to_string_pretty(&outcome).map_err(|e| system(&e))?;
-    match &json {
+    match json {
         Some(path) if path.as_os_str() == "-" => println!("{text}"),
         Some(path) => {
             std::fs::write(path, text + "\n").map_err(|e| system(&e))?;
--- a/crates/flaxstand-cli/src/main.rs
+++ b/crates/flaxstand-cli/src/main.rs
@@ -43,7 +43,9 @@
             kit::report(&day, &folder, json.as_deref(), html.as_deref())
         }
         Task::Swarm { first, days, threads, found } => kit::swarm(first, days, threads, &found),
-        Task::Experiment { file, resume, json, threads } => kit::experiment(&file, resume, json, threads),
+        Task::Experiment { file, resume, json, html, threads } => {
+            kit::experiment(&file, resume.as_deref(), json.as_deref(), html.as_deref(), threads)
+        }
         Task::Load(press) => kit::load(press, true),
         Task::Measure { seconds, json } => kit::measure(seconds, json.as_deref()),
         Task::StandIn(role) => kit::stand_in(role),
--- a/crates/flaxstand-lab/src/html.rs
+++ b/crates/flaxstand-lab/src/html.rs
@@ -2,6 +2,7 @@
 //! requests at each node, and what went wrong when. Readable in light and dark.
 
 use crate::day::Day;
+use crate::experiment::{Difference, Outcome};
 use crate::report::{Report, operations};
 use flaxstand_audit::{Answer, Book, Record};
 use plotters::prelude::*;
@@ -223,6 +224,74 @@
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
 
+/// Every variant against the first: the mean difference of service, and its 95% interval.
+fn against(outcome: &Outcome) -> Drawn {
+    let first = outcome.differences.first().map(|d| d.variant.clone()).unwrap_or_default();
+    let rows: Vec<&Difference> =
+        outcome.differences.iter().filter(|d| d.variant != first && d.half.is_finite()).collect();
+    let reach = rows.iter().map(|d| d.mean.abs() + d.half).fold(0.01, f64::max) * 1.05;
+    let count = rows.len().max(1) as f64;
+    let mut svg = String::new();
+    {
+        let height = (rows.len() as u32 * 24 + 60).clamp(120, 1600);
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        let mut chart = ChartBuilder::on(&root)
+            .margin(8)
+            .x_label_area_size(30)
+            .y_label_area_size(8)
+            .build_cartesian_2d(-2.2 * reach..reach, 0.0..count)?;
+        chart.configure_mesh().disable_y_mesh().y_labels(0).x_desc("difference of service").draw()?;
+        chart.draw_series([PathElement::new([(0.0, 0.0), (0.0, count)], BLACK.stroke_width(1))])?;
+        for (i, d) in rows.iter().enumerate() {
+            let y = count - i as f64 - 0.5;
+            let colour = match d.verdict() {
+                "better" => COLOURS[2],
+                "worse" => COLOURS[1],
+                _ => COLOURS[4],
+            };
+            let bar = [(d.mean - d.half, y), (d.mean + d.half, y)];
+            chart.draw_series([PathElement::new(bar, colour.stroke_width(4))])?;
+            chart.draw_series([Circle::new((d.mean, y), 5, colour.filled())])?;
+            let label = format!("{}: {} ({})", d.day, d.variant, d.verdict());
+            let style = ("sans-serif", 12).into_font().color(&BLACK);
+            chart.draw_series([Text::new(label, (-2.2 * reach, y + 0.25), style)])?;
+        }
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+fn opening(title: &str) -> String {
+    format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\n<style>\n\
+         :root {{ color-scheme: light dark; }}\n\
+         body {{ font: 15px/1.5 sans-serif; max-width: 960px; margin: 2em auto; padding: 0 1em; }}\n\
+         svg {{ max-width: 100%; height: auto; }}\n\
+         pre {{ overflow-x: auto; font-size: 12px; }}\n\
+         .broken {{ color: #d33; font-weight: bold; }}\n\
+         </style></head><body>\n<h1>{title}</h1>\n"
+    )
+}
+
+/// Black is the text's colour, whichever that is; what is white shows the page.
+fn themed(svg: &str) -> String {
+    svg.replace("#000000", "currentColor").replace("fill=\"#FFFFFF\"", "fill=\"none\"")
+}
+
+/// The page of an experiment.
+///
+/// # Errors
+/// The plot can't be drawn.
+pub fn experiment_page(outcome: &Outcome) -> Drawn {
+    let mut out = opening(&escape(&outcome.name));
+    let first = outcome.differences.first().map(|d| escape(&d.variant)).unwrap_or_default();
+    let svg = themed(&against(outcome)?);
+    let _ =
+        writeln!(out, "<h2>Against {first}: mean difference of service, and its 95% interval</h2>\n{svg}");
+    let _ = writeln!(out, "<h2>Figures</h2>\n<pre>{}</pre>\n</body></html>", escape(&outcome.text()));
+    Ok(out)
+}
+
 /// The page.
 ///
 /// # Errors
@@ -241,15 +310,7 @@
     plots.insert(3, ("Refusals and failures", refusals(day, book, &axis)?));
     plots.insert(4, ("Requests at each node (stronger: more)", heat(day, book, &axis)?));
     let title = escape(&day.name);
-    let mut out = format!(
-        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\n<style>\n\
-         :root {{ color-scheme: light dark; }}\n\
-         body {{ font: 15px/1.5 sans-serif; max-width: 960px; margin: 2em auto; padding: 0 1em; }}\n\
-         svg {{ max-width: 100%; height: auto; }}\n\
-         pre {{ overflow-x: auto; font-size: 12px; }}\n\
-         .broken {{ color: #d33; font-weight: bold; }}\n\
-         </style></head><body>\n<h1>{title}</h1>\n"
-    );
+    let mut out = opening(&title);
     let (initiators, nodes) = (day.site.site.settings.initiators, day.fleet.nodes);
     let verdict = match report.audit.breaches.len() {
         0 => "every rule kept".to_owned(),
@@ -261,9 +322,7 @@
         axis.seconds, day.seed, report.service
     );
     for (title, svg) in plots.values() {
-        // Black is the text's colour, whichever that is; what is white shows the page.
-        let svg = svg.replace("#000000", "currentColor").replace("fill=\"#FFFFFF\"", "fill=\"none\"");
-        let _ = writeln!(out, "<h2>{title}</h2>\n{svg}");
+        let _ = writeln!(out, "<h2>{title}</h2>\n{}", themed(svg));
     }
     let _ = writeln!(out, "<h2>Figures</h2>\n<pre>{}</pre>\n</body></html>", escape(&report.text()));
     Ok(out)
--- a/crates/flaxstand-lab/tests/world.rs
+++ b/crates/flaxstand-lab/tests/world.rs
@@ -114,6 +114,32 @@
     kept(&play(&roll, 6.0, Policy::Module));
 }
 
+#[test]
+fn an_experiment_goes_on_from_what_was_kept_and_has_a_page() {
+    let file = std::env::temp_dir().join(format!("flaxstand-experiment-{}.jsonl", std::process::id()));
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../experiments/baselines.kdl");
+    let mut experiment = flaxstand_lab::experiment::Experiment::load(&path).unwrap();
+    (experiment.seeds, experiment.seconds) = (vec![1, 2], Some(2.0));
+    experiment.days.truncate(2);
+    experiment.variants.truncate(2);
+    let first = experiment.run(Some(&file), 2, |_, _| {}).unwrap();
+    assert_eq!(first.runs.len(), 8);
+    // Half of it was lost, the last line in the middle: only that half is played again.
+    let kept = std::fs::read_to_string(&file).unwrap();
+    let half: Vec<&str> = kept.lines().take(4).collect();
+    std::fs::write(&file, half.join("\n") + "\n{\"day\":\n").unwrap();
+    let played = std::sync::atomic::AtomicUsize::new(0);
+    let count = |_, all| {
+        assert_eq!(all, 8);
+        played.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    };
+    let again = experiment.run(Some(&file), 1, count).unwrap();
+    assert_eq!((played.into_inner(), &again.runs), (4, &first.runs));
+    let page = flaxstand_lab::html::experiment_page(&again).unwrap();
+    assert!(page.contains("<svg") && page.contains("bad day: pipe"));
+    std::fs::remove_file(&file).unwrap();
+}
+
 #[test]
 fn an_hour_with_nothing_to_do_passes() {
     let mut quiet = day("quiet.kdl");
