--- a/crates/flaxstand-audit/src/rules.rs
+++ b/crates/flaxstand-audit/src/rules.rs
@@ -1,7 +1,7 @@
 //! One check for each rule, and one for the data. Each counts what it looked at, so that a verdict over
 //! nothing can be told from a verdict.
 
-use crate::book::{Attempt, Book, Life, Request, RequestKey, Try};
+use crate::book::{Attempt, Book, Life, Request, Try};
 use crate::record::{Answer, ListState, Record};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -491,8 +491,3 @@
         }
     }
 }
-
-/// The requests that a client's try became, for reports.
-pub fn requests_of(book: &Book, op: u64) -> Vec<(RequestKey, &Request)> {
-    book.requests.iter().filter(|(_, r)| r.op == op).map(|(k, r)| (*k, r)).collect()
-}
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -39,14 +39,41 @@
     })
 }
 
-fn read_day(path: &Path) -> Result<(Day, String), Failure> {
-    Day::load(path).or_else(|e| match e {
+/// Tells why a day, or what names days, can't be read.
+fn unreadable<T>(e: DayError) -> Result<T, Failure> {
+    match e {
         DayError::Settings(problems) => told(Err(problems)),
         DayError::Io { .. } => {
             eprintln!("flaxstand: {e}");
             Err(Failure::File)
         }
-    })
+    }
+}
+
+fn system(e: impl std::fmt::Display) -> Failure {
+    Failure::System(e.to_string())
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Failure> {
+    std::fs::write(path, text).map_err(|e| Failure::System(format!("cannot write {}: {e}", path.display())))
+}
+
+/// Prints a result for people and writes it as JSON where asked; `-` prints the JSON in place of the text.
+fn told_result(json: serde_json::Result<String>, text: &str, to: Option<&Path>) -> Result<(), Failure> {
+    let json = json.map_err(system)? + "\n";
+    match to {
+        Some(path) if path.as_os_str() == "-" => print!("{json}"),
+        Some(path) => {
+            write(path, &json)?;
+            print!("{text}");
+        }
+        None => print!("{text}"),
+    }
+    Ok(())
+}
+
+fn read_day(path: &Path) -> Result<(Day, String), Failure> {
+    Day::load(path).or_else(unreadable)
 }
 
 pub fn check(path: &Path) -> Result<(), Failure> {
@@ -66,7 +93,6 @@
 
 pub fn rehearse(r: Rehearsal) -> Result<(), Failure> {
     let (day, text) = read_day(&r.day)?;
-    let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
     let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
     if r.virtually {
         let played = world::play(&day, seconds, r.policy);
@@ -74,12 +100,11 @@
             let mut lines = Vec::new();
             played.book.records.iter().for_each(|record| record.write(&mut lines));
             let kept = std::fs::create_dir_all(folder);
-            kept.and_then(|()| std::fs::write(folder.join("records.jsonl"), lines))
-                .map_err(|e| system(&e))?;
+            kept.and_then(|()| std::fs::write(folder.join("records.jsonl"), lines)).map_err(system)?;
         }
         return told_report(&day, &played.book, &played.report, r.json.as_deref(), r.html.as_deref());
     }
-    let program = std::env::current_exe().map_err(|e| system(&e))?;
+    let program = std::env::current_exe().map_err(system)?;
     let folder = r.keep.clone().unwrap_or_else(rehearse::fresh_folder);
     let (file, policy) = (r.day.clone(), r.policy.name().to_owned());
     let plan = Plan { program, file, text, day, seconds, policy, folder: folder.clone() };
@@ -91,13 +116,13 @@
             eprintln!("flaxstand: logs and records are in {}", folder.display());
         }
     }
-    let (report, book) = played.map_err(|e| system(&e))?;
+    let (report, book) = played.map_err(system)?;
     told_report(&plan.day, &book, &report, r.json.as_deref(), r.html.as_deref())
 }
 
 pub fn report(day: &Path, folder: &Path, json: Option<&Path>, html: Option<&Path>) -> Result<(), Failure> {
     let (day, _) = read_day(day)?;
-    let (report, book) = rehearse::audited(&day, folder).map_err(|e| Failure::System(e.to_string()))?;
+    let (report, book) = rehearse::audited(&day, folder).map_err(system)?;
     told_report(&day, &book, &report, json, html)
 }
 
@@ -109,20 +134,9 @@
     html: Option<&Path>,
 ) -> Result<(), Failure> {
     if let Some(path) = html {
-        let page =
-            flaxstand_lab::html::page(day, book, report).map_err(|e| Failure::System(e.to_string()))?;
-        std::fs::write(path, page)
-            .map_err(|e| Failure::System(format!("cannot write {}: {e}", path.display())))?;
-    }
-    let json = serde_json::to_string_pretty(report).map_err(|e| Failure::System(e.to_string()))?;
-    match to {
-        Some(path) if path.as_os_str() == "-" => println!("{json}"),
-        Some(path) => {
-            std::fs::write(path, json + "\n").map_err(|e| Failure::System(e.to_string()))?;
-            print!("{}", report.text());
-        }
-        None => print!("{}", report.text()),
+        write(path, &flaxstand_lab::html::page(day, book, report).map_err(system)?)?;
     }
+    told_result(serde_json::to_string_pretty(report), &report.text(), to)?;
     if report.audit.kept() { Ok(()) } else { Err(Failure::Rule) }
 }
 
@@ -160,14 +174,7 @@
     html: Option<&Path>,
     threads: usize,
 ) -> Result<(), Failure> {
-    let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
-    let plan = Experiment::load(file).or_else(|e| match e {
-        DayError::Settings(problems) => told(Err(problems)),
-        DayError::Io { .. } => {
-            eprintln!("flaxstand: {e}");
-            Err(Failure::File)
-        }
-    })?;
+    let plan = Experiment::load(file).or_else(unreadable)?;
     let begun = Instant::now();
     let outcome = plan
         .run(resume, threads, |done, all| {
@@ -175,41 +182,25 @@
                 eprintln!("{done} of {all} runs, {:.0} s", begun.elapsed().as_secs_f64());
             }
         })
-        .map_err(|e| system(&e))?;
+        .map_err(system)?;
     if let Some(path) = html {
-        let page = flaxstand_lab::html::experiment_page(&outcome).map_err(|e| system(&e))?;
-        std::fs::write(path, page).map_err(|e| system(&e))?;
-    }
-    let text = serde_json::to_string_pretty(&outcome).map_err(|e| system(&e))?;
-    match json {
-        Some(path) if path.as_os_str() == "-" => println!("{text}"),
-        Some(path) => {
-            std::fs::write(path, text + "\n").map_err(|e| system(&e))?;
-            print!("{}", outcome.text());
-        }
-        None => print!("{}", outcome.text()),
+        write(path, &flaxstand_lab::html::experiment_page(&outcome).map_err(system)?)?;
     }
-    Ok(())
+    told_result(serde_json::to_string_pretty(&outcome), &outcome.text(), json)
 }
 
 pub fn measure(seconds: f64, json: Option<&Path>) -> Result<(), Failure> {
-    let system = |e: &dyn std::fmt::Display| Failure::System(e.to_string());
-    let program = std::env::current_exe().map_err(|e| system(&e))?;
+    let program = std::env::current_exe().map_err(system)?;
     let folder = rehearse::fresh_folder();
-    let figures = measure::measure(&program, &folder, seconds.clamp(0.5, 600.0)).map_err(|e| system(&e))?;
+    let figures = measure::measure(&program, &folder, seconds.clamp(0.5, 600.0)).map_err(system)?;
     rehearse::clean(&folder);
-    print!("{}", figures.text());
-    if let Some(path) = json {
-        let json = serde_json::to_string_pretty(&figures).map_err(|e| system(&e))?;
-        std::fs::write(path, json + "\n").map_err(|e| system(&e))?;
-    }
-    Ok(())
+    told_result(serde_json::to_string_pretty(&figures), &figures.text(), json)
 }
 
 pub fn load(p: Press, alone: bool) -> Result<(), Failure> {
     let Press { initiator, shards, clients, window, rate, seconds } = p;
     let pressure = Pressure { initiator, shards, clients, window, rate, seconds };
-    press::serve_press(pressure, alone).map_err(|e| Failure::System(e.to_string()))
+    press::serve_press(pressure, alone).map_err(system)
 }
 
 pub fn stand_in(role: Role) -> Result<(), Failure> {
@@ -228,5 +219,5 @@
             rehearse::serve_load(day, seconds, initiator, &what(files))
         }
     };
-    served.map_err(|e| Failure::System(e.to_string()))
+    served.map_err(system)
 }
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -42,12 +42,7 @@
         Ok(conn)
     }
 
-    pub(super) fn client_greeted(
-        &mut self,
-        conn: ConnId,
-        hello: &Hello<'_>,
-        _now: Micros,
-    ) -> Result<(), Fault> {
+    pub(super) fn client_greeted(&mut self, conn: ConnId, hello: &Hello<'_>) -> Result<(), Fault> {
         if hello.role != Role::Client {
             return Err((Parting::Protocol, format!("a client was expected, not {:?}", hello.role)));
         }
@@ -172,7 +167,7 @@
     }
 
     /// The peer sends nothing more. A client's answers still go out, if it is owed any.
-    pub(super) fn client_finished(&mut self, conn: ConnId, _now: Micros) -> bool {
+    pub(super) fn client_finished(&mut self, conn: ConnId) -> bool {
         let Some(c) = self.conns.get_mut(&conn) else { return false };
         match &mut c.peer {
             Peer::Client(client) if !client.owed.is_empty() || !c.outbox.is_empty() => {
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -265,9 +265,7 @@
                 self.lost(conn, "peer said goodbye", true, now);
                 return false;
             }
-            (Peer::Client(_), Frame::Hello(h)) if stage == Stage::Greeting => {
-                self.client_greeted(conn, &h, now)
-            }
+            (Peer::Client(_), Frame::Hello(h)) if stage == Stage::Greeting => self.client_greeted(conn, &h),
             (Peer::Client(_), Frame::Submit(s)) if stage == Stage::Open => self.submitted(conn, &s, now),
             (Peer::Node(node), Frame::Welcome(w)) if stage == Stage::Greeting => {
                 let node = *node;
@@ -410,8 +408,8 @@
         }
     }
 
-    fn finished(&mut self, conn: ConnId, now: Micros) -> bool {
-        self.client_finished(conn, now)
+    fn finished(&mut self, conn: ConnId, _now: Micros) -> bool {
+        self.client_finished(conn)
     }
 
     fn closed(&mut self, conn: ConnId, cause: &str, now: Micros) {
--- a/crates/flaxstand-lab/src/load.rs
+++ b/crates/flaxstand-lab/src/load.rs
@@ -44,6 +44,13 @@
     until: Micros,
 }
 
+impl Operation {
+    /// When a client forgets a try of it: a second after it gave up, so that a late answer is still seen.
+    fn given_up(&self, client: usize, id: u64) -> (Micros, Due) {
+        (self.until.after(Micros(1_000_000)), Due::GiveUp(client, id))
+    }
+}
+
 struct Client {
     initiator: u32,
     conn: Option<ConnId>,
@@ -233,7 +240,7 @@
                 payload: &payload,
             }),
         );
-        self.due.insert((o.until.after(Micros(1_000_000)), Due::GiveUp(at, id)));
+        self.due.insert(o.given_up(at, id));
         client.owed.insert(id, operation);
     }
 
@@ -268,7 +275,7 @@
         let Some(at) = self.by_conn.get(&conn).copied() else { return };
         links.record(&Record::Answered { at: now.0, client: self.clients[at].number, id, answer });
         let Some(operation) = self.clients[at].owed.remove(&id) else { return };
-        self.due.remove(&(operation.until.after(Micros(1_000_000)), Due::GiveUp(at, id)));
+        self.due.remove(&operation.given_up(at, id));
         match answer {
             Answer::Served { shard, .. } if operation.write && operation.shard.is_none() => {
                 let volume = self.volumes.iter().position(|v| v.id == operation.volume).unwrap_or(0);
@@ -372,7 +379,7 @@
             links.record(&Record::Lost { at: now.0, client: number, by_client: false });
         }
         for (id, operation) in owed {
-            self.due.remove(&(operation.until.after(Micros(1_000_000)), Due::GiveUp(at, id)));
+            self.due.remove(&operation.given_up(at, id));
             if self.repeats(&operation) {
                 self.again(at, operation, 0.0, now);
             }
--- a/crates/flaxstand-lab/src/measure.rs
+++ b/crates/flaxstand-lab/src/measure.rs
@@ -3,7 +3,7 @@
 //! on a machine whose speed drifts.
 
 use crate::press::Seen;
-use crate::process::{Process, RehearsalError, SOON, ask_to_stop, io_error, stopped};
+use crate::process::{Process, RehearsalError, SOON, io_error, stop};
 use serde::Serialize;
 use std::fmt::Write as _;
 use std::path::Path;
@@ -158,8 +158,7 @@
         let used = cpu(initiator.id()).unwrap_or(0.0) - before;
         let seen: Seen =
             serde_json::from_str(&seen).map_err(|e| RehearsalError::Process(format!("press: {e}")))?;
-        ask_to_stop(&initiator)?;
-        stopped(initiator)?;
+        stop(initiator)?;
         // The warm-up's requests cost as much as those counted.
         let all = (seen.served + seen.not_served) as f64 * (1.0 + super::press::WARM_UP);
         let cpu_us = used * 1e6 / all.max(1.0);
--- a/crates/flaxstand-lab/src/press.rs
+++ b/crates/flaxstand-lab/src/press.rs
@@ -104,6 +104,10 @@
 }
 
 impl Press {
+    fn warm_up(&self) -> Micros {
+        Micros::from_ms(self.p.seconds * WARM_UP * 1000.0)
+    }
+
     fn submit(&mut self, links: &mut Links, conn: ConnId, at: Micros) {
         self.next += 1;
         let id = self.next;
@@ -158,7 +162,7 @@
             Frame::Welcome(_) => {
                 self.open.push(conn);
                 if self.open.len() == self.p.clients as usize {
-                    self.from = Some(now.after(Micros::from_ms(self.p.seconds * WARM_UP * 1000.0)));
+                    self.from = Some(now.after(self.warm_up()));
                     for _ in 0..self.p.window {
                         for conn in self.open.clone() {
                             self.submit(links, conn, now);
@@ -186,7 +190,7 @@
             });
         }
         let from = self.from?;
-        let start = Micros(from.0 - Micros::from_ms(self.p.seconds * WARM_UP * 1000.0).0);
+        let start = Micros(from.0 - self.warm_up().0);
         let end = from.after(Micros::from_ms(self.p.seconds * 1000.0));
         if now >= end {
             self.seen.seconds = now.since(from).ms() / 1000.0;
--- a/crates/flaxstand-lab/src/process.rs
+++ b/crates/flaxstand-lab/src/process.rs
@@ -129,6 +129,12 @@
     asked.map_err(|e| io_error(format!("cannot stop {}", process.name))(e.into()))
 }
 
+/// Stops a process in good order.
+pub(crate) fn stop(process: Process) -> Result<(), RehearsalError> {
+    ask_to_stop(&process)?;
+    stopped(process)
+}
+
 /// Waits until a process that was asked to stop has.
 pub(crate) fn stopped(mut process: Process) -> Result<(), RehearsalError> {
     for _ in 0..1000 {
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -7,7 +7,7 @@
 use crate::load::Load;
 use crate::model::{Model, Spec};
 use crate::node::{Identity, Node};
-use crate::process::{Process, RehearsalError, SOON, ask_to_stop, io_error, stopped};
+use crate::process::{Process, RehearsalError, SOON, ask_to_stop, io_error, stop, stopped};
 use crate::report::{Report, report};
 use crate::script::{Step, script};
 use crate::shell::{Peer, Shell};
@@ -237,8 +237,7 @@
     let end = start.after(Micros::from_ms(plan.seconds * 1000.0 + longest + 10_000.0));
     load.expect("done", Duration::from_micros(end.since(clock()).0) + SOON)?;
     for process in std::mem::take(&mut stage.initiators).into_iter().flatten() {
-        ask_to_stop(&process)?;
-        stopped(process)?;
+        stop(process)?;
     }
     drop((stage, load));
     info!(folder = %plan.folder.display(), "auditing");
