Write-back buffer: the log, the order of writes and their promises under crashes

Need: an acknowledged write must survive the process, the machine and its node. flaxstand-buffer holds the whole of it without I/O: batches with group commit, segments that name the valid length of the one before (a failed sync is given up, not retried), recovery that writes nothing, order by place and barrier, merging, write-out by urgency, back-pressure, keys whose window outlives a restart and an operator's list beyond it. Found by the model while building: a replay could be laid over newer data through a node that drops repeats; now the log knows of each write's end before the next leaves for its place.

--- /dev/null
+++ b/crates/flaxstand-buffer/src/buffer.rs
@@ -0,0 +1,872 @@
+//! The buffer: plain calls in, [`Action`]s out. The core calls it for every write (and every read that names
+//! a place), tells it how tries and batches ended, and does what it says.
+
+use crate::log::{Batch, Kind, Log, LogCounts};
+use crate::order::{Entry, Found, Freed, Item, Next, Order, Run, Stage};
+use crate::pressure::{Admission, Space, admit};
+use crate::record::{Place, Record, Seq, Wall, Write};
+use crate::recover::{Live, Recovered};
+use crate::writeout::{Ended, Level, RepeatBudget, WriteOut};
+use flaxstand_proto::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{info, warn};
+
+/// The core's name for a client's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A write-out that the core was told to bring about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TryId(pub u64);
+
+/// Whether and how writes of a class may be buffered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Buffering {
+    /// They go through.
+    Never,
+    /// Repeating one is harmless as long as no later one of its place has run.
+    Repeatable,
+    /// Nodes drop repeats for so long after the first attempt that may have run; none may be sent later.
+    Keyed(Micros),
+}
+
+/// What the buffer is told at its start. `docs/write-back.md` describes every figure.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Bytes that may live in the buffer, as [`Write::cost`] counts them.
+    pub bytes: u64,
+    /// The same for one volume.
+    pub volume_bytes: u64,
+    /// A write should be on its node after this.
+    pub age: Micros,
+    /// A write waits so long for one that overwrites it.
+    pub linger: Micros,
+    /// Word of what is done waits so long for company before it is written.
+    pub record_linger: Micros,
+    /// Longest wait of an acknowledgement as space runs out.
+    pub slow: Micros,
+    /// Requests and barriers that may wait here beside buffered writes.
+    pub waiting: usize,
+    /// Advised wait with a refusal.
+    pub refusal_wait: Micros,
+    /// A place rests so long after an attempt that may still run.
+    pub key_rest: Micros,
+    /// A flush is complete once all before it is durable here, in place of on the nodes.
+    pub flush_here: bool,
+    /// By class.
+    pub classes: Vec<Buffering>,
+    /// Bound on repeats of write-outs.
+    pub repeats: Option<RepeatBudget>,
+    /// The host's calendar when the clock of [`Micros`] was 0.
+    pub calendar: Wall,
+}
+
+/// A client's write.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    /// The core's name for it.
+    pub ticket: Ticket,
+    /// The write.
+    pub write: Write,
+}
+
+/// How a try of a write-out ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// The node has it. `lingers`: another attempt of it may still run.
+    Confirmed {
+        /// See above.
+        lingers: bool,
+    },
+    /// It has not run.
+    NotRun {
+        /// Come back no earlier than after this.
+        wait: Micros,
+    },
+    /// It was given up at the buffer's own word; no attempt of it had left.
+    Withdrawn,
+    /// It may have run.
+    Unsure,
+}
+
+/// What an operator decides of a parked write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is on its node.
+    Done,
+    /// It is not, and goes out as if it never had.
+    Again,
+}
+
+/// What the core is to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Have this stored, then call [`Buffer::stored`].
+    Store(Batch),
+    /// Answer: durable here.
+    Buffered(Ticket),
+    /// Let it go to its node as an ordinary request.
+    Through(Ticket),
+    /// Answer: refused, it has not run.
+    Refused {
+        /// Which.
+        ticket: Ticket,
+        /// Advised wait.
+        wait: Micros,
+    },
+    /// Answer: the barrier stands.
+    Barred(Ticket),
+    /// Answer: all before the flush is where it should be.
+    Flushed(Ticket),
+    /// Bring this write to its node, then call [`Buffer::try_ended`].
+    Send {
+        /// Its name.
+        id: TryId,
+        /// The write.
+        write: Write,
+        /// How urgent it is.
+        level: Level,
+        /// No attempt of it may leave after this, if there is such a moment.
+        until: Option<Micros>,
+    },
+    /// Give it up if no attempt of it has left, and tell so as `Withdrawn`; else let it be.
+    Withdraw(TryId),
+}
+
+/// What a request is answered whose time is up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expired {
+    /// It is durable; only its acknowledgement was being slowed.
+    Buffered,
+    /// It has not run and will not.
+    Refuse,
+    /// It may have run or may yet run; or what was waited for has not been seen.
+    Fail,
+    /// It is no longer here: it went through.
+    Elsewhere,
+}
+
+/// What a read finds here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadBack {
+    /// Nothing: the node's answer is right as it is.
+    Plain,
+    /// Everything.
+    Whole {
+        /// The shard that will hold it.
+        shard: u32,
+        /// The data.
+        data: Vec<u8>,
+    },
+    /// A part: the node's answer goes to [`Buffer::merge`].
+    Merge,
+}
+
+/// Figures for operators. Bytes and counts of now, then what only grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Buffered writes that are not on their nodes.
+    pub writes: usize,
+    /// Bytes of them.
+    pub bytes: u64,
+    /// Bytes that may be.
+    pub bytes_most: u64,
+    /// Bytes of the log's segments.
+    pub log_bytes: u64,
+    /// Age of the oldest that no operator is waited for.
+    pub oldest: Micros,
+    /// Writes that wait for an operator.
+    pub parked: usize,
+    /// Requests and barriers that wait here.
+    pub waiting: usize,
+    /// The log fails.
+    pub failing: bool,
+    /// Write-outs with the module or out.
+    pub out: usize,
+    /// Writes acknowledged as buffered.
+    pub acknowledged: u64,
+    /// Writes that could have been buffered and went through or were refused.
+    pub turned_through: u64,
+    /// Writes brought to their nodes, those that a later one replaced included.
+    pub written_out: u64,
+    /// Write-outs that brought them: fewer, as writes are merged.
+    pub write_outs: u64,
+    /// Write-outs repeated after an attempt that may have run.
+    pub repeats: u64,
+    /// Writes found in the log at the start.
+    pub replayed: u64,
+    /// The log's own.
+    pub log: LogCounts,
+}
+
+#[derive(Debug)]
+enum Role {
+    Write(Seq),
+    Through(Seq),
+    Barrier(Seq),
+    Flush,
+    Read(Place),
+}
+
+#[derive(Debug)]
+struct Try {
+    run: Run,
+    level: Level,
+    repeat: bool,
+    /// Waits for the log to know that it starts.
+    marking: bool,
+}
+
+/// The buffer.
+#[derive(Debug)]
+pub struct Buffer {
+    config: Config,
+    log: Log,
+    order: Order,
+    out: WriteOut,
+    tries: BTreeMap<TryId, Try>,
+    /// Runs that may have run and wait to go again: the first write of each.
+    unsure: BTreeSet<Seq>,
+    roles: BTreeMap<Ticket, Role>,
+    /// The volume, or all, and up to where.
+    flushes: BTreeMap<Ticket, (Option<u64>, Seq)>,
+    /// Durable writes whose acknowledgement is being slowed, and all whose disk is waited for.
+    acks: BTreeSet<(Micros, Seq)>,
+    tickets: BTreeMap<Seq, (Ticket, Micros)>,
+    /// Done, and the log does not know it for sure.
+    unrecorded: BTreeMap<Seq, Place>,
+    /// Being copied to the log's end.
+    relocating: BTreeSet<Seq>,
+    next_seq: u64,
+    next_try: u64,
+    draining: bool,
+    actions: Vec<Action>,
+    status: Status,
+}
+
+impl Buffer {
+    /// A buffer that goes on with what was read back.
+    pub fn new(config: Config, recovered: Recovered, now: Micros) -> Self {
+        // Attempts of an earlier life may still run, also where nothing of it is in the log.
+        let begins = now.after(config.key_rest);
+        let mut buffer = Buffer {
+            log: recovered.log,
+            order: Order::new(begins),
+            out: WriteOut::new(config.repeats),
+            tries: BTreeMap::new(),
+            unsure: BTreeSet::new(),
+            roles: BTreeMap::new(),
+            flushes: BTreeMap::new(),
+            acks: BTreeSet::new(),
+            tickets: BTreeMap::new(),
+            unrecorded: BTreeMap::new(),
+            relocating: BTreeSet::new(),
+            next_seq: recovered.last.0 + 1,
+            next_try: 0,
+            draining: false,
+            actions: Vec::new(),
+            status: Status::default(),
+            config,
+        };
+        for (seq, live) in recovered.live {
+            match live {
+                Live::Write { taken, started, parked, write } => {
+                    buffer.replay(seq, taken, started, parked, write, now)
+                }
+                Live::Barrier { volume } => {
+                    if !buffer.order.add_barrier(seq, volume) {
+                        buffer.log.forget(seq);
+                    }
+                }
+            }
+        }
+        if buffer.status.replayed > 0 || recovered.torn > 0 {
+            let (writes, bytes) = (buffer.status.replayed, buffer.order.bytes());
+            info!(writes, bytes, torn = recovered.torn, "log read back: its writes go out again");
+        }
+        let places: BTreeSet<Place> = buffer.order.writes().map(|(_, e)| e.write.place).collect();
+        places.into_iter().for_each(|place| buffer.consider(place, now));
+        buffer
+    }
+
+    fn replay(
+        &mut self,
+        seq: Seq,
+        taken_wall: Wall,
+        started: Option<Wall>,
+        parked: bool,
+        write: Write,
+        now: Micros,
+    ) {
+        self.status.replayed += 1;
+        let age = self.wall(now).since(taken_wall).unwrap_or_default();
+        let taken = Micros(now.0.saturating_sub(age.0));
+        let mut stage = if parked { Stage::Parked } else { Stage::Ready };
+        if self.buffering(write.class) == Buffering::Never && !parked {
+            warn!(
+                seq = seq.0,
+                class = write.class,
+                "a buffered write of a class that is buffered no more is parked"
+            );
+            stage = Stage::Parked;
+        }
+        self.order.add_write(seq, Entry { write, taken, taken_wall, started, stage });
+    }
+
+    fn wall(&self, now: Micros) -> Wall {
+        Wall(self.config.calendar.0.saturating_add(now.0))
+    }
+
+    /// Whether a class may be buffered.
+    pub fn buffering(&self, class: u16) -> Buffering {
+        self.config.classes.get(usize::from(class)).copied().unwrap_or(Buffering::Never)
+    }
+
+    fn next_seq(&mut self) -> Seq {
+        let seq = Seq(self.next_seq);
+        self.next_seq += 1;
+        seq
+    }
+
+    /// A write that names its shard and extent. It is buffered, goes through, or is refused.
+    pub fn offer(&mut self, offer: Offer, now: Micros) {
+        let Offer { ticket, write } = offer;
+        if self.buffering(write.class) != Buffering::Never && !self.draining {
+            let blocked = !self.order.clear(write.place);
+            let space = Space {
+                used: self.order.bytes(),
+                most: self.config.bytes,
+                volume_used: self.order.volume_bytes(write.place.volume),
+                volume_most: self.config.volume_bytes,
+            };
+            let healthy = !self.log.failing() && self.log.room();
+            match admit(space, write.cost(), blocked, healthy, self.config.slow) {
+                Admission::Buffer { slowed } => return self.take(ticket, write, now.after(slowed), now),
+                Admission::Through => self.status.turned_through += 1,
+                Admission::Refuse => {
+                    self.status.turned_through += 1;
+                    return self.refuse(ticket);
+                }
+            }
+        }
+        self.pass(ticket, write.place.volume, Some(write.place), now);
+    }
+
+    fn refuse(&mut self, ticket: Ticket) {
+        self.actions.push(Action::Refused { ticket, wait: self.config.refusal_wait });
+    }
+
+    fn take(&mut self, ticket: Ticket, write: Write, ack_at: Micros, now: Micros) {
+        let seq = self.next_seq();
+        let taken_wall = self.wall(now);
+        let record = Record::Write { seq, taken: taken_wall, started: None, parked: false, write };
+        self.log.append(&record, now);
+        let Record::Write { write, .. } = record else { unreachable!("made above") };
+        self.order
+            .add_write(seq, Entry { write, taken: now, taken_wall, started: None, stage: Stage::Logging });
+        self.tickets.insert(seq, (ticket, ack_at));
+        self.roles.insert(ticket, Role::Write(seq));
+    }
+
+    /// A request that is not buffered but that barriers of its volume concern; `place`: where it writes.
+    pub fn pass(&mut self, ticket: Ticket, volume: u64, place: Option<Place>, now: Micros) {
+        if self.order.waiting() >= self.config.waiting {
+            return self.refuse(ticket);
+        }
+        let seq = self.next_seq();
+        self.roles.insert(ticket, Role::Through(seq));
+        if self.order.add_through(seq, ticket, volume, place, now) {
+            self.order.let_through(seq);
+            self.actions.push(Action::Through(ticket));
+        } else if let Some(place) = place {
+            self.consider(place, now);
+        }
+    }
+
+    /// A barrier on a volume.
+    pub fn barrier(&mut self, ticket: Ticket, volume: u64, now: Micros) {
+        if self.order.waiting() >= self.config.waiting {
+            return self.refuse(ticket);
+        }
+        let seq = self.next_seq();
+        if self.order.add_barrier(seq, volume) {
+            self.log.append(&Record::Barrier { seq, volume }, now);
+            self.tickets.insert(seq, (ticket, now));
+            self.roles.insert(ticket, Role::Barrier(seq));
+        } else {
+            self.actions.push(Action::Barred(ticket));
+        }
+    }
+
+    /// A flush of a volume, or of all.
+    pub fn flush(&mut self, ticket: Ticket, volume: Option<u64>) {
+        let upto = Seq(self.next_seq - 1);
+        self.roles.insert(ticket, Role::Flush);
+        self.flushes.insert(ticket, (volume, upto));
+    }
+
+    /// Everything is to go out, and nothing is buffered any more.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Nothing is left but what waits for an operator, and the log knows.
+    pub fn drained(&self) -> bool {
+        self.order.buffered() == self.order.parked() && self.unrecorded.is_empty() && self.tries.is_empty()
+    }
+
+    /// A read of a place.
+    pub fn read(&mut self, ticket: Ticket, place: Place) -> ReadBack {
+        match self.order.read(ticket, place) {
+            Found::Nothing => ReadBack::Plain,
+            Found::Whole { shard, data } => ReadBack::Whole { shard, data },
+            Found::Part => {
+                self.roles.insert(ticket, Role::Read(place));
+                ReadBack::Merge
+            }
+        }
+    }
+
+    /// The node's answer to a read that was told to be merged. The read is over.
+    pub fn merge(&mut self, ticket: Ticket, data: &mut Vec<u8>, now: Micros) {
+        if let Some(Role::Read(place)) = self.roles.get(&ticket) {
+            self.order.lay_over(*place, data);
+        }
+        self.gone(ticket, now);
+    }
+
+    /// A request that went through is over. `unsure`: an attempt of it may still run.
+    pub fn through_ended(&mut self, ticket: Ticket, unsure: bool, now: Micros) {
+        let Some(Role::Through(seq)) = self.roles.remove(&ticket) else { return };
+        let rest = if unsure { now.after(self.config.key_rest) } else { Micros(0) };
+        let freed = self.order.finish(seq, rest);
+        self.freed(freed, now);
+    }
+
+    /// Nobody waits for a request any more. One that went through stays until it is over.
+    pub fn gone(&mut self, ticket: Ticket, now: Micros) {
+        let out = |seq: &Seq| matches!(self.order.item(*seq), Some(Item::Through { out: true, .. }));
+        match self.roles.get(&ticket) {
+            Some(Role::Through(seq)) if out(seq) => {}
+            Some(Role::Through(_)) => self.through_ended(ticket, false, now),
+            Some(Role::Read(place)) => {
+                let place = *place;
+                self.roles.remove(&ticket);
+                self.order.read_ended(ticket, place);
+                self.consider(place, now);
+                self.tidy(place, now);
+            }
+            Some(Role::Write(seq) | Role::Barrier(seq)) => {
+                if let Some((_, at)) = self.tickets.remove(seq) {
+                    self.acks.remove(&(at, *seq));
+                }
+                self.roles.remove(&ticket);
+            }
+            Some(Role::Flush) => {
+                self.roles.remove(&ticket);
+                self.flushes.remove(&ticket);
+            }
+            None => {}
+        }
+    }
+
+    /// A request's time is up: what to answer. It is gone from here then.
+    pub fn expire(&mut self, ticket: Ticket, now: Micros) -> Expired {
+        let expired = match self.roles.get(&ticket) {
+            None | Some(Role::Read(_)) => return Expired::Elsewhere,
+            Some(Role::Through(seq)) => match self.order.item(*seq) {
+                Some(Item::Through { out: true, .. }) => return Expired::Elsewhere,
+                _ => Expired::Refuse,
+            },
+            Some(Role::Write(seq)) => match self.order.entry(*seq).map(|e| e.stage) {
+                Some(Stage::Logging) => Expired::Fail,
+                // Durable, or on its node already.
+                _ => {
+                    self.status.acknowledged += 1;
+                    Expired::Buffered
+                }
+            },
+            Some(Role::Barrier(_) | Role::Flush) => Expired::Fail,
+        };
+        self.gone(ticket, now);
+        expired
+    }
+
+    /// How the last batch went.
+    pub fn stored(&mut self, well: bool, now: Micros) {
+        if !well {
+            warn!("the log could not be written: a new segment is begun");
+        }
+        for (seq, kind) in self.log.stored(well, now) {
+            match kind {
+                Kind::Placed => self.placed(seq, now),
+                Kind::Started => self.started(seq, now),
+                Kind::Done => {
+                    if let Some(place) = self.unrecorded.remove(&seq) {
+                        self.order.recorded(seq, place);
+                        self.consider(place, now);
+                        self.tidy(place, now);
+                    }
+                }
+                Kind::Parked => {}
+            }
+        }
+    }
+
+    fn placed(&mut self, seq: Seq, now: Micros) {
+        if self.relocating.remove(&seq) {
+            return;
+        }
+        let waiter = self.tickets.get(&seq).copied();
+        match self.order.entry_mut(seq) {
+            Some(entry) => {
+                entry.stage = Stage::Ready;
+                let place = entry.write.place;
+                if let Some((_, ack_at)) = waiter {
+                    self.acks.insert((ack_at, seq));
+                }
+                self.consider(place, now);
+            }
+            // A barrier, or one that has been passed by now.
+            None => {
+                if let Some((ticket, _)) = waiter {
+                    self.tickets.remove(&seq);
+                    self.roles.remove(&ticket);
+                    self.actions.push(Action::Barred(ticket));
+                }
+            }
+        }
+    }
+
+    fn started(&mut self, seq: Seq, now: Micros) {
+        let found = self.tries.iter().find(|(_, t)| t.marking && t.run.seqs[0] == seq).map(|(id, _)| *id);
+        if let Some(id) = found {
+            self.send(id, now);
+        }
+    }
+
+    /// Looks at a place's first in line.
+    fn consider(&mut self, place: Place, now: Micros) {
+        match self.order.next(place, now) {
+            Next::Nothing => {
+                if self.order.waits_for_log(place) {
+                    self.log.hurry();
+                }
+            }
+            Next::Rest(until) => self.out.rest(place, until),
+            Next::Write(seq) => {
+                if let Some(shard) = self.order.entry(seq).map(|e| e.write.shard) {
+                    self.out.line_up(shard, seq, place);
+                }
+            }
+            Next::Through(seq) => {
+                if let Some(Item::Through { ticket, .. }) = self.order.item(seq) {
+                    self.actions.push(Action::Through(*ticket));
+                }
+                self.order.let_through(seq);
+            }
+        }
+    }
+
+    fn freed(&mut self, freed: Freed, now: Micros) {
+        for seq in freed.barriers {
+            self.log.append(&Record::Done { seq }, now);
+            self.log.forget(seq);
+            if let Some((ticket, _)) = self.tickets.remove(&seq) {
+                // All before it is over: that it is durable matters to nobody now.
+                self.roles.remove(&ticket);
+                self.actions.push(Action::Barred(ticket));
+            }
+        }
+        for seq in freed.throughs {
+            if let Some(Item::Through { ticket, .. }) = self.order.item(seq) {
+                self.actions.push(Action::Through(*ticket));
+            }
+            self.order.let_through(seq);
+        }
+        for place in freed.places {
+            self.consider(place, now);
+            self.tidy(place, now);
+        }
+    }
+
+    fn tidy(&mut self, place: Place, now: Micros) {
+        if let Some(until) = self.order.tidy(place, now) {
+            self.out.rest(place, until);
+        }
+    }
+
+    /// Somebody waits for what is buffered: a flush, a request behind a barrier, or the end.
+    fn waited_for(&self) -> bool {
+        let flushed = !self.config.flush_here && !self.flushes.is_empty();
+        self.draining || self.order.waiting() > 0 || flushed
+    }
+
+    fn pick(&mut self, now: Micros) {
+        let waited_for = self.waited_for();
+        loop {
+            let (order, linger) = (&self.order, self.config.linger);
+            let due = |seq: Seq| waited_for || order.entry(seq).is_none_or(|e| now.since(e.taken) >= linger);
+            let level = |seq: Seq| level(&self.config, order, seq, waited_for, now);
+            let Some((shard, seq, place, level)) = self.out.pick(now, level, due) else { return };
+            if self.order.next(place, now) != Next::Write(seq) || !self.start(seq, place, level, now) {
+                self.out.ended(shard, Ended::Withdrawn, now);
+            }
+        }
+    }
+
+    /// Begins a write-out. False: not now.
+    fn start(&mut self, seq: Seq, place: Place, level: Level, now: Micros) -> bool {
+        let Some(entry) = self.order.entry(seq) else { return false };
+        let (class, started) = (entry.write.class, entry.started);
+        let keyed = matches!(self.buffering(class), Buffering::Keyed(_));
+        if let Some(started) = started
+            && self.window_left(class, started, now).is_none()
+        {
+            self.park(seq, now);
+            return false;
+        }
+        let repeat = self.unsure.contains(&seq);
+        if !self.out.count_try(repeat, now) {
+            self.out.rest(place, now.after(Micros(100_000)));
+            return false;
+        }
+        let Some(run) = self.order.take_run(place, |_| keyed) else { return false };
+        self.unsure.remove(&seq);
+        self.next_try += 1;
+        let id = TryId(self.next_try);
+        let marking = keyed && started.is_none();
+        self.status.repeats += u64::from(repeat);
+        self.tries.insert(id, Try { run, level, repeat, marking });
+        if marking {
+            // Durable before the first attempt leaves: a later life must know from when its key counts.
+            let at = self.wall(now);
+            if let Some(entry) = self.order.entry_mut(seq) {
+                entry.started = Some(at);
+            }
+            self.log.append(&Record::Started { seq, at }, now);
+        } else {
+            self.send(id, now);
+        }
+        true
+    }
+
+    /// What is left of a key's window; none: it is over, or the calendar can't tell.
+    fn window_left(&self, class: u16, started: Wall, now: Micros) -> Option<Micros> {
+        let Buffering::Keyed(window) = self.buffering(class) else { return Some(Micros(u64::MAX)) };
+        let gone = self.wall(now).since(started)?;
+        (gone < window).then(|| window.since(gone))
+    }
+
+    fn send(&mut self, id: TryId, now: Micros) {
+        let Some(t) = self.tries.get_mut(&id) else { return };
+        t.marking = false;
+        let (seq, class, level, write) = (t.run.seqs[0], t.run.write.class, t.level, t.run.write.clone());
+        let started = self.order.entry(seq).and_then(|e| e.started);
+        let left = started.filter(|_| matches!(self.buffering(class), Buffering::Keyed(_)));
+        let until = left.map(|s| now.after(self.window_left(class, s, now).unwrap_or_default()));
+        self.actions.push(Action::Send { id, write, level, until });
+    }
+
+    /// It may have run, and its key counts no more: an operator's list has it from now on.
+    fn park(&mut self, seq: Seq, now: Micros) {
+        warn!(
+            seq = seq.0,
+            "a buffered write may have run and must not be repeated: it waits for an operator"
+        );
+        self.log.append(&Record::Parked { seq }, now);
+        self.order.park(seq);
+        self.unsure.remove(&seq);
+    }
+
+    /// An operator has looked at a parked write's node. Returns false, and changes nothing, if it is not parked.
+    pub fn decide(&mut self, seq: Seq, verdict: Verdict, now: Micros) -> bool {
+        let Some(entry) = self.order.entry(seq).filter(|e| e.stage == Stage::Parked) else { return false };
+        let (place, taken, write) = (entry.write.place, entry.taken_wall, entry.write.clone());
+        match verdict {
+            Verdict::Done => {
+                self.log.append(&Record::Done { seq }, now);
+                self.log.forget(seq);
+                self.unrecorded.insert(seq, place);
+                let freed = self.order.finish(seq, Micros(0));
+                self.freed(freed, now);
+            }
+            Verdict::Again => {
+                self.log.append(&Record::Write { seq, taken, started: None, parked: false, write }, now);
+                self.order.unpark(seq);
+                self.consider(place, now);
+            }
+        }
+        true
+    }
+
+    /// How a try ended.
+    pub fn try_ended(&mut self, id: TryId, end: TryEnd, now: Micros) {
+        let Some(t) = self.tries.remove(&id) else { return };
+        let (shard, place) = (t.run.write.shard, t.run.write.place);
+        let first = t.run.seqs[0];
+        match end {
+            TryEnd::Confirmed { lingers } => {
+                self.out.ended(shard, Ended::Well, now);
+                self.status.write_outs += 1;
+                let rest = if lingers || t.repeat { now.after(self.config.key_rest) } else { Micros(0) };
+                // No barrier lies inside a run: nothing is freed before its last.
+                let mut freed = Freed::default();
+                for seq in &t.run.seqs {
+                    self.log.append(&Record::Done { seq: *seq }, now);
+                    self.log.forget(*seq);
+                    self.relocating.remove(seq);
+                    self.unrecorded.insert(*seq, place);
+                    self.status.written_out += 1;
+                    freed = self.order.finish(*seq, rest);
+                }
+                self.freed(freed, now);
+            }
+            TryEnd::NotRun { .. } | TryEnd::Withdrawn => {
+                let how =
+                    if let TryEnd::NotRun { wait } = end { Ended::Badly(wait) } else { Ended::Withdrawn };
+                self.out.ended(shard, how, now);
+                // What may have run before may still have.
+                if t.repeat {
+                    self.unsure.insert(first);
+                }
+                self.order.give_back(t.run, t.repeat, now);
+                self.consider(place, now);
+            }
+            TryEnd::Unsure => {
+                self.out.ended(shard, Ended::Badly(Micros(0)), now);
+                self.unsure.insert(first);
+                self.order.give_back(t.run, true, now.after(self.config.key_rest));
+                self.consider(place, now);
+            }
+        }
+    }
+
+    /// Everything of this moment has been told. Returns when to call again at the latest.
+    pub fn settle(&mut self, now: Micros) -> Option<Micros> {
+        for place in self.out.rested(now) {
+            self.consider(place, now);
+            self.tidy(place, now);
+        }
+        while let Some((at, seq)) = self.acks.first().copied().filter(|(at, _)| *at <= now) {
+            self.acks.remove(&(at, seq));
+            if let Some((ticket, _)) = self.tickets.remove(&seq) {
+                self.roles.remove(&ticket);
+                self.status.acknowledged += 1;
+                self.actions.push(Action::Buffered(ticket));
+            }
+        }
+        self.complete_flushes();
+        self.pick(now);
+        self.rise(now);
+        self.relocate(now);
+        if let Some(batch) = self.log.batch(self.record_linger(), now) {
+            self.actions.push(Action::Store(batch));
+        }
+        let due = |seq| self.order.entry(seq).map(|e| e.taken.after(self.config.linger));
+        let linger = self.out.firsts().filter_map(due).filter(|at| *at > now).min();
+        let ack = self.acks.first().map(|(at, _)| *at);
+        let log = self.log.wake(self.record_linger());
+        // Urgency rises with age alone.
+        let age = (!self.tries.is_empty()).then(|| now.after(Micros(self.config.age.0 / 8 + 1)));
+        [linger, ack, log, age, self.out.wake(now)].into_iter().flatten().min()
+    }
+
+    fn record_linger(&self) -> Micros {
+        if self.draining { Micros(0) } else { self.config.record_linger }
+    }
+
+    fn complete_flushes(&mut self) {
+        let here = self.config.flush_here;
+        let complete = |(_, (volume, upto)): &(&Ticket, &(Option<u64>, Seq))| match here {
+            true => self.order.durable(*volume, *upto),
+            false => self.order.over(*volume, *upto),
+        };
+        let done: Vec<Ticket> = self.flushes.iter().filter(complete).map(|(t, _)| *t).collect();
+        for ticket in done {
+            self.flushes.remove(&ticket);
+            self.roles.remove(&ticket);
+            self.actions.push(Action::Flushed(ticket));
+        }
+    }
+
+    /// Write-outs that wait with the module at too low a worth are taken back; they go again at once.
+    fn rise(&mut self, now: Micros) {
+        let waited_for = self.waited_for();
+        let risen: Vec<(TryId, Level)> = self
+            .tries
+            .iter()
+            .filter(|(_, t)| !t.marking)
+            .map(|(id, t)| {
+                (*id, level(&self.config, &self.order, t.run.seqs[0], waited_for, now).max(t.level))
+            })
+            .filter(|(id, level)| *level > self.tries[id].level)
+            .collect();
+        for (id, level) in risen {
+            if let Some(t) = self.tries.get_mut(&id) {
+                t.level = level;
+                self.actions.push(Action::Withdraw(id));
+            }
+        }
+    }
+
+    /// Old segments that little lives in are emptied by writing that anew.
+    fn relocate(&mut self, now: Micros) {
+        if !self.log.room() || self.log.failing() || !self.relocating.is_empty() {
+            return;
+        }
+        for seq in self.log.stale(self.order.bytes()) {
+            let record = match self.order.item(seq) {
+                Some(Item::Write(e)) => Record::Write {
+                    seq,
+                    taken: e.taken_wall,
+                    started: e.started,
+                    parked: e.stage == Stage::Parked,
+                    write: e.write.clone(),
+                },
+                Some(Item::Barrier { volume }) => Record::Barrier { seq, volume: *volume },
+                Some(Item::Through { .. }) | None => continue,
+            };
+            self.relocating.insert(seq);
+            self.log.append(&record, now);
+            if !self.log.room() {
+                break;
+            }
+        }
+    }
+
+    /// Buffered writes that are not on their nodes, in order, with what is known of each.
+    pub fn writes(&self) -> impl Iterator<Item = (Seq, &Entry)> {
+        self.order.writes()
+    }
+
+    /// What is to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Figures for operators.
+    pub fn status(&self, now: Micros) -> Status {
+        Status {
+            writes: self.order.buffered(),
+            bytes: self.order.bytes(),
+            bytes_most: self.config.bytes,
+            log_bytes: self.log.bytes(),
+            oldest: self.order.oldest().map_or(Micros(0), |t| now.since(t)),
+            parked: self.order.parked(),
+            waiting: self.order.waiting(),
+            failing: self.log.failing(),
+            out: self.tries.len(),
+            log: self.log.counts(),
+            ..self.status
+        }
+    }
+}
+
+/// How urgent a write is now.
+fn level(config: &Config, order: &Order, seq: Seq, waited_for: bool, now: Micros) -> Level {
+    let fill = order.bytes() as f64 / config.bytes.max(1) as f64;
+    let age = order.entry(seq).map_or(Micros(0), |e| now.since(e.taken));
+    let part = fill.max(age.0 as f64 / config.age.0.max(1) as f64);
+    Level::of(part, waited_for)
+}
--- /dev/null
+++ b/crates/flaxstand-buffer/src/storage.rs
@@ -0,0 +1,43 @@
+//! What the log needs of a disk, and how a batch of it is carried out.
+
+use crate::log::{Batch, StoreOp};
+use std::io;
+
+/// Segments by number. What was appended is durable once `sync` returned well, what was created or removed
+/// once `sync_folder` did. After a failed sync nothing may be assumed of what it was to make durable, also
+/// when a later one succeeds: the log gives such a segment up.
+pub trait Storage: Send {
+    /// Numbers of the segments that are there.
+    fn segments(&mut self) -> io::Result<Vec<u64>>;
+    /// A segment's bytes.
+    fn read(&mut self, segment: u64) -> io::Result<Vec<u8>>;
+    /// Makes an empty segment, in place of one of that number.
+    fn create(&mut self, segment: u64) -> io::Result<()>;
+    /// Adds bytes to its end.
+    fn append(&mut self, segment: u64, bytes: &[u8]) -> io::Result<()>;
+    /// Makes its bytes durable.
+    fn sync(&mut self, segment: u64) -> io::Result<()>;
+    /// Makes durable which segments there are.
+    fn sync_folder(&mut self) -> io::Result<()>;
+    /// Removes it.
+    fn remove(&mut self, segment: u64) -> io::Result<()>;
+    /// Takes it out of the log without destroying it.
+    fn set_aside(&mut self, segment: u64) -> io::Result<()>;
+}
+
+/// Carries a batch out, in order, up to the first failure.
+///
+/// # Errors
+/// What the storage said; nothing of the batch may then be taken as durable.
+pub fn perform(storage: &mut dyn Storage, batch: &Batch) -> io::Result<()> {
+    for op in &batch.ops {
+        match op {
+            StoreOp::Create(segment) => storage.create(*segment)?,
+            StoreOp::Append(segment, bytes) => storage.append(*segment, bytes)?,
+            StoreOp::Sync(segment) => storage.sync(*segment)?,
+            StoreOp::SyncFolder => storage.sync_folder()?,
+            StoreOp::Remove(segment) => storage.remove(*segment)?,
+        }
+    }
+    Ok(())
+}
--- a/crates/flaxstand-proto/src/lib.rs
+++ b/crates/flaxstand-proto/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod codec;
 pub mod frame;
 pub mod link;
+pub mod time;
 
 pub use codec::{FrameError, MAX_BODY, decode, encode};
 pub use frame::*;
 pub use link::{Inbox, Outbox};
+pub use time::Micros;
