--- a/crates/flaxstand-audit/src/record.rs
+++ b/crates/flaxstand-audit/src/record.rs
@@ -22,6 +22,17 @@
     },
     /// May have run.
     Failed,
+    /// Durable at the initiator; it will reach its node.
+    Buffered,
+}
+
+/// A client's mark in the order of its writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Mark {
+    /// Nothing of the volume after it before all that is before it.
+    Barrier,
+    /// Answered when all that is before it is on its nodes.
+    Flush,
 }
 
 /// How an attempt ended at its node.
@@ -103,6 +114,41 @@
         /// As in `Submitted`.
         plan: u16,
     },
+    /// A client wrote a barrier or a flush of a volume.
+    Marked {
+        /// When.
+        at: u64,
+        /// As in `Submitted`.
+        client: u64,
+        /// As in `Submitted`.
+        id: u64,
+        /// As in `Submitted`.
+        volume: u64,
+        /// Which.
+        mark: Mark,
+    },
+    /// A client read that its barrier stands, or its flush is complete.
+    MarkStands {
+        /// When.
+        at: u64,
+        /// As in `Submitted`.
+        client: u64,
+        /// As in `Submitted`.
+        id: u64,
+    },
+    /// A node stored what a write brought.
+    Stored {
+        /// When.
+        at: u64,
+        /// Which node.
+        node: u64,
+        /// As in `Submitted`.
+        op: u64,
+        /// As in `Submitted`.
+        volume: u64,
+        /// As in `Submitted`.
+        extent: u64,
+    },
     /// A client's connection ended.
     Lost {
         /// When.
@@ -251,6 +297,9 @@
             | Record::Answered { at, .. }
             | Record::Unreachable { at, .. }
             | Record::Lost { at, .. }
+            | Record::Marked { at, .. }
+            | Record::MarkStands { at, .. }
+            | Record::Stored { at, .. }
             | Record::Killed { at, .. }
             | Record::NodeUp { at, .. }
             | Record::Arrived { at, .. }
--- a/crates/flaxstand-audit/tests/planted.rs
+++ b/crates/flaxstand-audit/tests/planted.rs
@@ -14,6 +14,7 @@
             (Effect::Keyed(Group::Zone, 1000 * MS), false),
             (Effect::Keyed(Group::All, 1000 * MS), false),
         ],
+        buffered: vec![false; 8],
         limits: vec![(0.0, 0.0, 0.0), (10.0, 20.0, 2.0)],
         second_copies: false,
         drain_grace: 250 * MS,
--- a/crates/flaxstand-buffer/src/buffer.rs
+++ b/crates/flaxstand-buffer/src/buffer.rs
@@ -208,11 +208,21 @@
     Read(Place),
 }
 
+/// When a run that may have run was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Earlier {
+    /// In this life: to send it again is a repeat.
+    ThisLife,
+    /// In an earlier one, perhaps.
+    EarlierLife,
+}
+
 #[derive(Debug)]
 struct Try {
     run: Run,
     level: Level,
-    repeat: bool,
+    /// An earlier try of it may have run.
+    earlier: Option<Earlier>,
     /// Waits for the log to know that it starts.
     marking: bool,
 }
@@ -225,8 +235,8 @@
     order: Order,
     out: WriteOut,
     tries: BTreeMap<TryId, Try>,
-    /// Runs that may have run and wait to go again: the first write of each.
-    unsure: BTreeSet<Seq>,
+    /// Runs that may have run and wait to go again, by the first write of each.
+    unsure: BTreeMap<Seq, Earlier>,
     roles: BTreeMap<Ticket, Role>,
     /// The volume, or all, and up to where.
     flushes: BTreeMap<Ticket, (Option<u64>, Seq)>,
@@ -254,7 +264,7 @@
             order: Order::new(begins),
             out: WriteOut::new(config.repeats),
             tries: BTreeMap::new(),
-            unsure: BTreeSet::new(),
+            unsure: BTreeMap::new(),
             roles: BTreeMap::new(),
             flushes: BTreeMap::new(),
             acks: BTreeSet::new(),
@@ -285,7 +295,12 @@
             info!(writes, bytes, torn = recovered.torn, "log read back: its writes go out again");
         }
         let places: BTreeSet<Place> = buffer.order.writes().map(|(_, e)| e.write.place).collect();
-        places.into_iter().for_each(|place| buffer.consider(place, now));
+        for place in places {
+            if let Some(first) = buffer.order.freeze_started(place) {
+                buffer.unsure.insert(first, Earlier::EarlierLife);
+            }
+            buffer.consider(place, now);
+        }
         buffer
     }
 
@@ -539,7 +554,8 @@
     }
 
     fn started(&mut self, seq: Seq, now: Micros) {
-        let found = self.tries.iter().find(|(_, t)| t.marking && t.run.seqs[0] == seq).map(|(id, _)| *id);
+        let found =
+            self.tries.iter().find(|(_, t)| t.marking && t.run.seqs.last() == Some(&seq)).map(|(id, _)| *id);
         if let Some(id) = found {
             self.send(id, now);
         }
@@ -626,7 +642,8 @@
             self.park(seq, now);
             return false;
         }
-        let repeat = self.unsure.contains(&seq);
+        let earlier = self.unsure.get(&seq).copied();
+        let repeat = earlier == Some(Earlier::ThisLife);
         if !self.out.count_try(repeat, now) {
             self.out.rest(place, now.after(Micros(100_000)));
             return false;
@@ -634,18 +651,21 @@
         let Some(run) = self.order.take_run(place, |_| keyed) else { return false };
         self.unsure.remove(&seq);
         self.next_try += 1;
-        let id = TryId(self.next_try);
-        let marking = keyed && started.is_none();
         self.status.repeats += u64::from(repeat);
-        self.tries.insert(id, Try { run, level, repeat, marking });
+        let id = TryId(self.next_try);
+        let last = run.seqs.last().copied().unwrap_or(seq);
+        let at = self.wall(now);
+        let marking = self.order.entry_mut(last).is_some_and(|e| e.started.is_none());
         if marking {
-            // Durable before the first attempt leaves: a later life must know from when its key counts.
-            let at = self.wall(now);
-            if let Some(entry) = self.order.entry_mut(seq) {
+            // Durable before the first attempt leaves: a later life must know what may be out, as what, and
+            // from when its key counts. It sends that first, as it was: nodes drop one of the two.
+            if let Some(entry) = self.order.entry_mut(last) {
                 entry.started = Some(at);
             }
-            self.log.append(&Record::Started { seq, at }, now);
-        } else {
+            self.log.append(&Record::Started { seq: last, at }, now);
+        }
+        self.tries.insert(id, Try { run, level, earlier, marking });
+        if !marking {
             self.send(id, now);
         }
         true
@@ -709,7 +729,8 @@
             TryEnd::Confirmed { lingers } => {
                 self.out.ended(shard, Ended::Well, now);
                 self.status.write_outs += 1;
-                let rest = if lingers || t.repeat { now.after(self.config.key_rest) } else { Micros(0) };
+                let rest =
+                    if lingers || t.earlier.is_some() { now.after(self.config.key_rest) } else { Micros(0) };
                 // No barrier lies inside a run: nothing is freed before its last.
                 let mut freed = Freed::default();
                 for seq in &t.run.seqs {
@@ -727,15 +748,15 @@
                     if let TryEnd::NotRun { wait } = end { Ended::Badly(wait) } else { Ended::Withdrawn };
                 self.out.ended(shard, how, now);
                 // What may have run before may still have.
-                if t.repeat {
-                    self.unsure.insert(first);
+                if let Some(earlier) = t.earlier {
+                    self.unsure.insert(first, earlier);
                 }
-                self.order.give_back(t.run, t.repeat, now);
+                self.order.give_back(t.run, t.earlier.is_some(), now);
                 self.consider(place, now);
             }
             TryEnd::Unsure => {
                 self.out.ended(shard, Ended::Badly(Micros(0)), now);
-                self.unsure.insert(first);
+                self.unsure.insert(first, Earlier::ThisLife);
                 self.order.give_back(t.run, true, now.after(self.config.key_rest));
                 self.consider(place, now);
             }
--- a/crates/flaxstand-buffer/src/order.rs
+++ b/crates/flaxstand-buffer/src/order.rs
@@ -331,6 +331,30 @@
         Some(run)
     }
 
+    /// After a start: what may be out of a place since an earlier life goes first, as it went then. Returns its
+    /// first write. It is the run up to the last write that was marked as started: one that was known not
+    /// to have run was marked again only as part of a longer one.
+    pub fn freeze_started(&mut self, place: Place) -> Option<Seq> {
+        let lane = self.lanes.get(&place)?;
+        let started = |seq: &&Seq| self.entry(**seq).is_some_and(|e| e.started.is_some());
+        let last = lane.queue.iter().rfind(started).copied()?;
+        let mut run: Option<Run> = None;
+        for seq in lane.queue.iter().take_while(|seq| **seq <= last) {
+            let write = self.entry(*seq)?.write.clone();
+            run = Some(match run {
+                None => Run { seqs: vec![*seq], write },
+                Some(mut run) => {
+                    run.write = merged(&run.write, &write)?;
+                    run.seqs.push(*seq);
+                    run
+                }
+            });
+        }
+        let first = run.as_ref()?.seqs[0];
+        self.lanes.get_mut(&place)?.frozen = run;
+        Some(first)
+    }
+
     /// What was out of a place is over without being done. `may_have_run`: it goes again as it was, after
     /// a rest. Nothing of the place goes before `not_before`.
     pub fn give_back(&mut self, run: Run, may_have_run: bool, not_before: Micros) {
--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::Failure;
 use crate::kit::{read, told};
+use flaxstand_buffer::{Folder, Recovered, Storage, recover};
 use flaxstand_gateway::core::Core;
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
 use flaxstand_gateway::settings::{Daemon, read_daemon};
@@ -11,7 +12,7 @@
 use tracing::{error, info, warn};
 
 pub fn run(path: &Path, with_parent: bool) -> Result<(), Failure> {
-    let Daemon { mut config, listen, state, files } = told(read_daemon(&name(path), &read(path)?))?;
+    let Daemon { mut config, listen, state, log, files } = told(read_daemon(&name(path), &read(path)?))?;
     let system = |what: &str| {
         let what = what.to_owned();
         move |e: std::io::Error| Failure::System(format!("{what}: {e}"))
@@ -33,7 +34,8 @@
         }
     });
     let now = clock();
-    let core = match Core::new(config.clone(), saved.as_deref(), now) {
+    config.calendar = since.as_micros() as u64 - now.0;
+    let mut core = match Core::new(config.clone(), saved.as_deref(), now) {
         Ok(core) => core,
         Err(cause) => {
             if let Some(path) = &state {
@@ -44,8 +46,16 @@
             Core::new(config.clone(), None, now).map_err(|e| Failure::System(e.to_string()))?
         }
     };
+    let log = match &log {
+        Some(folder) => {
+            let (storage, recovered) = open_log(folder)?;
+            core.attach(recovered, now);
+            Some(storage)
+        }
+        None => None,
+    };
     let reload = Some(reload(path.to_owned()));
-    let options = Options { saved: state, input: with_parent, reload, ..Options::default() };
+    let options = Options { saved: state, input: with_parent, log, reload, ..Options::default() };
     let mut driver = Driver::new(core, options).map_err(system("cannot start"))?;
     let mut at = Vec::new();
     for address in &listen {
@@ -62,6 +72,17 @@
     Ok(())
 }
 
+/// Opens a write-back log for this process alone and reads it back. A log that is in use, damaged or of a
+/// newer version is left as it is.
+pub fn open_log(folder: &Path) -> Result<(Box<dyn Storage>, Recovered), Failure> {
+    let failed = |why: &dyn std::fmt::Display| {
+        Failure::System(format!("{}: {why}; see `flaxstand buffer verify`", folder.display()))
+    };
+    let mut storage = Folder::open(folder).map_err(|e| failed(&e))?;
+    let recovered = recover(&mut storage).map_err(|e| failed(&e))?;
+    Ok((Box::new(storage), recovered))
+}
+
 /// Reads the bounds anew. A file with problems changes nothing.
 fn reload(path: PathBuf) -> Reload {
     Box::new(move || {
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -1,9 +1,9 @@
 //! Clients: their greeting, their submissions, and the bounds that keep one from harming the others.
 
-use super::requests::Held;
+use super::requests::{Held, With};
 use super::{Conn, Core, Peer, Phase, Stage, Timer};
 use crate::machine::{Command, ConnId, Micros};
-use flaxstand::api::{Arrival, ClassId, Event, Key, PlanId, RequestId, ShardId, VolumeId};
+use flaxstand::api::{Event, RequestId, VolumeId};
 use flaxstand_proto::{
     Frame, Hello, Parting, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, Welcome, encode,
 };
@@ -81,14 +81,31 @@
         if s.units == 0 || f64::from(s.units) > unit_most {
             return fault(format!("{} units, 1 to {unit_most} are taken", s.units));
         }
-        let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&conn) else { return Ok(()) };
-        if client.owed.contains_key(&s.id) {
-            return fault(format!("number {} is in use", s.id));
+        Self::range_fault(s)?;
+        let Some((id, valid_until)) = self.admit(conn, s.id, Some(VolumeId(s.volume)), s.time_left, now)?
+        else {
+            return Ok(());
+        };
+        self.take_request(conn, id, s, valid_until, now);
+        Ok(())
+    }
+
+    /// Whether a client may have one more request: its number here and until when, or it is refused.
+    pub(super) fn admit(
+        &mut self,
+        conn: ConnId,
+        client_id: u64,
+        volume: Option<VolumeId>,
+        time_left: u32,
+        now: Micros,
+    ) -> Result<Option<(RequestId, Micros)>, Fault> {
+        let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&conn) else { return Ok(None) };
+        if client.owed.contains_key(&client_id) {
+            return Err((Parting::Protocol, format!("number {client_id} is in use")));
         }
         self.counts.taken += 1;
         let bounds = &self.config.bounds;
-        let volume = VolumeId(s.volume);
-        let new_volume = !self.volumes.contains(&volume);
+        let new_volume = volume.is_some_and(|v| !self.volumes.contains(&v));
         let refusal = if self.phase != Phase::Running {
             Some((Refusal::Stopping, Scope::All))
         } else if self.requests.len() >= bounds.held {
@@ -102,40 +119,39 @@
         };
         if let Some((refusal, scope)) = refusal {
             self.counts.turned_away += 1;
-            debug!(conn = conn.0, id = s.id, ?refusal, "turned away");
+            debug!(conn = conn.0, id = client_id, ?refusal, "turned away");
             let wait = Micros::from_ms(self.config.site.settings.max_retry_after).0;
             let wait = u32::try_from(wait).unwrap_or(u32::MAX);
-            self.push(conn, &Frame::Refused { id: s.id, wait, refusal, scope });
+            self.push(conn, &Frame::Refused { id: client_id, wait, refusal, scope });
             self.client_wrote(conn, now);
-            return Ok(());
+            return Ok(None);
         }
-        self.take_request(conn, s, volume, now);
-        Ok(())
-    }
-
-    fn take_request(&mut self, conn: ConnId, s: &Submit<'_>, volume: VolumeId, now: Micros) {
-        self.volumes.insert(volume);
+        self.volumes.extend(volume);
         self.next_request += 1;
         let id = RequestId(self.next_request);
         if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get_mut(&conn) {
-            client.owed.insert(s.id, id);
+            client.owed.insert(client_id, id);
         }
-        let time_left = Micros(s.time_left.into()).since(self.config.site.waits.answer);
-        let valid_until = now.after(time_left);
+        let time_left = Micros(time_left.into()).since(self.config.site.waits.answer);
+        Ok(Some((id, now.after(time_left))))
+    }
+
+    fn take_request(
+        &mut self,
+        conn: ConnId,
+        id: RequestId,
+        s: &Submit<'_>,
+        valid_until: Micros,
+        now: Micros,
+    ) {
         debug!(request = id.0, conn = conn.0, client_id = s.id, class = s.class, shard = s.shard, "taken");
-        self.requests.insert(id, Held::new((conn, s.id), s, valid_until));
+        let held = Held::new((conn, s.id), s, valid_until);
+        let arrival = held.arrival(id, s.class.into());
+        self.requests.insert(id, held);
         self.timers.insert((valid_until, Timer::Deadline(id)));
-        self.events.push_back(Event::Arrived(Arrival {
-            id,
-            class: ClassId(s.class.into()),
-            plan: PlanId(s.plan.into()),
-            key: s.extent.map(Key),
-            valid_until: valid_until.ms(),
-            volume,
-            units: s.units.into(),
-            shard: s.shard.map(|shard| ShardId(shard.into())),
-            writers: u32::from(s.writers.max(1)),
-        }));
+        if !self.offer(id, s, now) {
+            self.events.push_back(Event::Arrived(arrival));
+        }
     }
 
     /// Bounds on what waits for a client, after something was added.
@@ -179,17 +195,19 @@
     }
 
     /// Nobody waits for this client's requests any more. Their attempts run on and are still counted.
-    pub(super) fn client_lost(&mut self, conn: ConnId, client: &Client, cause: &str) {
+    pub(super) fn client_lost(&mut self, conn: ConnId, client: &Client, cause: &str, now: Micros) {
         self.clients -= 1;
         debug!(conn = conn.0, cause, owed = client.owed.len(), "client gone");
         for id in client.owed.values() {
             self.counts.abandoned += 1;
             if let Some(held) = self.requests.get_mut(id) {
-                held.client = None;
+                held.owner = None;
                 held.payload = Vec::new();
+                if held.with != With::Buffer {
+                    self.events.push_back(Event::ClientGone(*id));
+                }
             }
-            self.events.push_back(Event::ClientGone(*id));
-            self.forget(*id);
+            self.forget(*id, now);
         }
     }
 }
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -2,6 +2,7 @@
 
 use crate::machine::{Address, Micros};
 use flaxstand::api::Settings;
+use std::collections::BTreeSet;
 
 /// Which policy decides.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -110,6 +111,47 @@
     pub name: String,
     /// Answers are streamed.
     pub stream: bool,
+    /// Its writes may be buffered. Its effect is repeatable or keyed then.
+    pub buffered: bool,
+}
+
+/// The write-back buffer's figures. `docs/write-back.md` describes them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WriteBack {
+    /// Bytes that may live in the buffer.
+    pub bytes: u64,
+    /// The same for one volume.
+    pub volume_bytes: u64,
+    /// A write should be on its node after this.
+    pub age: Micros,
+    /// A write waits so long for one that overwrites it.
+    pub linger: Micros,
+    /// Word of what is done waits so long for company before it is written.
+    pub record_linger: Micros,
+    /// Longest wait of an acknowledgement as space runs out.
+    pub slow: Micros,
+    /// Requests and barriers that may wait in the buffer beside its writes.
+    pub waiting: usize,
+    /// A flush is complete once all before it is durable here, in place of on the nodes.
+    pub flush_here: bool,
+    /// Only writes of these volumes are buffered; none: of all.
+    pub volumes: Option<BTreeSet<u64>>,
+}
+
+impl Default for WriteBack {
+    fn default() -> Self {
+        WriteBack {
+            bytes: 256 << 20,
+            volume_bytes: 64 << 20,
+            age: Micros(5_000_000),
+            linger: Micros(20_000),
+            record_linger: Micros(50_000),
+            slow: Micros(50_000),
+            waiting: 4096,
+            flush_here: false,
+            volumes: None,
+        }
+    }
 }
 
 /// What a site tells all its initiators.
@@ -123,6 +165,8 @@
     pub plans: Vec<String>,
     /// Waits of connections.
     pub waits: Waits,
+    /// The write-back buffer, where a class is buffered.
+    pub write_back: Option<WriteBack>,
 }
 
 /// What one initiator is told.
@@ -134,6 +178,8 @@
     pub index: u32,
     /// Which life of it this is; grows at each start.
     pub epoch: u64,
+    /// The host's calendar when the machine's clock was 0, microseconds since 1970.
+    pub calendar: u64,
     /// Seed of its random numbers.
     pub seed: u64,
     /// Where the list service is.
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -2,6 +2,7 @@
 //! is gone. What is known of an attempt whose connection broke depends on how much of it had left.
 
 use super::clients::Fault;
+use super::requests::Owner;
 use super::{Conn, Core, Peer, Stage, Timer};
 use crate::machine::{Address, Command, ConnId, Micros};
 use flaxstand::api::{
@@ -117,6 +118,7 @@
             volume: held.volume,
             extent: held.extent,
             units: held.units,
+            at: held.at,
             time_left: u32::try_from(held.valid_until.since(now).0).unwrap_or(u32::MAX),
             payload: &payload,
         });
@@ -229,12 +231,20 @@
     }
 
     pub(super) fn attempt_chunk(&mut self, conn: ConnId, request: u64, attempt: u32, payload: &[u8]) {
-        let Some((id, _)) = self.flies(conn, request, attempt) else { return };
+        let Some((id, attempt)) = self.flies(conn, request, attempt) else { return };
         let Some(held) = self.requests.get_mut(&id) else { return };
+        if held.merge.is_some() {
+            // Only the whole of it can be laid over; until then the attempt is like any other.
+            if held.gathered.0 != attempt {
+                held.gathered = (attempt, Vec::new());
+            }
+            held.gathered.1.extend_from_slice(payload);
+            return;
+        }
         if !std::mem::replace(&mut held.streaming, true) {
             self.events.push_back(Event::AnswerStarted(id));
         }
-        if let Some((client, client_id)) = held.client {
+        if let Some(Owner::Client(client, client_id)) = held.owner {
             self.push(client, &Frame::Part { id: client_id, payload });
         }
     }
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -4,6 +4,7 @@
 //! part of each connection, so that none starves the others), let the machine settle, do what it wants.
 
 use crate::machine::{Address, Command, ConnId, Control, Machine, Micros, Sink};
+use flaxstand_buffer::{Batch, Storage, perform};
 use rustix::event::{Timespec, epoll};
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::{Errno, read, write};
@@ -14,6 +15,7 @@
 use std::net::TcpListener;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use tracing::{info, warn};
 
 /// Most bytes read from one connection in a turn.
@@ -80,6 +82,7 @@
 const LISTENER: u64 = 1 << 62;
 const SIGNAL: u64 = 1 << 61;
 const INPUT: u64 = 1 << 60;
+const DISK: u64 = 1 << 59;
 
 /// Reads the bounds anew; none: they stay.
 pub type Reload = Box<dyn FnMut() -> Option<crate::core::Bounds> + Send>;
@@ -95,10 +98,38 @@
     pub data: Option<File>,
     /// Read lines of standard input.
     pub input: bool,
+    /// Where `Store` puts batches, on a thread of its own: the machine never waits for a disk.
+    pub log: Option<Box<dyn Storage>>,
     /// Called at SIGHUP; new bounds are handed to the machine.
     pub reload: Option<Reload>,
 }
 
+/// The thread that carries batches out.
+struct Disk {
+    batches: Sender<Batch>,
+    done: Receiver<io::Result<()>>,
+    /// Readable when a batch is done.
+    bell: UnixStream,
+}
+
+impl Disk {
+    /// The thread ends with this.
+    fn start(mut storage: Box<dyn Storage>) -> io::Result<Disk> {
+        let (bell, ring) = UnixStream::pair()?;
+        bell.set_nonblocking(true)?;
+        let (batches, todo) = channel::<Batch>();
+        let (tell, done) = channel();
+        std::thread::Builder::new().name("log".into()).spawn(move || {
+            for batch in todo {
+                if tell.send(perform(&mut *storage, &batch)).is_err() || (&ring).write_all(&[1]).is_err() {
+                    return;
+                }
+            }
+        })?;
+        Ok(Disk { batches, done, bell })
+    }
+}
+
 /// A machine and its sockets.
 pub struct Driver<M> {
     machine: M,
@@ -108,6 +139,7 @@
     /// Given up for a moment when descriptors run out, to take a client and tell it goodbye.
     spare: Option<OwnedFd>,
     signals: Vec<(UnixStream, Signal)>,
+    disk: Option<Disk>,
     input: Vec<u8>,
     options: Options,
     now: Micros,
@@ -125,7 +157,7 @@
     ///
     /// # Errors
     /// The system gives no epoll or no pipe for signals.
-    pub fn new(machine: M, options: Options) -> io::Result<Self> {
+    pub fn new(machine: M, mut options: Options) -> io::Result<Self> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
         let mut signals = Vec::new();
         for (number, signal) in [
@@ -140,6 +172,10 @@
             epoll::add(&epoll, &ours, data, epoll::EventFlags::IN)?;
             signals.push((ours, signal));
         }
+        let disk = options.log.take().map(Disk::start).transpose()?;
+        if let Some(disk) = &disk {
+            epoll::add(&epoll, &disk.bell, epoll::EventData::new_u64(DISK), epoll::EventFlags::IN)?;
+        }
         if options.input {
             let stdin = io::stdin();
             rustix::io::ioctl_fionbio(&stdin, true)?;
@@ -156,6 +192,7 @@
             sockets: BTreeMap::new(),
             spare: spare(),
             signals,
+            disk,
             input: Vec::new(),
             options,
             now: clock(),
@@ -239,6 +276,8 @@
             self.accept(index);
         } else if data & SIGNAL != 0 {
             self.signal(index);
+        } else if data == DISK {
+            self.stored();
         } else if data == INPUT {
             self.read_input(buffer);
         } else {
@@ -377,6 +416,12 @@
                     warn!(%error, ?sink, "cannot append");
                 }
             }
+            Command::Store(batch) => {
+                let sent = self.disk.as_ref().is_some_and(|disk| disk.batches.send(batch).is_ok());
+                if !sent {
+                    self.machine.stored(false, self.now);
+                }
+            }
             Command::StopListening => {
                 self.listeners.iter().for_each(|l| {
                     let _ = epoll::delete(&self.epoll, l.fd());
@@ -481,6 +526,18 @@
         }
     }
 
+    fn stored(&mut self) {
+        let Some(disk) = &self.disk else { return };
+        let mut byte = [0; 64];
+        while matches!(read(&disk.bell, &mut byte), Ok(n) if n > 0) {}
+        while let Ok(done) = disk.done.try_recv() {
+            if let Err(error) = &done {
+                warn!(%error, "cannot store");
+            }
+            self.machine.stored(done.is_ok(), self.now);
+        }
+    }
+
     fn read_input(&mut self, buffer: &mut [u8]) {
         match read(io::stdin(), &mut *buffer) {
             Ok(0) => {
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -80,6 +80,8 @@
     Save(Vec<u8>),
     /// Add these bytes to one of the machine's files. A stand-in's records, written before its answers.
     Append(Sink, Vec<u8>),
+    /// Carry this batch out on the machine's log; `stored` follows. One at a time.
+    Store(flaxstand_buffer::Batch),
     /// Take no more connections.
     StopListening,
     /// Write a line to standard output.
@@ -123,6 +125,8 @@
     fn wrote(&mut self, conn: ConnId, count: usize, now: Micros);
     /// Whether the connection may be read now.
     fn wants_read(&self, conn: ConnId) -> bool;
+    /// How the batch went that was to be stored.
+    fn stored(&mut self, _well: bool, _now: Micros) {}
     /// Word from outside the connections.
     fn control(&mut self, control: Control, now: Micros);
     /// Everything of this moment has been told. Returns when to call again at the latest.
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -19,6 +19,8 @@
     pub listen: Vec<Address>,
     /// Where the node list is saved, if it is.
     pub state: Option<PathBuf>,
+    /// The folder of the write-back buffer's log; there where a class is buffered.
+    pub log: Option<PathBuf>,
     /// How many descriptors the process may have open, if that is to be lowered.
     pub files: Option<u64>,
 }
@@ -37,13 +39,20 @@
         let expected = "\"IP:PORT\" or \"unix:PATH\"";
         let listen = b.all_parsed("listen", expected, |t| t.parse::<Address>().ok());
         let list = b.parsed("list", expected, None, |t| t.parse::<Address>().ok());
-        let state = b.parsed("state", "a path", Some(None), |t| Some(Some(PathBuf::from(t))));
+        let path = |key| b.parsed(key, "a path", Some(None), |t| Some(Some(PathBuf::from(t)))).flatten();
+        let (state, log) = (path("state"), path("log"));
+        match (&log, &site.site.write_back) {
+            (None, Some(_)) => b.problem("log is missing, expected a folder: a class is buffered".into()),
+            (Some(_), None) => b.problem("there is a log, expected a class that is buffered".into()),
+            _ => {}
+        }
         let files = b.whole("files", 0..=1 << 20, Some(0));
         let daemon = Daemon {
             config: Config {
                 name: b.name(),
                 index: b.whole("index", 0..=1 << 20, Some(0)) as u32,
                 epoch: 0,
+                calendar: 0,
                 seed: b.whole("seed", 0..=u64::MAX >> 1, Some(0)),
                 list: list.unwrap_or(Address::Unix(PathBuf::new())),
                 site: site.site.clone(),
@@ -51,7 +60,8 @@
                 policy: b.choice("policy", &Policy::ALL, Some(Policy::Module)).unwrap_or_default(),
             },
             listen,
-            state: state.flatten(),
+            state,
+            log,
             files: (files > 0).then_some(files),
         };
         if daemon.config.index >= site.site.settings.initiators {
@@ -94,7 +104,7 @@
 
 /// The part of a file that all initiators of a site share, as text: what stays of a day for a settings file.
 pub fn shared_part(text: &str) -> String {
-    const SHARED: [&str; 4] = ["site", "class", "plan", "bounds"];
+    const SHARED: [&str; 5] = ["site", "class", "plan", "bounds", "buffer"];
     let mut document = text.parse::<kdl::KdlDocument>().unwrap_or_default();
     document.nodes_mut().retain(|n| SHARED.contains(&n.name().value()));
     document.to_string()
--- a/crates/flaxstand-gateway/src/settings/site.rs
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -1,7 +1,7 @@
 //! The part of a settings file that all initiators of a site share. A day of the laboratory has the same.
 
 use super::reader::Block;
-use crate::core::{ClassInfo, Site, Waits};
+use crate::core::{ClassInfo, Site, Waits, WriteBack};
 use crate::machine::Micros;
 use flaxstand::api::{Budget, Class, Effect, Plan, RepeatGroup, Settings};
 use std::collections::BTreeSet;
@@ -77,7 +77,15 @@
         }
         None => (empty, Waits::default()),
     };
-    SiteFile { site: Site { settings, classes: infos, plans: plan_names, waits }, rules }
+    let buffered = infos.iter().any(|c| c.buffered);
+    let figures = root.block("buffer").map(|b| {
+        if !buffered {
+            b.problem("there is a buffer, expected a class that is buffered".into());
+        }
+        read_write_back(&b)
+    });
+    let write_back = buffered.then(|| figures.unwrap_or_default());
+    SiteFile { site: Site { settings, classes: infos, plans: plan_names, waits, write_back }, rules }
 }
 
 fn unique<'a>(root: &Block<'_>, what: &str, names: impl Iterator<Item = &'a String>) {
@@ -145,6 +153,29 @@
     waits
 }
 
+fn read_write_back(b: &Block<'_>) -> WriteBack {
+    let d = WriteBack::default();
+    let wait = |key, default: Micros| Micros::from_ms(b.number(key, MS, Some(default.ms())));
+    let bytes = |key, default| b.whole(key, 1..=1 << 40, Some(default));
+    let volumes = b.wholes("volumes", 0..=u64::MAX >> 1);
+    let w = WriteBack {
+        bytes: bytes("bytes", d.bytes),
+        volume_bytes: bytes("volume-bytes", d.volume_bytes),
+        age: Micros::from_ms(b.number("age-ms", POSITIVE_MS, Some(d.age.ms()))),
+        linger: wait("linger-ms", d.linger),
+        record_linger: wait("record-linger-ms", d.record_linger),
+        slow: wait("slow-ms", d.slow),
+        waiting: b.whole("waiting", 1..=1 << 24, Some(d.waiting as u64)) as usize,
+        flush_here: b.choice("flush", &[("nodes", false), ("here", true)], Some(false)).unwrap_or(false),
+        volumes: (!volumes.is_empty()).then(|| volumes.into_iter().collect()),
+    };
+    if w.linger > w.age {
+        b.problem(format!("linger-ms is {}, expected at most age-ms, {}", w.linger.ms(), w.age.ms()));
+    }
+    b.finish();
+    w
+}
+
 fn read_class(b: &Block<'_>) -> (ClassInfo, Class) {
     let groups = [("all", RepeatGroup::All), ("zone", RepeatGroup::Zone), ("shard", RepeatGroup::Cell)];
     #[derive(Clone, Copy)]
@@ -174,7 +205,14 @@
     if class.aim > class.deadline {
         b.problem(format!("aim-ms is {}, expected at most deadline-ms, {}", class.aim, class.deadline));
     }
-    let info = ClassInfo { name: b.name(), stream: b.flag("stream", false) };
+    let buffered = b.flag("buffered", false);
+    if buffered && class.effect == Effect::Once {
+        b.problem(
+            "buffered is #true, expected #false for effect \"once\": after a crash it could not be repeated"
+                .into(),
+        );
+    }
+    let info = ClassInfo { name: b.name(), stream: b.flag("stream", false), buffered };
     b.finish();
     (info, class)
 }
--- a/crates/flaxstand-lab/src/node.rs
+++ b/crates/flaxstand-lab/src/node.rs
@@ -93,6 +93,7 @@
     attempt: u32,
     op: u64,
     place: (u64, u64),
+    at: Option<u32>,
     units: u32,
     write: bool,
     stream: bool,
@@ -205,6 +206,7 @@
                 attempt: a.attempt,
                 op: a.operation,
                 place: (a.volume, extent),
+                at: a.at,
                 units: a.units,
                 write: a.write,
                 stream: a.stream,
@@ -227,9 +229,14 @@
         for id in self.model.advance(now) {
             let Some(work) = self.work.get_mut(&id) else { continue };
             if work.write && !self.ran.contains_key(&work.op) {
-                let payload = std::mem::take(&mut work.payload);
+                let mut payload = std::mem::take(&mut work.payload);
+                let ((volume, extent), node, op) = (work.place, self.id.node, work.op);
+                if let Some(at) = work.at {
+                    payload = laid_over(self.data.get(&work.place), at as usize, &payload);
+                }
                 store(links, work.place, &payload);
                 self.data.insert(work.place, payload);
+                links.record(&Record::Stored { at: now.0, node, op, volume, extent });
                 while self.data.len() > REMEMBERED {
                     self.data.pop_first();
                 }
@@ -314,6 +321,17 @@
     }
 }
 
+/// A write that begins inside an item, laid over what is there.
+fn laid_over(held: Option<&Vec<u8>>, at: usize, payload: &[u8]) -> Vec<u8> {
+    let mut data = held.cloned().unwrap_or_default();
+    let end = at + payload.len();
+    if data.len() < end {
+        data.resize(end, 0);
+    }
+    data[at..end].copy_from_slice(payload);
+    data
+}
+
 /// An item as stored: volume, extent, length, payload.
 fn store(links: &mut Links, (volume, extent): (u64, u64), payload: &[u8]) {
     links.store(&volume.to_le_bytes());
--- a/crates/flaxstand-lab/src/press.rs
+++ b/crates/flaxstand-lab/src/press.rs
@@ -126,6 +126,7 @@
                 extent: Some(id),
                 shard: Some((id % u64::from(self.p.shards.max(1))) as u32),
                 units: 1,
+                at: None,
                 time_left: 60_000_000,
                 payload: &[],
             }),
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -174,6 +174,10 @@
         initiator_seed(day, index),
         plan.policy,
     );
+    if day.site.site.write_back.is_some() {
+        let end = text.rfind('}').unwrap_or(0);
+        text.insert_str(end, &format!("    log \"{folder}/initiator-{index}.log\"\n"));
+    }
     text.push_str(&flaxstand_gateway::settings::shared_part(&plan.text));
     text
 }
--- a/crates/flaxstand-proto/src/codec.rs
+++ b/crates/flaxstand-proto/src/codec.rs
@@ -179,7 +179,7 @@
 
 choice!(role, Role, "role", Client, Initiator, Node, List);
 choice!(code, Code, "code", Served, Error, Full);
-choice!(refusal, Refusal, "refusal", Load, Held, Client, Stopping);
+choice!(refusal, Refusal, "refusal", Load, Held, Client, Stopping, Unbuffered, Buffer);
 choice!(scope, Scope, "scope", Request, Volume, All);
 choice!(parting, Parting, "parting", Version, Protocol, WrongPeer, Bound, Stopping);
 choice!(state, State, "state", Serving, Draining, Gone);
@@ -195,6 +195,13 @@
         Frame::Refused { .. } => 18,
         Frame::Failed { .. } => 19,
         Frame::Part { .. } => 20,
+        Frame::Buffered { .. } => 21,
+        Frame::Barrier { .. } => 22,
+        Frame::Barred { .. } => 23,
+        Frame::Flush { .. } => 24,
+        Frame::Flushed { .. } => 25,
+        Frame::AskStatus { .. } => 26,
+        Frame::Status { .. } => 27,
         Frame::Attempt(_) => 32,
         Frame::Cancel { .. } => 33,
         Frame::Done(_) => 34,
@@ -258,6 +265,7 @@
             w.maybe_u64(s.extent);
             w.maybe_u32(s.shard);
             w.u32(s.units);
+            w.maybe_u32(s.at);
             w.u32(s.time_left);
             w.bytes(s.payload);
         }
@@ -272,7 +280,25 @@
             w.u8(*refusal as u8);
             w.u8(*scope as u8);
         }
-        Frame::Failed { id } => w.u64(*id),
+        Frame::Failed { id }
+        | Frame::Buffered { id }
+        | Frame::Barred { id }
+        | Frame::Flushed { id }
+        | Frame::AskStatus { id } => w.u64(*id),
+        Frame::Barrier { id, volume, time_left } => {
+            w.u64(*id);
+            w.u64(*volume);
+            w.u32(*time_left);
+        }
+        Frame::Flush { id, volume, time_left } => {
+            w.u64(*id);
+            w.maybe_u64(*volume);
+            w.u32(*time_left);
+        }
+        Frame::Status { id, json } => {
+            w.u64(*id);
+            w.bytes(json);
+        }
         Frame::Part { id, payload } => {
             w.u64(*id);
             w.bytes(payload);
@@ -288,6 +314,7 @@
             w.u64(a.volume);
             w.maybe_u64(a.extent);
             w.u32(a.units);
+            w.maybe_u32(a.at);
             w.u32(a.time_left);
             w.bytes(a.payload);
         }
@@ -392,6 +419,7 @@
             extent: r.maybe_u64("extent")?,
             shard: r.maybe_u32("shard")?,
             units: r.u32("units")?,
+            at: r.maybe_u32("at")?,
             time_left: r.u32("time left")?,
             payload: r.bytes("payload")?,
         }),
@@ -401,6 +429,15 @@
         }
         19 => Frame::Failed { id: r.u64("id")? },
         20 => Frame::Part { id: r.u64("id")?, payload: r.bytes("payload")? },
+        21 => Frame::Buffered { id: r.u64("id")? },
+        22 => Frame::Barrier { id: r.u64("id")?, volume: r.u64("volume")?, time_left: r.u32("time left")? },
+        23 => Frame::Barred { id: r.u64("id")? },
+        24 => {
+            Frame::Flush { id: r.u64("id")?, volume: r.maybe_u64("volume")?, time_left: r.u32("time left")? }
+        }
+        25 => Frame::Flushed { id: r.u64("id")? },
+        26 => Frame::AskStatus { id: r.u64("id")? },
+        27 => Frame::Status { id: r.u64("id")?, json: r.bytes("json")? },
         32 => Frame::Attempt(Attempt {
             request: r.u64("request")?,
             attempt: r.u32("attempt")?,
@@ -412,6 +449,7 @@
             volume: r.u64("volume")?,
             extent: r.maybe_u64("extent")?,
             units: r.u32("units")?,
+            at: r.maybe_u32("at")?,
             time_left: r.u32("time left")?,
             payload: r.bytes("payload")?,
         }),
--- a/crates/flaxstand-proto/src/frame.rs
+++ b/crates/flaxstand-proto/src/frame.rs
@@ -2,9 +2,9 @@
 //! of one clock is ever sent to another host.
 
 /// Oldest version of the frames that this build reads.
-pub const VERSION_OLDEST: u8 = 1;
+pub const VERSION_OLDEST: u8 = 2;
 /// Version of the frames that this build writes.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// Who speaks on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +44,10 @@
     Client = 3,
     /// The initiator is stopping.
     Stopping = 4,
+    /// This initiator buffers no writes: it has no flushes and barriers.
+    Unbuffered = 5,
+    /// The write-back buffer is full, or the request would have waited in it for too long.
+    Buffer = 6,
 }
 
 /// Whom a refusal's wait concerns.
@@ -151,6 +155,8 @@
     pub shard: Option<u32>,
     /// Units it counts, 1 or more.
     pub units: u32,
+    /// The byte of the extent at which a write begins; none: it replaces the whole extent.
+    pub at: Option<u32>,
     /// How long the client waits from now on, microseconds.
     pub time_left: u32,
     /// Data to be written.
@@ -180,6 +186,8 @@
     pub extent: Option<u64>,
     /// As in [`Submit`].
     pub units: u32,
+    /// As in [`Submit`].
+    pub at: Option<u32>,
     /// How long an answer is of use, microseconds.
     pub time_left: u32,
     /// As in [`Submit`].
@@ -296,6 +304,51 @@
         /// Data read.
         payload: &'a [u8],
     },
+    /// Initiator to client: the write is durable at the initiator and will reach its node.
+    Buffered {
+        /// The client's number of the try.
+        id: u64,
+    },
+    /// Client to initiator: nothing taken of this volume from now on before all taken so far is confirmed.
+    Barrier {
+        /// The client's number for it.
+        id: u64,
+        /// The volume.
+        volume: u64,
+        /// How long the client waits from now on, microseconds.
+        time_left: u32,
+    },
+    /// Initiator to client: the barrier stands.
+    Barred {
+        /// The client's number of it.
+        id: u64,
+    },
+    /// Client to initiator: tell when all that was taken so far is on its nodes.
+    Flush {
+        /// The client's number for it.
+        id: u64,
+        /// Of this volume only; none: of all.
+        volume: Option<u64>,
+        /// How long the client waits from now on, microseconds.
+        time_left: u32,
+    },
+    /// Initiator to client: it is.
+    Flushed {
+        /// The client's number of it.
+        id: u64,
+    },
+    /// Client to initiator: how is the write-back buffer?
+    AskStatus {
+        /// The client's number for it.
+        id: u64,
+    },
+    /// Initiator to client: its figures, a JSON object.
+    Status {
+        /// The client's number of it.
+        id: u64,
+        /// The text.
+        json: &'a [u8],
+    },
     /// Initiator to node: an attempt.
     Attempt(Attempt<'a>),
     /// Initiator to node: nobody waits for this attempt any more.
