Buffered writes measured; write-outs worth as much late as in time; two faults mended

Cause: a write let through whose time was up in the turn it came was never told over and held every barrier after it; write-outs earned nothing after their aim, so that the module refused them for ever on a busy node; a removal that went well hid that the log was failing.

--- a/crates/flaxstand-buffer/src/buffer.rs
+++ b/crates/flaxstand-buffer/src/buffer.rs
@@ -458,11 +458,10 @@
         self.freed(freed, now);
     }
 
-    /// Nobody waits for a request any more. One that went through stays until it is over.
+    /// Nobody waits for a request any more, and none of it was sent. Of one that was sent, tell
+    /// [`Buffer::through_ended`].
     pub fn gone(&mut self, ticket: Ticket, now: Micros) {
-        let out = |seq: &Seq| matches!(self.order.item(*seq), Some(Item::Through { out: true, .. }));
         match self.roles.get(&ticket) {
-            Some(Role::Through(seq)) if out(seq) => {}
             Some(Role::Through(_)) => self.through_ended(ticket, false, now),
             Some(Role::Read(place)) => {
                 let place = *place;
--- a/crates/flaxstand-buffer/src/lib.rs
+++ b/crates/flaxstand-buffer/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`pressure`]: what becomes of a new write as space runs out
 //! - [`image`]: writes laid over each other and over a node's data
 //! - [`log`]: batches, segments, what may be removed; [`record`]: their bytes; [`recover`]: reading them back
+//! - [`offline`]: what operators do with a log that no process uses
 //! - [`storage`]: what a log needs of a disk; [`folder`]: on files; [`faulty`]: with faults, for tests
 #![forbid(unsafe_code)]
 
@@ -16,6 +17,7 @@
 pub mod folder;
 pub mod image;
 pub mod log;
+pub mod offline;
 pub mod order;
 pub mod pressure;
 pub mod record;
@@ -28,5 +30,5 @@
 pub use folder::Folder;
 pub use log::Batch;
 pub use record::{Place, Seq, Write};
-pub use recover::{RecoverError, Recovered, recover};
+pub use recover::{Live, RecoverError, Recovered, recover, salvage};
 pub use storage::{Storage, perform};
--- a/crates/flaxstand-buffer/src/log.rs
+++ b/crates/flaxstand-buffer/src/log.rs
@@ -109,6 +109,7 @@
     /// Something in the queue waits for the disk; else it may wait for company.
     urgent: bool,
     lazy_since: Option<Micros>,
+    /// The last batch of records failed: when to try again, and the wait that led there.
     failing: Option<(Micros, Micros)>,
     /// Segments could not be removed: not tried again before a batch of records went well.
     stuck: bool,
@@ -189,7 +190,7 @@
         }
     }
 
-    /// The last batch failed and none has succeeded since.
+    /// The last batch of records failed; it is tried again.
     pub fn failing(&self) -> bool {
         self.failing.is_some()
     }
@@ -264,22 +265,20 @@
     /// How the batch under way went. Returns what became durable, in order.
     pub fn stored(&mut self, well: bool, now: Micros) -> Vec<(Seq, Kind)> {
         let Some(flight) = self.flight.take() else { return Vec::new() };
-        if !well {
-            self.counts.failures += 1;
-            let wait = self.failing.map_or(AGAIN.0, |(_, wait)| Micros(wait.0 * 2).min(AGAIN.1));
-            self.failing = Some((now.after(wait), wait));
-        }
+        self.counts.failures += u64::from(!well);
         match flight {
             Flight::Removals(removed) => {
                 self.stuck = !well;
                 if well {
-                    self.failing = None;
                     removed.iter().for_each(|n| drop(self.segments.remove(n)));
                     self.void.retain(|n| !removed.contains(n));
                 }
                 Vec::new()
             }
             Flight::Records { segment, queue, .. } if !well => {
+                let wait = self.failing.map_or(AGAIN.0, |(_, wait)| Micros(wait.0 * 2).min(AGAIN.1));
+                self.failing = Some((now.after(wait), wait));
+                self.lazy_since = Some(now);
                 // To a new segment, before all that came since.
                 if self.current != Some(segment) {
                     self.void.push(segment);
--- /dev/null
+++ b/crates/flaxstand-buffer/src/offline.rs
@@ -0,0 +1,31 @@
+//! What operators do with the log of an initiator that is stopped.
+
+use crate::buffer::Verdict;
+use crate::log::Batch;
+use crate::record::{Record, Seq};
+use crate::recover::{Live, RecoverError, recover};
+use crate::storage::{Storage, perform};
+use flaxstand_proto::Micros;
+
+/// An operator's word on a parked write. False, and nothing is changed, if there is no such write.
+///
+/// # Errors
+/// The log can't be read or written; then nothing is decided.
+pub fn decide(storage: &mut dyn Storage, seq: Seq, verdict: Verdict) -> Result<bool, RecoverError> {
+    let mut recovered = recover(storage)?;
+    let Some(Live::Write { taken, parked: true, write, .. }) = recovered.live.remove(&seq) else {
+        return Ok(false);
+    };
+    let record = match verdict {
+        Verdict::Done => Record::Done { seq },
+        Verdict::Again => Record::Write { seq, taken, started: None, parked: false, write },
+    };
+    let now = Micros(0);
+    recovered.log.append(&record, now);
+    recovered.log.hurry();
+    while let Some(Batch { ops }) = recovered.log.batch(Micros(0), now) {
+        perform(storage, &Batch { ops })?;
+        recovered.log.stored(true, now);
+    }
+    Ok(true)
+}
--- a/crates/flaxstand-buffer/src/writeout.rs
+++ b/crates/flaxstand-buffer/src/writeout.rs
@@ -61,7 +61,7 @@
 }
 
 /// Wait of a shard after a try that was not done: doubled each time, up to the longest.
-const HOLD: (Micros, Micros) = (Micros(20_000), Micros(2_000_000));
+const HOLD: (Micros, Micros) = (Micros(20_000), Micros(500_000));
 
 #[derive(Debug, Default)]
 struct Line {
@@ -154,7 +154,7 @@
             Ended::Well => line.hold = Micros(0),
             Ended::Badly(wait) => {
                 line.hold = Micros(line.hold.0 * 2).clamp(HOLD.0, HOLD.1);
-                line.hold_until = line.hold_until.max(now.after(line.hold.max(wait).min(HOLD.1)));
+                line.hold_until = line.hold_until.max(now.after(line.hold.max(wait)));
             }
             Ended::Withdrawn => {}
         }
--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -101,6 +101,9 @@
     Load(Press),
     /// Measure what an initiator costs, beside a straight pipe, against nodes that answer at once
     Measure {
+        /// What of it
+        #[arg(value_enum, default_value = "requests")]
+        what: Measured,
         /// Seconds for each figure
         #[arg(long, default_value_t = 3.0)]
         seconds: f64,
@@ -108,6 +111,9 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Look at a write-back log, or empty it
+    #[command(subcommand)]
+    Buffer(BufferTask),
     /// One process of a rehearsal
     #[command(subcommand, hide = true)]
     StandIn(Role),
@@ -144,6 +150,94 @@
     found.map(|(_, p)| *p).ok_or_else(|| format!("expected one of {}", names.join(", ")))
 }
 
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Measured {
+    /// Requests a second, latency, processor time, memory
+    Requests,
+    /// Buffered writes beside writes through: latency, writes and syncs a second, reading a log back
+    Buffer,
+}
+
+#[derive(Subcommand)]
+pub enum BufferTask {
+    /// What is buffered: of a running initiator its own figures, of a log's folder what it holds
+    Status {
+        #[command(flatten)]
+        of: Which,
+        /// As a JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Read a log through; exit code 1 if it is damaged. Nothing is changed, and it may be in use
+    Verify {
+        /// The log's folder
+        folder: PathBuf,
+    },
+    /// List what is buffered, a line each: number, volume, extent, class, operation, bytes, age, state
+    Dump {
+        /// The log's folder
+        folder: PathBuf,
+        /// Only what waits for an operator
+        #[arg(long)]
+        parked: bool,
+        /// Each line a JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Bring all that is buffered to its nodes: by a running initiator, or with a stopped one's settings
+    Drain {
+        #[command(flatten)]
+        by: By,
+        /// How long at most
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+    },
+    /// Say what becomes of a write that waits for an operator; the initiator must be stopped
+    Decide {
+        /// The log's folder
+        folder: PathBuf,
+        /// Its number, as `dump` shows it
+        number: u64,
+        /// Is it on its node, or is it to go again
+        #[arg(value_enum)]
+        verdict: Word,
+    },
+    /// Make a damaged log usable: what can be read goes to a new segment, the old ones are set aside
+    Salvage {
+        /// The log's folder
+        folder: PathBuf,
+    },
+}
+
+#[derive(Group)]
+#[group(required = true, multiple = false)]
+pub struct Which {
+    /// The log's folder
+    pub folder: Option<PathBuf>,
+    /// A running initiator
+    #[arg(long, value_name = "ADDRESS")]
+    pub initiator: Option<Address>,
+}
+
+#[derive(Group)]
+#[group(required = true, multiple = false)]
+pub struct By {
+    /// A running initiator
+    #[arg(long, value_name = "ADDRESS")]
+    pub initiator: Option<Address>,
+    /// The settings of one that is stopped
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+pub enum Word {
+    /// It is on its node
+    Done,
+    /// It is not, and goes out as if it never had
+    Again,
+}
+
 #[derive(Subcommand)]
 pub enum Role {
     /// The list service
@@ -203,6 +297,9 @@
     /// Requests a second over all connections, whatever is answered (open loop)
     #[arg(long, default_value_t = 0.0)]
     pub rate: f64,
+    /// Bytes of a write, each to an extent of its own; 0: requests read
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u32).range(0..=1 << 20))]
+    pub write: u32,
     /// How long is measured, after a warm-up of a quarter of that
     #[arg(long)]
     pub seconds: f64,
--- /dev/null
+++ b/crates/flaxstand-cli/src/buffer.rs
@@ -0,0 +1,250 @@
+//! `flaxstand buffer`.
+
+use crate::Failure;
+use crate::args::{BufferTask, By, Which, Word};
+use crate::daemon::{self, Purpose};
+use flaxstand_buffer::offline::decide;
+use flaxstand_buffer::record::Wall;
+use flaxstand_buffer::{Folder, Live, Recovered, Seq, Verdict, Write, recover, salvage};
+use flaxstand_gateway::machine::{Address, Micros};
+use flaxstand_proto::{Frame, Hello, Inbox, Role, VERSION, VERSION_OLDEST, encode};
+use std::io::{self, Read, Write as _};
+use std::net::TcpStream;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+pub fn run(task: BufferTask) -> Result<(), Failure> {
+    match task {
+        BufferTask::Status { of: Which { initiator: Some(address), .. }, json } => {
+            let figures = Caller::call(&address)?.status()?;
+            print!("{}", if json { figures + "\n" } else { lines(&figures) });
+            Ok(())
+        }
+        BufferTask::Status { of: Which { folder, .. }, json } => {
+            let figures = figures(&look(&folder.expect("one of the two is given"))?);
+            print!("{}", if json { figures + "\n" } else { lines(&figures) });
+            Ok(())
+        }
+        BufferTask::Verify { folder } => {
+            let mut storage = Folder::look(&folder).map_err(|e| told(&folder, &e))?;
+            match recover(&mut storage) {
+                Ok(r) => {
+                    let (segments, bytes) = (r.segments.len(), r.segments.iter().map(|s| s.1).sum::<u64>());
+                    println!("{segments} segments, {bytes} bytes, {} records: sound", r.records);
+                    if r.torn > 0 {
+                        println!("{} bytes at the end were never synced and count for nothing", r.torn);
+                    }
+                    Ok(())
+                }
+                Err(e) => {
+                    println!("{e}");
+                    println!("`flaxstand buffer salvage` keeps what can still be read");
+                    Err(Failure::Rule)
+                }
+            }
+        }
+        BufferTask::Dump { folder, parked, json } => {
+            for (seq, live) in &look(&folder)?.live {
+                if let Some(line) = line(*seq, live, json).filter(|_| !parked || is_parked(live)) {
+                    println!("{line}");
+                }
+            }
+            Ok(())
+        }
+        BufferTask::Drain { by: By { initiator: Some(address), .. }, seconds } => {
+            let mut caller = Caller::call(&address)?;
+            caller.flush(Duration::from_secs_f64(seconds.clamp(0.1, 4000.0)))?;
+            println!("all that was buffered is on its nodes");
+            Ok(())
+        }
+        BufferTask::Drain { by: By { config, .. }, seconds } => {
+            let longest = Micros::from_ms(seconds.clamp(0.1, 4000.0) * 1000.0);
+            daemon::run(&config.expect("one of the two is given"), Purpose::Drain(longest))
+        }
+        BufferTask::Decide { folder, number, verdict } => {
+            let verdict = match verdict {
+                Word::Done => Verdict::Done,
+                Word::Again => Verdict::Again,
+            };
+            let mut storage = Folder::open(&folder).map_err(|e| told(&folder, &e))?;
+            match decide(&mut storage, Seq(number), verdict).map_err(|e| told(&folder, &e))? {
+                true => Ok(()),
+                false => Err(told(&folder, &format!("no write {number} waits for an operator"))),
+            }
+        }
+        BufferTask::Salvage { folder } => {
+            let mut storage = Folder::open(&folder).map_err(|e| told(&folder, &e))?;
+            if recover(&mut storage).is_ok() {
+                println!("the log is sound: nothing is changed");
+                return Ok(());
+            }
+            let kept = salvage(&mut storage).map_err(|e| told(&folder, &e))?;
+            println!("{kept} writes and barriers are kept; the old segments are set aside as *.damaged");
+            Ok(())
+        }
+    }
+}
+
+fn told(folder: &Path, why: &dyn std::fmt::Display) -> Failure {
+    Failure::System(format!("{}: {why}", folder.display()))
+}
+
+/// What a log holds, whether or not a process has it.
+fn look(folder: &Path) -> Result<Recovered, Failure> {
+    let mut storage = Folder::look(folder).map_err(|e| told(folder, &e))?;
+    recover(&mut storage).map_err(|e| told(folder, &e))
+}
+
+fn is_parked(live: &Live) -> bool {
+    matches!(live, Live::Write { parked: true, .. })
+}
+
+fn age(taken: Wall) -> Micros {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Wall(now.as_micros() as u64).since(taken).unwrap_or_default()
+}
+
+fn figures(r: &Recovered) -> String {
+    let writes: Vec<(Wall, &Write)> = r
+        .live
+        .values()
+        .filter_map(|live| match live {
+            Live::Write { taken, write, .. } => Some((*taken, write)),
+            Live::Barrier { .. } => None,
+        })
+        .collect();
+    let object = serde_json::json!({
+        "writes": writes.len(),
+        "bytes": writes.iter().map(|(_, w)| w.cost()).sum::<u64>(),
+        "log_bytes": r.segments.iter().map(|s| s.1).sum::<u64>(),
+        "oldest_us": writes.iter().map(|(taken, _)| age(*taken).0).max().unwrap_or(0),
+        "parked": r.live.values().filter(|live| is_parked(live)).count(),
+        "torn_bytes": r.torn,
+    });
+    object.to_string()
+}
+
+/// A JSON object as lines.
+fn lines(object: &str) -> String {
+    let parsed: serde_json::Map<String, serde_json::Value> = serde_json::from_str(object).unwrap_or_default();
+    if parsed.is_empty() {
+        return "no class is buffered\n".into();
+    }
+    parsed.iter().map(|(name, value)| format!("{name:<22} {value}\n")).collect()
+}
+
+fn line(seq: Seq, live: &Live, json: bool) -> Option<String> {
+    let Live::Write { taken, started, parked, write } = live else { return None };
+    let state = match (parked, started) {
+        (true, _) => "parked",
+        (false, Some(_)) => "started",
+        (false, None) => "waiting",
+    };
+    let (place, bytes, age) = (write.place, write.payload.len(), age(*taken).ms());
+    Some(if json {
+        let object = serde_json::json!({
+            "number": seq.0, "volume": place.volume, "extent": place.extent, "class": write.class,
+            "shard": write.shard, "operation": write.operation, "at": write.at, "bytes": bytes,
+            "age_us": (age * 1000.0) as u64, "state": state,
+        });
+        object.to_string()
+    } else {
+        format!(
+            "{:>8}  volume {:x}  extent {:x}  class {}  operation {}  {bytes} bytes  {age:.0} ms  {state}",
+            seq.0, place.volume, place.extent, write.class, write.operation
+        )
+    })
+}
+
+/// A connection to a running initiator.
+struct Caller {
+    stream: Box<dyn Stream>,
+    inbox: Inbox,
+}
+
+trait Stream: Read + io::Write {
+    fn patience(&self, time: Duration) -> io::Result<()>;
+}
+
+impl Stream for TcpStream {
+    fn patience(&self, time: Duration) -> io::Result<()> {
+        self.set_read_timeout(Some(time))
+    }
+}
+
+impl Stream for UnixStream {
+    fn patience(&self, time: Duration) -> io::Result<()> {
+        self.set_read_timeout(Some(time))
+    }
+}
+
+impl Caller {
+    fn call(address: &Address) -> Result<Caller, Failure> {
+        let stream: io::Result<Box<dyn Stream>> = match address {
+            Address::Tcp(at) => TcpStream::connect(at).map(|s| Box::new(s) as Box<dyn Stream>),
+            Address::Unix(path) => UnixStream::connect(path).map(|s| Box::new(s) as Box<dyn Stream>),
+        };
+        let stream = stream.map_err(|e| Failure::System(format!("{address}: {e}")))?;
+        let mut caller = Caller { stream, inbox: Inbox::default() };
+        let (role, versions) = (Role::Client, (VERSION_OLDEST, VERSION));
+        caller.say(&Frame::Hello(Hello { role, versions, id: 0, epoch: 0, name: "flaxstand buffer" }))?;
+        let greeted = |f: &Frame<'_>| matches!(f, Frame::Welcome(_)).then(|| Ok(String::new()));
+        caller.hear(Duration::from_secs(5), greeted)?;
+        Ok(caller)
+    }
+
+    fn say(&mut self, frame: &Frame<'_>) -> Result<(), Failure> {
+        let mut bytes = Vec::new();
+        encode(frame, &mut bytes);
+        self.stream.write_all(&bytes).map_err(|e| Failure::System(e.to_string()))
+    }
+
+    /// Reads until a frame is the answer.
+    fn hear(
+        &mut self,
+        patience: Duration,
+        mut answer: impl FnMut(&Frame<'_>) -> Option<Result<String, String>>,
+    ) -> Result<String, Failure> {
+        let system = |e: io::Error| Failure::System(format!("the initiator: {e}"));
+        self.stream.patience(patience).map_err(system)?;
+        let mut buffer = [0; 4096];
+        let mut found = None;
+        while found.is_none() {
+            let count = self.stream.read(&mut buffer).map_err(system)?;
+            if count == 0 {
+                return Err(Failure::System("the initiator hung up".into()));
+            }
+            let fed = self.inbox.feed(&buffer[..count], |frame| {
+                found = found.take().or_else(|| match &frame {
+                    Frame::Bye { text, .. } => Some(Err(format!("the initiator says goodbye: {text}"))),
+                    other => answer(other),
+                });
+                true
+            });
+            fed.map_err(|e| Failure::System(e.to_string()))?;
+        }
+        found.expect("the loop ends with it").map_err(Failure::System)
+    }
+
+    fn status(&mut self) -> Result<String, Failure> {
+        self.say(&Frame::AskStatus { id: 1 })?;
+        self.hear(Duration::from_secs(5), |f| match f {
+            Frame::Status { json, .. } => Some(Ok(String::from_utf8_lossy(json).into_owned())),
+            _ => None,
+        })
+    }
+
+    fn flush(&mut self, longest: Duration) -> Result<String, Failure> {
+        let time_left = u32::try_from(longest.as_micros()).unwrap_or(u32::MAX);
+        self.say(&Frame::Flush { id: 1, volume: None, time_left })?;
+        self.hear(longest + Duration::from_secs(5), |f| match f {
+            Frame::Flushed { .. } => Some(Ok(String::new())),
+            Frame::Refused { refusal, .. } => Some(Err(format!("refused: {refusal:?}"))),
+            Frame::Failed { .. } => {
+                Some(Err("not all that is buffered reached its node in that time".into()))
+            }
+            _ => None,
+        })
+    }
+}
--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -5,13 +5,26 @@
 use flaxstand_buffer::{Folder, Recovered, Storage, recover};
 use flaxstand_gateway::core::Core;
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
+use flaxstand_gateway::machine::{Control, Machine as _, Micros};
 use flaxstand_gateway::settings::{Daemon, read_daemon};
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tracing::{error, info, warn};
 
-pub fn run(path: &Path, with_parent: bool) -> Result<(), Failure> {
+/// How a daemon is run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// In service.
+    Serve {
+        /// It ends when its standard input does.
+        with_parent: bool,
+    },
+    /// Only to bring out what is buffered, for so long at most: it listens nowhere.
+    Drain(Micros),
+}
+
+pub fn run(path: &Path, purpose: Purpose) -> Result<(), Failure> {
     let Daemon { mut config, listen, state, log, files } = told(read_daemon(&name(path), &read(path)?))?;
     let system = |what: &str| {
         let what = what.to_owned();
@@ -33,6 +46,12 @@
             None
         }
     });
+    if let Purpose::Drain(longest) = purpose {
+        if log.is_none() {
+            return Err(Failure::System(format!("{}: no class is buffered", path.display())));
+        }
+        config.site.waits.stop = longest;
+    }
     let now = clock();
     config.calendar = since.as_micros() as u64 - now.0;
     let mut core = match Core::new(config.clone(), saved.as_deref(), now) {
@@ -54,22 +73,39 @@
         }
         None => None,
     };
+    let with_parent = purpose == Purpose::Serve { with_parent: true };
+    if let Purpose::Drain(_) = purpose {
+        core.control(Control::Stop, now);
+    }
     let reload = Some(reload(path.to_owned()));
     let options = Options { saved: state, input: with_parent, log, reload, ..Options::default() };
     let mut driver = Driver::new(core, options).map_err(system("cannot start"))?;
     let mut at = Vec::new();
-    for address in &listen {
+    let serves = matches!(purpose, Purpose::Serve { .. });
+    for address in listen.iter().filter(|_| serves) {
         let bound = driver.listen(address).map_err(system(&format!("cannot listen at {address}")))?;
         at.push(bound.to_string());
     }
-    info!(initiator = config.name, listen = at.join(" "), "running");
-    println!("ready {}", at.join(" "));
-    let _ = std::io::stdout().flush();
+    if serves {
+        info!(initiator = config.name, listen = at.join(" "), "running");
+        println!("ready {}", at.join(" "));
+        let _ = std::io::stdout().flush();
+    }
     let core = driver.run().map_err(system("the driver failed"))?;
     if core.counts().overdue > 0 {
         error!(overdue = core.counts().overdue, "the module left requests without an answer: report this");
     }
-    Ok(())
+    match core.buffer_status(clock()) {
+        Some(s) if !serves && s.writes > 0 => Err(Failure::System(format!(
+            "{} writes are still buffered, {} of them parked",
+            s.writes, s.parked
+        ))),
+        Some(_) if !serves => {
+            println!("nothing is buffered any more");
+            Ok(())
+        }
+        _ => Ok(()),
+    }
 }
 
 /// Opens a write-back log for this process alone and reads it back. A log that is in use, damaged or of a
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -1,16 +1,16 @@
 //! `flaxstand check`, `flaxstand rehearse`, and the processes of a rehearsal.
 
 use crate::Failure;
-use crate::args::{Files, Press, Rehearsal, Role};
+use crate::args::{Files, Measured, Press, Rehearsal, Role};
 use flaxstand_audit::Book;
 use flaxstand_gateway::settings::{SettingsError, read_daemon};
 use flaxstand_lab::day::{Day, DayError};
 use flaxstand_lab::experiment::Experiment;
-use flaxstand_lab::measure;
 use flaxstand_lab::node::Identity;
 use flaxstand_lab::press::{self, Pressure};
 use flaxstand_lab::rehearse::{self, Plan, StandIn};
 use flaxstand_lab::report::Report;
+use flaxstand_lab::{measure, measure_buffer};
 use flaxstand_lab::{swarm, world};
 use miette::GraphicalReportHandler;
 use std::path::Path;
@@ -189,17 +189,23 @@
     told_result(serde_json::to_string_pretty(&outcome), &outcome.text(), json)
 }
 
-pub fn measure(seconds: f64, json: Option<&Path>) -> Result<(), Failure> {
+pub fn measure(what: Measured, seconds: f64, json: Option<&Path>) -> Result<(), Failure> {
     let program = std::env::current_exe().map_err(system)?;
     let folder = rehearse::fresh_folder();
+    if what == Measured::Buffer {
+        let measured =
+            measure_buffer::measure(&program, &folder, seconds.clamp(0.5, 600.0)).map_err(system)?;
+        rehearse::clean(&folder);
+        return told_result(serde_json::to_string_pretty(&measured), &measured.text(), json);
+    }
     let figures = measure::measure(&program, &folder, seconds.clamp(0.5, 600.0)).map_err(system)?;
     rehearse::clean(&folder);
     told_result(serde_json::to_string_pretty(&figures), &figures.text(), json)
 }
 
 pub fn load(p: Press, alone: bool) -> Result<(), Failure> {
-    let Press { initiator, shards, clients, window, rate, seconds } = p;
-    let pressure = Pressure { initiator, shards, clients, window, rate, seconds };
+    let Press { initiator, shards, clients, window, rate, write, seconds } = p;
+    let pressure = Pressure { initiator, shards, clients, window, rate, write, seconds };
     press::serve_press(pressure, alone).map_err(system)
 }
 
--- a/crates/flaxstand-cli/src/main.rs
+++ b/crates/flaxstand-cli/src/main.rs
@@ -5,11 +5,13 @@
 #![forbid(unsafe_code)]
 
 mod args;
+mod buffer;
 mod daemon;
 mod kit;
 
 use args::{Args, LogFormat, Task};
 use clap::Parser;
+use daemon::Purpose;
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
 
@@ -36,7 +38,7 @@
     let args = Args::parse();
     log(&args);
     let done = match args.task {
-        Task::Run { config, with_parent } => daemon::run(&config, with_parent),
+        Task::Run { config, with_parent } => daemon::run(&config, Purpose::Serve { with_parent }),
         Task::Check { file } => kit::check(&file),
         Task::Rehearse(rehearsal) => kit::rehearse(rehearsal),
         Task::Report { day, folder, json, html } => {
@@ -47,7 +49,8 @@
             kit::experiment(&file, resume.as_deref(), json.as_deref(), html.as_deref(), threads)
         }
         Task::Load(press) => kit::load(press, true),
-        Task::Measure { seconds, json } => kit::measure(seconds, json.as_deref()),
+        Task::Measure { what, seconds, json } => kit::measure(what, seconds, json.as_deref()),
+        Task::Buffer(task) => buffer::run(task),
         Task::StandIn(role) => kit::stand_in(role),
     };
     match done {
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -406,7 +406,8 @@
             let conns: Vec<ConnId> = self.conns.keys().copied().collect();
             conns.into_iter().for_each(|conn| self.hang_up(conn, Parting::Stopping, "stopping", now));
             self.commands.push(Command::Exit);
-            info!(counts = ?self.counts, "stopped");
+            let buffer = self.buffer_status(now);
+            info!(counts = ?self.counts, ?buffer, "stopped");
         }
     }
 }
--- a/crates/flaxstand-gateway/src/core/writeback.rs
+++ b/crates/flaxstand-gateway/src/core/writeback.rs
@@ -41,7 +41,8 @@
         Level::Urgent => (most, 1.0),
     };
     let aim = class.aim * aim;
-    Class { worth, aim, deadline: class.deadline.max(aim), ..class.clone() }
+    // No client waits for it: it is worth as much after the aim as before.
+    Class { worth, aim, deadline: class.deadline.max(aim), late_value: 1.0, ..class.clone() }
 }
 
 /// What the module is told of a site whose writes are buffered: after the site's classes, one for each of
@@ -288,11 +289,12 @@
         let Some(back) = self.back.as_mut().filter(|_| here) else { return false };
         match back.buffer.expire(Ticket(id.0), now) {
             Expired::Buffered => self.buffered(id, now),
-            Expired::Refuse => {
+            // Let through, and not yet told to the module: it has not run either.
+            Expired::Refuse | Expired::Elsewhere => {
                 let wait = Micros::from_ms(self.config.site.settings.max_retry_after);
                 self.refused_here(id, wait, now);
             }
-            Expired::Fail | Expired::Elsewhere => self.fail(id, now),
+            Expired::Fail => self.fail(id, now),
         }
         true
     }
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -86,6 +86,10 @@
     Part(u64, Vec<u8>),
     Attempt { request: u64, attempt: u32, operation: u64 },
     Cancel(u64),
+    Buffered(u64),
+    Barred(u64),
+    Flushed(u64),
+    Status(String),
     Watch,
     GetList,
     Other,
@@ -102,6 +106,10 @@
         Frame::Part { id, payload } => Said::Part(id, payload.to_vec()),
         Frame::Attempt(a) => Said::Attempt { request: a.request, attempt: a.attempt, operation: a.operation },
         Frame::Cancel { request, .. } => Said::Cancel(request),
+        Frame::Buffered { id } => Said::Buffered(id),
+        Frame::Barred { id } => Said::Barred(id),
+        Frame::Flushed { id } => Said::Flushed(id),
+        Frame::Status { json, .. } => Said::Status(String::from_utf8_lossy(json).into_owned()),
         Frame::Watch => Said::Watch,
         Frame::GetList => Said::GetList,
         _ => Said::Other,
@@ -139,6 +147,8 @@
     pub list_up: bool,
     /// Which start a node says it is, where not the first.
     pub starts: BTreeMap<u64, u64>,
+    /// What attempts brought: operation, where it begins, data.
+    pub brought: Vec<(u64, Option<u32>, Vec<u8>)>,
     /// Batches that the disk has not done yet.
     pub batches: VecDeque<Batch>,
     pub saved: Option<Vec<u8>>,
@@ -182,6 +192,7 @@
             revision: 1,
             list_up: true,
             starts: BTreeMap::new(),
+            brought: Vec::new(),
             batches: VecDeque::new(),
             saved: None,
             exited: false,
@@ -254,9 +265,13 @@
 
     fn hear(&mut self, conn: ConnId, bytes: &[u8]) {
         let mut heard = Vec::new();
+        let brought = &mut self.brought;
         let inbox = self.inboxes.entry(conn).or_default();
         inbox
             .feed(bytes, |frame| {
+                if let Frame::Attempt(a) = &frame {
+                    brought.push((a.operation, a.at, a.payload.to_vec()));
+                }
                 heard.push(said(&frame));
                 true
             })
@@ -369,7 +384,10 @@
 
     /// Final answers that a client read.
     pub fn answers(&self, conn: ConnId) -> Vec<Said> {
-        let last = |s: &&Said| matches!(s, Said::Served(..) | Said::Refused(..) | Said::Failed(_));
+        let last = |s: &&Said| {
+            use Said::*;
+            matches!(s, Served(..) | Refused(..) | Failed(_) | Buffered(_) | Barred(_) | Flushed(_))
+        };
         self.said.get(&conn).into_iter().flatten().filter(last).cloned().collect()
     }
 
--- a/crates/flaxstand-lab/src/experiment.rs
+++ b/crates/flaxstand-lab/src/experiment.rs
@@ -27,6 +27,8 @@
     pub tick: Option<f64>,
     /// In place of the site's, if given. Traffic stays as it is: each takes less.
     pub initiators: Option<u32>,
+    /// Writes that the day buffers go through.
+    pub through: bool,
 }
 
 /// What is to be played.
@@ -42,6 +44,8 @@
     pub variants: Vec<Variant>,
     /// In place of each day's length, if given.
     pub seconds: Option<f64>,
+    /// Service is that of this class alone: the share of it served in time.
+    pub class: Option<String>,
 }
 
 /// What one run came to.
@@ -117,6 +121,7 @@
             seeds: Vec::new(),
             variants: Vec::new(),
             seconds: None,
+            class: None,
         };
         let mut files = Vec::new();
         if let Some(b) = root.needed("experiment") {
@@ -126,6 +131,8 @@
             read.seeds = (first as u64..=last as u64).take(10_000).collect();
             let seconds = b.number("seconds", 0.0..=86_400.0, Some(0.0));
             read.seconds = (seconds > 0.0).then_some(seconds);
+            let class = b.text("class", Some(""));
+            read.class = (!class.is_empty()).then_some(class);
             for v in b.blocks("variant") {
                 let tick = v.number("tick-ms", -1.0..=1000.0, Some(-1.0));
                 let initiators = v.whole("initiators", 0..=100_000, Some(0)) as u32;
@@ -135,6 +142,7 @@
                     rate: v.number("rate", 0.001..=1000.0, Some(1.0)),
                     tick: (tick >= 0.0).then_some(tick),
                     initiators: (initiators > 0).then_some(initiators),
+                    through: v.flag("through", false),
                 });
                 v.finish();
             }
@@ -210,13 +218,20 @@
         settings.initiators = variant.initiators.unwrap_or(settings.initiators);
         let left = settings.initiators;
         day.faults.iter_mut().for_each(|f| f.initiators.retain(|i| *i < left));
+        if variant.through {
+            day.site.site.write_back = None;
+            day.site.site.classes.iter_mut().for_each(|c| c.buffered = false);
+        }
         let report = world::play(&day, self.seconds.unwrap_or(day.seconds), variant.policy).report;
         let asked = report.classes.iter().filter(|c| c.wanted > 0);
         Run {
             day: day.name,
             seed,
             variant: variant.name.clone(),
-            service: report.service,
+            service: match &self.class {
+                None => report.service,
+                Some(name) => report.classes.iter().find(|c| c.name == *name).map_or(0.0, |c| c.share()),
+            },
             worst_class: asked.map(|c| c.share()).fold(1.0, f64::min),
             breaches: report.audit.breaches.len() as u64,
         }
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod list;
 pub mod load;
 pub mod measure;
+pub mod measure_buffer;
 pub mod model;
 pub mod node;
 pub mod press;
--- a/crates/flaxstand-lab/src/measure.rs
+++ b/crates/flaxstand-lab/src/measure.rs
@@ -67,7 +67,7 @@
     }
 }
 
-fn settings(folder: &Path, policy: &str, list: &str) -> String {
+pub(crate) fn settings(folder: &Path, policy: &str, list: &str) -> String {
     let folder = folder.display();
     format!(
         "initiator \"measured\" {{\n    listen \"unix:{folder}/measured.sock\"\n    list \"{list}\"\n    policy \"{policy}\"\n}}\n\
@@ -93,9 +93,10 @@
     line.split_whitespace().nth(1)?.parse().ok()
 }
 
-struct Bench<'a> {
-    program: &'a Path,
-    folder: &'a Path,
+/// Where a measurement's processes come from and where their files go.
+pub(crate) struct Bench<'a> {
+    pub(crate) program: &'a Path,
+    pub(crate) folder: &'a Path,
 }
 
 impl Bench<'_> {
@@ -109,6 +110,16 @@
         policy: &str,
         nodes: u32,
         mute: bool,
+    ) -> Result<(Process, Process, Process), RehearsalError> {
+        self.stage_with(nodes, mute, |list| settings(self.folder, policy, list))
+    }
+
+    /// The same, with settings made for the list service's address.
+    pub(crate) fn stage_with(
+        &self,
+        nodes: u32,
+        mute: bool,
+        settings: impl FnOnce(&str) -> String,
     ) -> Result<(Process, Process, Process), RehearsalError> {
         let mut arguments = vec!["stand-in".to_owned(), "echo".into()];
         arguments.extend((0..nodes).map(|_| "--listen=127.0.0.1:0".to_owned()));
@@ -124,7 +135,7 @@
             list.tell(&format!("node {node} 1 serving {node} 0 - {address}"));
         }
         let file = self.folder.join("measured.kdl");
-        std::fs::write(&file, settings(self.folder, policy, &at)).map_err(io_error("settings"))?;
+        std::fs::write(&file, settings(&at)).map_err(io_error("settings"))?;
         let file = file.display().to_string();
         let mut initiator =
             self.start("measured", &["run", "--config", &file, "--with-parent"].map(str::to_owned))?;
@@ -133,10 +144,10 @@
         Ok((echo, list, initiator))
     }
 
-    fn press(&self, nodes: u32, more: &[String], seconds: f64) -> Result<Process, RehearsalError> {
+    pub(crate) fn press(&self, nodes: u32, more: &[String], seconds: f64) -> Result<Process, RehearsalError> {
         let mut arguments = vec!["stand-in".to_owned(), "press".into()];
         arguments.push(format!("--initiator=unix:{}/measured.sock", self.folder.display()));
-        arguments.extend([format!("--shards={nodes}"), format!("--seconds={seconds}"), "--clients=4".into()]);
+        arguments.extend([format!("--shards={nodes}"), format!("--seconds={seconds}")]);
         arguments.extend_from_slice(more);
         self.start("press", &arguments)
     }
@@ -153,7 +164,7 @@
         let argument =
             if kind == "window" { format!("--window={}", amount / 4) } else { format!("--rate={amount}") };
         let before = cpu(initiator.id()).unwrap_or(0.0);
-        let mut press = self.press(nodes, &[argument], seconds)?;
+        let mut press = self.press(nodes, &[argument, "--clients=4".into()], seconds)?;
         let seen = press.expect("seen", Duration::from_secs_f64(seconds * 2.0 + 10.0))?;
         let used = cpu(initiator.id()).unwrap_or(0.0) - before;
         let seen: Seen =
@@ -169,7 +180,7 @@
         const HELD: u32 = 10_000;
         let (_echo, _list, initiator) = self.stage("module", 10, true)?;
         let idle = memory_kib(initiator.id()).unwrap_or(0);
-        let _press = self.press(10, &[format!("--window={}", HELD / 4)], 10.0)?;
+        let _press = self.press(10, &[format!("--window={}", HELD / 4), "--clients=4".into()], 10.0)?;
         std::thread::sleep(Duration::from_millis(1500));
         let holding = memory_kib(initiator.id()).unwrap_or(0);
         Ok((idle, holding, HELD.into()))
--- /dev/null
+++ b/crates/flaxstand-lab/src/measure_buffer.rs
@@ -0,0 +1,166 @@
+//! What buffering costs and gains: writes acknowledged from the log beside writes that go through to nodes
+//! that answer at once; syncs; and how long a log takes to be read back.
+
+use crate::measure::Bench;
+use crate::press::Seen;
+use crate::process::{RehearsalError, io_error, stop};
+use flaxstand_buffer::record::{Record, Wall};
+use flaxstand_buffer::{Folder, Micros, Place, Seq, Write, perform, recover};
+use serde::Serialize;
+use std::fmt::Write as _;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Bytes of a write.
+const BYTES: u32 = 4096;
+
+/// Writers that each wait for one answer after the other.
+#[derive(Clone, Debug, Serialize)]
+pub struct Writers {
+    /// Acknowledged as buffered; else they went through.
+    pub buffered: bool,
+    /// How many.
+    pub writers: u32,
+    /// What they saw.
+    pub seen: Seen,
+    /// Syncs of data for each write, word of what is done included.
+    pub syncs_a_write: f64,
+    /// Bytes written to the log for each byte of a write.
+    pub amplification: f64,
+}
+
+/// A log read back.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReadBack {
+    /// Its size, MiB.
+    pub mib: u64,
+    /// Writes that live in it.
+    pub writes: usize,
+    /// How long it took, ms.
+    pub ms: f64,
+}
+
+/// All of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Measured {
+    /// Writers.
+    pub writers: Vec<Writers>,
+    /// Logs.
+    pub read_back: Vec<ReadBack>,
+}
+
+impl Measured {
+    /// For people.
+    pub fn text(&self) -> String {
+        let mut out = format!(
+            "{:8} {:>8} {:>10} {:>8} {:>8} {:>13} {:>13}\n",
+            "writes", "writers", "writes/s", "p50 us", "p99 us", "syncs/write", "bytes/byte"
+        );
+        for w in &self.writers {
+            let rate = w.seen.served as f64 / w.seen.seconds.max(1e-9);
+            let how = if w.buffered { "buffered" } else { "through" };
+            let _ = writeln!(
+                out,
+                "{how:8} {:>8} {rate:>10.0} {:>8} {:>8} {:>13.3} {:>13.2}",
+                w.writers, w.seen.p50_us, w.seen.p99_us, w.syncs_a_write, w.amplification
+            );
+        }
+        for r in &self.read_back {
+            let _ = writeln!(
+                out,
+                "a log of {} MiB, {} writes live: read back in {:.0} ms",
+                r.mib, r.writes, r.ms
+            );
+        }
+        out
+    }
+}
+
+fn settings(folder: &Path, list: &str, buffered: bool) -> String {
+    let text = crate::measure::settings(folder, "module", list);
+    if !buffered {
+        return text;
+    }
+    let text = text.replacen("    policy", &format!("    log \"{}/log\"\n    policy", folder.display()), 1);
+    text.replacen("    aim-ms 100\n", "    aim-ms 100\n    buffered #true\n", 1)
+        + "buffer {\n    bytes 1000000000\n    volume-bytes 1000000000\n}\n"
+}
+
+fn writers(bench: &Bench<'_>, buffered: bool, writers: u32, seconds: f64) -> Result<Writers, RehearsalError> {
+    let log = bench.folder.join("log");
+    let _ = std::fs::remove_dir_all(&log);
+    let (_echo, _list, initiator) =
+        bench.stage_with(10, false, |list| settings(bench.folder, list, buffered))?;
+    let more = ["--window=1".into(), format!("--clients={writers}"), format!("--write={BYTES}")];
+    let mut press = bench.press(10, &more, seconds)?;
+    let seen = press.expect("seen", Duration::from_secs_f64(seconds * 2.0 + 10.0))?;
+    let seen: Seen =
+        serde_json::from_str(&seen).map_err(|e| RehearsalError::Process(format!("press: {e}")))?;
+    let mut measured = Writers { buffered, writers, seen, syncs_a_write: 0.0, amplification: 0.0 };
+    if buffered {
+        let address = format!("--initiator=unix:{}/measured.sock", bench.folder.display());
+        let out = std::process::Command::new(bench.program)
+            .args(["buffer", "status", "--json", &address])
+            .output()
+            .map_err(io_error("flaxstand buffer status"))?;
+        let status: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
+        let figure = |name: &str| status[name].as_f64().unwrap_or(0.0);
+        let writes = figure("acknowledged_total").max(1.0);
+        measured.syncs_a_write = figure("syncs_total") / writes;
+        measured.amplification = figure("written_bytes_total") / (writes * f64::from(BYTES));
+    }
+    stop(initiator)?;
+    Ok(measured)
+}
+
+fn read_back(folder: &Path, mib: u64) -> Result<ReadBack, RehearsalError> {
+    let failed = |what: &str| io_error(what.to_owned());
+    let path = folder.join("read-back");
+    let _ = std::fs::remove_dir_all(&path);
+    let mut storage = Folder::open(&path).map_err(failed("a log"))?;
+    let mut log = recover(&mut storage).map_err(|e| RehearsalError::Process(e.to_string()))?.log;
+    let now = Micros(0);
+    let mut seq = 0;
+    while log.bytes() < mib << 20 {
+        for _ in 0..256 {
+            seq += 1;
+            let place = Place { volume: seq % 64, extent: seq };
+            let payload = vec![seq as u8; BYTES as usize];
+            let (class, plan, writers, shard, units) = (0, 0, 1, 0, 1);
+            let write =
+                Write { place, class, plan, writers, shard, units, operation: seq, at: None, payload };
+            let (taken, started, parked) = (Wall(1), None, false);
+            log.append(&Record::Write { seq: Seq(seq), taken, started, parked, write }, now);
+        }
+        while let Some(batch) = log.batch(now, now) {
+            perform(&mut storage, &batch).map_err(failed("a log"))?;
+            log.stored(true, now);
+        }
+    }
+    drop(storage);
+    let begun = Instant::now();
+    let mut storage = Folder::open(&path).map_err(failed("a log"))?;
+    let recovered = recover(&mut storage).map_err(|e| RehearsalError::Process(e.to_string()))?;
+    let ms = begun.elapsed().as_secs_f64() * 1000.0;
+    let _ = std::fs::remove_dir_all(&path);
+    Ok(ReadBack { mib, writes: recovered.live.len(), ms })
+}
+
+/// Takes every figure, on the disk that holds `folder`.
+///
+/// # Errors
+/// A process can't be started or ends by itself, or the disk fails.
+pub fn measure(program: &Path, folder: &Path, seconds: f64) -> Result<Measured, RehearsalError> {
+    std::fs::create_dir_all(folder).map_err(io_error("a folder for logs"))?;
+    let bench = Bench { program, folder };
+    let mut all = Measured::default();
+    for count in [1, 8, 64] {
+        for buffered in [false, true] {
+            all.writers.push(writers(&bench, buffered, count, seconds)?);
+        }
+    }
+    for mib in [16, 64, 256] {
+        all.read_back.push(read_back(folder, mib)?);
+    }
+    Ok(all)
+}
--- a/crates/flaxstand-lab/src/press.rs
+++ b/crates/flaxstand-lab/src/press.rs
@@ -73,6 +73,8 @@
     pub window: u32,
     /// Requests a second over all.
     pub rate: f64,
+    /// Bytes of a write; 0: requests read.
+    pub write: u32,
     /// How long is measured.
     pub seconds: f64,
 }
@@ -112,6 +114,7 @@
         self.next += 1;
         let id = self.next;
         self.sent.insert(id, at);
+        let payload = vec![id as u8; self.p.write as usize];
         links.push(
             conn,
             &Frame::Submit(Submit {
@@ -121,14 +124,14 @@
                 plan: 0,
                 writers: 1,
                 try_no: 0,
-                write: false,
+                write: self.p.write > 0,
                 volume: id % 64,
                 extent: Some(id),
                 shard: Some((id % u64::from(self.p.shards.max(1))) as u32),
                 units: 1,
                 at: None,
                 time_left: 60_000_000,
-                payload: &[],
+                payload: &payload,
             }),
         );
     }
@@ -171,7 +174,7 @@
                     }
                 }
             }
-            Frame::Served { id, .. } => self.answered(links, conn, id, true, now),
+            Frame::Served { id, .. } | Frame::Buffered { id } => self.answered(links, conn, id, true, now),
             Frame::Refused { id, .. } | Frame::Failed { id } => self.answered(links, conn, id, false, now),
             _ => {}
         }
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -176,7 +176,7 @@
     );
     if day.site.site.write_back.is_some() {
         let end = text.rfind('}').unwrap_or(0);
-        text.insert_str(end, &format!("    log \"{folder}/initiator-{index}.log\"\n"));
+        text.insert_str(end, &format!("    log \"{folder}/initiator-{index}.buffer\"\n"));
     }
     text.push_str(&flaxstand_gateway::settings::shared_part(&plan.text));
     text
