--- a/crates/flaxstand-audit/tests/planted.rs
+++ b/crates/flaxstand-audit/tests/planted.rs
@@ -1,20 +1,23 @@
 //! Every check can fail: a sound record passes, and each planted breach is caught under its rule's name,
 //! with its operation, node and moment.
 
-use flaxstand_audit::{Answer, Book, Effect, End, Group, ListState, Record, Rule, Terms, Verdict, audit};
+use flaxstand_audit::{
+    Answer, Book, Effect, End, Group, ListState, Mark, Record, Rule, Terms, Verdict, audit,
+};
 
 const MS: u64 = 1000;
 
 fn terms() -> Terms {
     Terms {
-        // Safe; unsafe and in order; keyed within a zone; keyed within all.
+        // Safe; unsafe and in order; keyed within a zone; keyed within all; buffered.
         classes: vec![
             (Effect::Repeatable, false),
             (Effect::Once, true),
             (Effect::Keyed(Group::Zone, 1000 * MS), false),
             (Effect::Keyed(Group::All, 1000 * MS), false),
+            (Effect::Repeatable, false),
         ],
-        buffered: vec![false; 8],
+        buffered: vec![false, false, false, false, true],
         limits: vec![(0.0, 0.0, 0.0), (10.0, 20.0, 2.0)],
         second_copies: false,
         drain_grace: 250 * MS,
@@ -368,3 +371,71 @@
     assert!(error.contains("cut.jsonl:1:"), "{error}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// A write of the buffered class, acknowledged as such.
+fn buffered(at: u64, op: u64, extent: u64) -> Vec<Record> {
+    let Record::Submitted { client, id, initiator, class, plan, volume, units, try_no, until, .. } =
+        submitted(at, op, 4, 0)
+    else {
+        unreachable!("made there")
+    };
+    let (at, write) = (at * MS, true);
+    let submitted = Record::Submitted {
+        at,
+        client,
+        id,
+        op,
+        initiator,
+        class,
+        plan,
+        volume,
+        extent,
+        units,
+        write,
+        try_no,
+        until,
+    };
+    vec![submitted, Record::Answered { at: at + 2 * MS, client, id, answer: Answer::Buffered }]
+}
+
+fn stored(at: u64, op: u64, extent: u64) -> Record {
+    Record::Stored { at: at * MS, node: 0, op, volume: 7, extent }
+}
+
+fn mark(at: u64, mark: Mark, stands_at: u64) -> Vec<Record> {
+    let (client, id, volume) = (1, 1000 + at, 7);
+    let stands = Record::MarkStands { at: stands_at * MS, client, id };
+    vec![Record::Marked { at: at * MS, client, id, volume, mark }, stands]
+}
+
+#[test]
+fn an_acknowledged_write_that_never_reached_its_node_or_was_taken_back() {
+    let two = || [buffered(0, 1, 70), buffered(10, 2, 70)].concat();
+    kept([two(), vec![stored(20, 1, 70), stored(30, 2, 70)]].concat());
+    // The second took the first's place before it went out.
+    kept([two(), vec![stored(30, 2, 70)]].concat());
+    caught(two(), Rule::Promises, Some(2), "does not hold it");
+    caught([two(), vec![stored(20, 1, 70)]].concat(), Rule::Promises, Some(2), "does not hold it");
+    let back = [two(), vec![stored(20, 2, 70), stored(30, 1, 70), stored(40, 2, 70)]].concat();
+    caught(back, Rule::Promises, Some(1), "which is newer");
+    let strange = [two(), vec![stored(20, 2, 70), stored(30, 9, 70)]].concat();
+    caught(strange, Rule::Promises, Some(9), "no one wrote");
+}
+
+#[test]
+fn a_barrier_passed_and_a_flush_answered_too_early() {
+    let all = |mark: Vec<Record>| [buffered(0, 1, 70), mark, buffered(20, 2, 71)].concat();
+    let barrier = || all(mark(10, Mark::Barrier, 12));
+    kept([barrier(), vec![stored(30, 1, 70), stored(40, 2, 71)]].concat());
+    let passed = [barrier(), vec![stored(30, 2, 71), stored(40, 1, 70)]].concat();
+    caught(passed, Rule::Promises, Some(2), "before a barrier");
+    // Without a barrier any of the two may come first.
+    kept([buffered(0, 1, 70), buffered(20, 2, 71), vec![stored(30, 2, 71), stored(40, 1, 70)]].concat());
+    let flush = || all(mark(10, Mark::Flush, 35));
+    kept([flush(), vec![stored(30, 1, 70), stored(40, 2, 71)]].concat());
+    let early = [flush(), vec![stored(36, 1, 70), stored(40, 2, 71)]].concat();
+    caught(early, Rule::Promises, Some(1), "flush was answered");
+    let unmade = vec![Record::MarkStands { at: MS, client: 1, id: 5 }];
+    let unmade = [unmade, buffered(0, 1, 70), vec![stored(5, 1, 70)]].concat();
+    caught(unmade, Rule::Promises, None, "no one made");
+}
--- a/crates/flaxstand-cli/tests/program.rs
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -131,7 +131,7 @@
     }
     fn submit(&mut self, id: u64, payload: &[u8]) {
         let (class, plan, writers, try_no, units, volume) = (0, 0, 1, 0, 1, 5);
-        let (extent, shard, time_left, operation, write) = (None, Some(0), 300_000, id, true);
+        let (extent, shard, time_left, operation, write) = (Some(id), Some(0), 300_000, id, true);
         let submit = Submit {
             id,
             operation,
@@ -336,3 +336,109 @@
     next.signal(Signal::INT);
     assert_eq!(next.ended().0, Some(0));
 }
+
+/// Settings whose writes are buffered, and the log's folder.
+fn buffering(folder: &Folder) -> (PathBuf, String) {
+    let log = folder.0.join("log");
+    let file = folder.settings(&format!("log {log:?}"));
+    let text = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&file, text.replace("aim-ms 100", "aim-ms 100\n buffered #true")).unwrap();
+    (file, log.display().to_string())
+}
+
+fn buffer(task: &str, rest: &[&str]) -> (Option<i32>, String) {
+    let out = flaxstand(&[&["--log", "off", "buffer", task], rest].concat());
+    (out.status.code(), text(&out.stdout) + &text(&out.stderr))
+}
+
+#[test]
+fn what_is_buffered_survives_a_kill_and_operators_see_it() {
+    let folder = Folder::new("buffer");
+    let (settings, log) = buffering(&folder);
+    let daemon = Daemon::start(&settings);
+    let mut client = Client::connect(&folder.socket());
+    client.hello(100);
+    assert!(client.welcomed());
+    for id in 1..=3 {
+        client.submit(id, b"seat 12");
+        let answer = client.until(|f| match f {
+            Frame::Buffered { id } => Some(*id),
+            _ => None,
+        });
+        assert_eq!(answer, Some(id));
+    }
+    let socket = format!("--initiator=unix:{}", folder.socket().display());
+    let (code, live) = buffer("status", &["--json", &socket]);
+    assert_eq!(code, Some(0), "{live}");
+    assert!(live.contains("\"writes\": 3") && live.contains("\"acknowledged_total\": 3"), "{live}");
+    // No node is known: nothing can be brought anywhere.
+    let (code, drained) = buffer("drain", &[&socket, "--seconds=0.3"]);
+    assert_eq!(code, Some(3), "{drained}");
+    assert!(drained.contains("not all that is buffered"), "{drained}");
+    // Another with the same log is refused; looking at it is not.
+    let out = flaxstand(&["run", "--config", settings.to_str().unwrap()]);
+    assert_eq!(out.status.code(), Some(3));
+    assert!(text(&out.stderr).contains("in use by another process"), "{}", text(&out.stderr));
+    assert_eq!(buffer("verify", &[&log]).0, Some(0));
+    drop(daemon);
+    let (code, held) = buffer("status", &[&log]);
+    assert_eq!(code, Some(0));
+    assert!(held.lines().any(|l| l.starts_with("writes ") && l.ends_with(" 3")), "{held}");
+    let (_, dump) = buffer("dump", &[&log]);
+    assert_eq!(dump.lines().count(), 3);
+    assert!(dump.contains("operation 1") && dump.contains("7 bytes") && dump.contains("started"), "{dump}");
+    assert_eq!(buffer("dump", &["--parked", &log]), (Some(0), String::new()));
+    let (code, decided) = buffer("decide", &[&log, "1", "done"]);
+    assert_eq!(code, Some(3), "it does not wait for anyone");
+    assert!(decided.contains("no write 1 waits for an operator"), "{decided}");
+    let (code, drained) = buffer("drain", &["--config", settings.to_str().unwrap(), "--seconds=0.3"]);
+    assert_eq!(code, Some(3));
+    assert!(drained.contains("3 writes are still buffered"), "{drained}");
+    assert!(buffer("status", &["--json", &log]).1.contains("\"writes\":3"), "they stay");
+}
+
+#[test]
+fn a_damaged_or_newer_log_is_refused_and_salvaged_on_word() {
+    let folder = Folder::new("damage");
+    let (settings, log) = buffering(&folder);
+    let settings = settings.to_str().unwrap().to_owned();
+    let daemon = Daemon::start(Path::new(&settings));
+    let mut client = Client::connect(&folder.socket());
+    client.hello(100);
+    assert!(client.welcomed());
+    for id in 1..=3 {
+        client.submit(id, b"seat 12");
+        assert!(client.until(|f| matches!(f, Frame::Buffered { .. }).then_some(())).is_some());
+    }
+    drop(daemon);
+    let segment = PathBuf::from(&log).join("0000000000000001.log");
+    let sound = std::fs::read(&segment).unwrap();
+    let mut newer = sound.clone();
+    newer[4] = 9;
+    let crc = crc32c::crc32c(&newer[..36]).to_le_bytes();
+    newer[36..40].copy_from_slice(&crc);
+    std::fs::write(&segment, &newer).unwrap();
+    let out = flaxstand(&["run", "--config", &settings]);
+    assert_eq!(out.status.code(), Some(3));
+    assert!(text(&out.stderr).contains("has version 9, this build reads 1 to 1"), "{}", text(&out.stderr));
+    // A byte of the first of three batches.
+    let mut damaged = sound;
+    damaged[80] ^= 1;
+    std::fs::write(&segment, &damaged).unwrap();
+    let out = flaxstand(&["run", "--config", &settings]);
+    assert_eq!(out.status.code(), Some(3));
+    let said = text(&out.stderr);
+    assert!(said.contains("segment 0000000000000001 is damaged at byte 40"), "{said}");
+    let (code, verified) = buffer("verify", &[&log]);
+    assert_eq!(code, Some(1));
+    assert!(verified.contains("damaged at byte 40") && verified.contains("salvage"), "{verified}");
+    let (code, salvaged) = buffer("salvage", &[&log]);
+    assert_eq!(code, Some(0), "{salvaged}");
+    assert!(salvaged.contains("2 writes and barriers are kept"), "{salvaged}");
+    assert!(segment.with_extension("damaged").exists(), "nothing is destroyed");
+    assert_eq!(buffer("verify", &[&log]).0, Some(0));
+    let mut daemon = Daemon::start(Path::new(&settings));
+    daemon.signal(Signal::TERM);
+    assert_eq!(daemon.ended().0, Some(0));
+    assert!(buffer("status", &["--json", &log]).1.contains("\"writes\":2"));
+}
--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -44,6 +44,8 @@
     pub retries: u8,
     /// Wait before a further try, ms.
     pub retry_wait: (f64, f64),
+    /// How long a client waits for a try before it makes another, ms; 0: as long as there is time.
+    pub patience: (f64, f64),
     /// Share of clients that honour the wait of a refusal.
     pub honour: f64,
     /// Bytes of a write.
@@ -419,6 +421,7 @@
         clients: b.whole("clients", 1..=10_000, Some(1)) as u32,
         retries: b.whole("retries", 0..=100, Some(0)) as u8,
         retry_wait: b.range("retry-wait-ms", MS, Some((50.0, 200.0))),
+        patience: b.range("patience-ms", MS, Some((0.0, 0.0))),
         honour: b.number("honour", SHARE, Some(1.0)),
         payload: b.whole("payload-bytes", 8..=1 << 20, Some(64)) as usize,
         barrier_every: b.whole("barrier-every", 0..=1 << 40, Some(0)),
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod press;
 pub mod process;
+pub mod recovery;
 pub mod rehearse;
 pub mod report;
 pub mod script;
--- a/crates/flaxstand-lab/src/load.rs
+++ b/crates/flaxstand-lab/src/load.rs
@@ -275,6 +275,11 @@
         };
         self.next_number += 1;
         let id = self.next_number;
+        // Its time is up for this try, and then for all.
+        let until = match self.day.traffic.patience {
+            (_, most) if most <= 0.0 => operation.until,
+            patience => now.after(Micros::from_ms(between(&mut self.rng, patience))).min(operation.until),
+        };
         let o = &operation;
         links.record(&Record::Submitted {
             at: now.0,
@@ -289,7 +294,7 @@
             units: o.units,
             write: o.write,
             try_no: o.tries,
-            until: o.until.0,
+            until: until.0,
         });
         let mut payload = Vec::new();
         if o.write {
@@ -311,7 +316,7 @@
                 shard: o.shard,
                 units: o.units,
                 at: None,
-                time_left: o.until.since(now).0 as u32,
+                time_left: until.since(now).0 as u32,
                 payload: &payload,
             }),
         );
--- /dev/null
+++ b/crates/flaxstand-lab/src/recovery.rs
@@ -0,0 +1,67 @@
+//! How service comes back after a trouble: by the second in which clients first wanted something, the worth
+//! that was served in time over the worth wanted.
+
+use crate::day::{Day, Trouble};
+use crate::report::operations;
+use flaxstand_audit::Book;
+use serde::Serialize;
+
+/// Seconds in a row that must be well before service counts as back.
+const WELL: usize = 3;
+/// What counts as back, as a share of what service was before.
+const BACK: f64 = 0.95;
+
+/// How service went.
+#[derive(Clone, Debug, Serialize)]
+pub struct Recovery {
+    /// Service before the first fault.
+    pub before: f64,
+    /// The least in a second from the first fault on.
+    pub least: f64,
+    /// Seconds from when the last node was warm until service was back to 0.95 of what it was before, for
+    /// three seconds in a row; below 0: earlier. None: it was not.
+    pub back_after: Option<f64>,
+    /// Mean service from the first fault until the day's end.
+    pub since: f64,
+    /// By second.
+    pub seconds: Vec<f64>,
+}
+
+/// Service by second, and when it was back. None: nothing goes wrong on this day.
+pub fn recovery(day: &Day, book: &Book) -> Option<Recovery> {
+    let first = day.faults.iter().map(|f| f.at).fold(f64::INFINITY, f64::min);
+    let cold = day.site.site.settings.cold_time / 1000.0;
+    let warm = |f: &crate::day::Fault| match f.trouble {
+        Trouble::Crash | Trouble::Replace => f.at + f.length + cold,
+        _ => f.at + f.length,
+    };
+    let warm = day.faults.iter().map(warm).fold(0.0, f64::max);
+    let operations = operations(book);
+    let start = operations.values().map(|o| o.first).min()?;
+    let mut bins: Vec<(f64, f64)> = Vec::new();
+    for o in operations.values() {
+        let class = &day.site.site.settings.classes[usize::from(o.class)];
+        let bin = ((o.first - start) / 1_000_000) as usize;
+        bins.resize(bins.len().max(bin + 1), (0.0, 0.0));
+        bins[bin].1 += class.worth;
+        let in_time = |at: u64| at.saturating_sub(o.first) as f64 <= class.aim * 1000.0;
+        if o.served.is_some_and(in_time) {
+            bins[bin].0 += class.worth;
+        }
+    }
+    let seconds: Vec<f64> = bins.iter().map(|(got, wanted)| got / wanted.max(1e-9)).collect();
+    let mean = |s: &[f64]| s.iter().sum::<f64>() / s.len().max(1) as f64;
+    let from = (first as usize).min(seconds.len());
+    let before = mean(&seconds[..from]);
+    let well = |s: &[f64]| s.iter().all(|s| *s >= BACK * before);
+    // Not sought before nodes have come back at all.
+    let from_warm = (warm - cold).max(first) as usize;
+    let back = (from_warm..seconds.len().saturating_sub(WELL - 1)).find(|at| well(&seconds[*at..at + WELL]));
+    Some(Recovery {
+        before,
+        least: seconds[from..].iter().copied().fold(1.0, f64::min),
+        back_after: back.map(|at| at as f64 - warm),
+        since: mean(&seconds[from..]),
+        seconds,
+    })
+}
--- a/crates/flaxstand-lab/src/report.rs
+++ b/crates/flaxstand-lab/src/report.rs
@@ -1,6 +1,7 @@
 //! What a day came to, from the records: service by class and plan, latency, refusals, tries and attempts.
 
 use crate::day::Day;
+use crate::recovery::{Recovery, recovery};
 use flaxstand_audit::{Answer, Book, Record, Verdict};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -52,6 +53,8 @@
     pub classes: Vec<Service>,
     /// By plan.
     pub plans: Vec<Service>,
+    /// How service came back after what went wrong, if anything did.
+    pub recovery: Option<Recovery>,
     /// What the audit found.
     pub audit: Verdict,
 }
@@ -141,7 +144,14 @@
         all.into_iter().map(of).collect()
     };
     let service = if wanted > 0.0 { worth / wanted } else { 1.0 };
-    Report { day: day.name.clone(), service, classes: finish(classes), plans: finish(plans), audit }
+    Report {
+        recovery: recovery(day, book),
+        day: day.name.clone(),
+        service,
+        classes: finish(classes),
+        plans: finish(plans),
+        audit,
+    }
 }
 
 impl Report {
@@ -187,6 +197,17 @@
                 s.p99_ms
             );
         }
+        if let Some(r) = &self.recovery {
+            let back = match r.back_after {
+                Some(after) => format!("back to 0.95 of that {after:.0} s after the last node was warm"),
+                None => "not back to 0.95 of that".into(),
+            };
+            let _ = writeln!(
+                out,
+                "\nservice {:.3} before the first fault, {:.3} since, {:.3} in its worst second; {back}",
+                r.before, r.since, r.least
+            );
+        }
         out.push('\n');
         for (rule, count) in &self.audit.checked {
             let of = |b: &&flaxstand_audit::Breach| b.rule.to_string() == *rule;
