Storms: repeats are told from first tries, worth less, and kept to an even part

Need: after an outage every buyer presses again; the module can't know a repeat from new demand. flaxstand-storm tells them apart (same volume, extent and class within a patience, marked or not), says storm or surge with its reason, and damps: a repeat is a class of half the worth to the module, in a storm a volume's repeats keep to an even part of what is served, advice is spread. Refused ones learn cause storm and whom the wait concerns.

--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -145,12 +145,13 @@
         now: Micros,
     ) {
         debug!(request = id.0, conn = conn.0, client_id = s.id, class = s.class, shard = s.shard, "taken");
-        let held = Held::new((conn, s.id), s, valid_until);
-        let arrival = held.arrival(id, s.class.into());
-        self.requests.insert(id, held);
+        self.requests.insert(id, Held::new((conn, s.id), s, valid_until, now));
         self.timers.insert((valid_until, Timer::Deadline(id)));
-        if !self.offer(id, s, now) {
-            self.events.push_back(Event::Arrived(arrival));
+        let Some(class) = self.gate(id, now) else { return };
+        if !self.offer(id, s, now)
+            && let Some(held) = self.requests.get(&id)
+        {
+            self.events.push_back(Event::Arrived(held.arrival(id, class)));
         }
     }
 
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -167,6 +167,8 @@
     pub waits: Waits,
     /// The write-back buffer, where a class is buffered.
     pub write_back: Option<WriteBack>,
+    /// How storms are met; none: they are not.
+    pub storm: Option<flaxstand_storm::Rules>,
 }
 
 /// What one initiator is told.
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! - [`clients`]: who submits, and the bounds on them
 //! - [`requests`]: a request's life from its arrival to its one answer
 //! - [`nodes`]: connections to storage nodes, attempts on them
+//! - [`storms`]: repeats told from first tries, and damped
 //! - [`writeback`]: the write-back buffer's place between clients and the module
 //! - [`list`]: the node list, its breaks, the saved copy
 
@@ -15,6 +16,7 @@
 mod nodes;
 mod pipe;
 mod requests;
+mod storms;
 mod writeback;
 
 pub use backoff::Backoff;
@@ -34,6 +36,7 @@
 use rand_pcg::Pcg64Mcg;
 use requests::Held;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use storms::Gate;
 use tracing::{info, warn};
 use writeback::{Back, Mark};
 
@@ -110,6 +113,8 @@
     pub refused: u64,
     /// Requests that ended refused at a bound, by the buffer or while stopping, unseen by the module.
     pub turned_away: u64,
+    /// Repeats that were refused in a storm, unseen by the module.
+    pub damped: u64,
     /// Requests that ended failed.
     pub failed: u64,
     /// Requests whose client went before its answer.
@@ -131,6 +136,7 @@
     /// Classes that the module was told of: the site's, and after them those of write-outs, if there are any.
     brain_classes: Vec<Class>,
     back: Option<Back>,
+    gate: Option<Gate>,
     rng: Pcg64Mcg,
     conns: BTreeMap<ConnId, Conn>,
     next_conn: u64,
@@ -160,10 +166,15 @@
     /// # Errors
     /// The saved list is no list. Start without it then.
     pub fn new(config: Config, saved: Option<&[u8]>, now: Micros) -> Result<Self, SavedListError> {
-        let settings = match &config.site.write_back {
+        let mut settings = match &config.site.write_back {
             Some(_) => writeback::with_write_outs(&config.site.settings),
             None => config.site.settings.clone(),
         };
+        let gate = config.site.storm.map(|rules| {
+            let classes = settings.classes.len();
+            storms::with_repeats(&mut settings, config.site.classes.len(), &rules);
+            Gate::new(rules, classes, config.seed ^ config.epoch.rotate_left(17), now)
+        });
         let brain_classes = settings.classes.clone();
         let decider = match config.policy {
             Policy::Module => Decider::Module(Box::new(Brain::new(
@@ -181,6 +192,7 @@
             decider,
             brain_classes,
             back: None,
+            gate,
             list,
             config,
             conns: BTreeMap::new(),
@@ -489,6 +501,7 @@
             self.timers.remove(&(at, timer));
             self.fire(timer, now);
         }
+        self.look_at_weather(now);
         self.settle_buffer(now);
         self.tell(now);
         let woken = self.wake_at.is_some_and(|at| at <= now);
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -66,6 +66,14 @@
     pub(super) class: u16,
     pub(super) plan: u16,
     pub(super) write: bool,
+    pub(super) try_no: u8,
+    /// It is taken for a repeat.
+    pub(super) repeats: bool,
+    /// The damper knows how it ended.
+    pub(super) told: bool,
+    /// A barrier or a flush.
+    pub(super) mark: bool,
+    pub(super) came: Micros,
     pub(super) volume: u64,
     pub(super) extent: Option<u64>,
     pub(super) shard: Option<u32>,
@@ -94,6 +102,11 @@
             class: 0,
             plan: 0,
             write: false,
+            try_no: 0,
+            repeats: false,
+            told: false,
+            mark: false,
+            came: Micros(0),
             volume: 0,
             extent: None,
             shard: None,
@@ -109,12 +122,14 @@
     }
 
     /// A client's request.
-    pub(super) fn new((conn, id): (ConnId, u64), s: &Submit<'_>, valid_until: Micros) -> Self {
+    pub(super) fn new((conn, id): (ConnId, u64), s: &Submit<'_>, valid_until: Micros, now: Micros) -> Self {
         Held {
             operation: s.operation,
             class: s.class,
             plan: s.plan,
             write: s.write,
+            try_no: s.try_no,
+            came: now,
             volume: s.volume,
             extent: s.extent,
             shard: s.shard,
@@ -128,7 +143,7 @@
 
     /// A client's barrier or flush.
     pub(super) fn mark((conn, id): (ConnId, u64), valid_until: Micros) -> Self {
-        Self::empty(Owner::Client(conn, id), With::Buffer, valid_until)
+        Held { mark: true, ..Self::empty(Owner::Client(conn, id), With::Buffer, valid_until) }
     }
 
     /// A write-out of the buffer's.
@@ -158,7 +173,7 @@
                 Action::Send { request, node } => self.send(request, node, now),
                 Action::Refuse { request, retry_after } => {
                     let advised = Micros::from_ms(retry_after);
-                    let wait = u32::try_from(advised.0).unwrap_or(u32::MAX);
+                    let wait = u32::try_from(self.advice(advised).0).unwrap_or(u32::MAX);
                     debug!(request = request.0, wait_us = wait, "refused");
                     self.counts.refused += u64::from(self.of_client(request));
                     let (refusal, scope) = (Refusal::Load, Scope::Request);
@@ -322,6 +337,7 @@
             && let Some(held) = self.requests.remove(&id)
         {
             self.timers.remove(&(held.valid_until, Timer::Deadline(id)));
+            self.tell_gate(&held, now);
             self.over(id, &held, now);
         }
     }
--- a/crates/flaxstand-gateway/src/core/writeback.rs
+++ b/crates/flaxstand-gateway/src/core/writeback.rs
@@ -248,8 +248,10 @@
     fn through(&mut self, id: RequestId) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.with = With::Module { through: true };
-        let arrival = held.arrival(id, held.class.into());
-        self.events.push_back(Event::Arrived(arrival));
+        if let Some(held) = self.requests.get(&id) {
+            let arrival = held.arrival(id, self.brain_class(held));
+            self.events.push_back(Event::Arrived(arrival));
+        }
     }
 
     /// A write-out becomes a request.
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -104,7 +104,7 @@
 
 /// The part of a file that all initiators of a site share, as text: what stays of a day for a settings file.
 pub fn shared_part(text: &str) -> String {
-    const SHARED: [&str; 5] = ["site", "class", "plan", "bounds", "buffer"];
+    const SHARED: [&str; 6] = ["site", "class", "plan", "bounds", "buffer", "storm"];
     let mut document = text.parse::<kdl::KdlDocument>().unwrap_or_default();
     document.nodes_mut().retain(|n| SHARED.contains(&n.name().value()));
     document.to_string()
--- a/crates/flaxstand-gateway/src/settings/site.rs
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -4,6 +4,7 @@
 use crate::core::{ClassInfo, Site, Waits, WriteBack};
 use crate::machine::Micros;
 use flaxstand::api::{Budget, Class, Effect, Plan, RepeatGroup, Settings};
+use flaxstand_storm::Rules as Storm;
 use std::collections::BTreeSet;
 
 /// Figures of the rules that the module keeps by itself, and that an audit asks for.
@@ -84,8 +85,9 @@
         }
         read_write_back(&b)
     });
+    let storm = read_storm(root.block("storm").as_ref(), settings.max_retry_after);
     let write_back = buffered.then(|| figures.unwrap_or_default());
-    SiteFile { site: Site { settings, classes: infos, plans: plan_names, waits, write_back }, rules }
+    SiteFile { site: Site { settings, classes: infos, plans: plan_names, waits, write_back, storm }, rules }
 }
 
 fn unique<'a>(root: &Block<'_>, what: &str, names: impl Iterator<Item = &'a String>) {
@@ -153,6 +155,22 @@
     waits
 }
 
+fn read_storm(b: Option<&Block<'_>>, advice_most: f64) -> Option<Storm> {
+    let d = Storm { advice_most: Micros::from_ms(advice_most), ..Storm::default() };
+    let Some(b) = b else { return Some(d) };
+    let damping = b.flag("damping", true);
+    let rules = Storm {
+        repeat_worth: b.number("repeat-worth", 0.0..=1.0, Some(d.repeat_worth)),
+        repeat_share: b.number("repeat-share", 0.0..=10.0, Some(d.repeat_share)),
+        repeat_floor: b.number("repeat-floor", 0.0..=1e6, Some(d.repeat_floor)),
+        patience: Micros::from_ms(b.number("patience-ms", POSITIVE_MS, Some(d.patience.ms()))),
+        remembered: b.whole("remembered", 1..=1 << 24, Some(d.remembered as u64)) as usize,
+        ..d
+    };
+    b.finish();
+    damping.then_some(rules)
+}
+
 fn read_write_back(b: &Block<'_>) -> WriteBack {
     let d = WriteBack::default();
     let wait = |key, default: Micros| Micros::from_ms(b.number(key, MS, Some(default.ms())));
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -68,6 +68,7 @@
             plans: vec!["plan".into()],
             waits: Waits::default(),
             write_back: None,
+            storm: None,
         },
         bounds: Bounds::default(),
         policy: Policy::Module,
--- a/crates/flaxstand-lab/src/experiment.rs
+++ b/crates/flaxstand-lab/src/experiment.rs
@@ -29,6 +29,10 @@
     pub initiators: Option<u32>,
     /// Writes that the day buffers go through.
     pub through: bool,
+    /// Storms are damped as the day's site says; else not at all.
+    pub damping: bool,
+    /// In place of the day's, if given: share of clients that heed advice.
+    pub honour: Option<f64>,
 }
 
 /// What is to be played.
@@ -143,6 +147,8 @@
                     tick: (tick >= 0.0).then_some(tick),
                     initiators: (initiators > 0).then_some(initiators),
                     through: v.flag("through", false),
+                    damping: v.flag("damping", true),
+                    honour: Some(v.number("honour", -1.0..=1.0, Some(-1.0))).filter(|h| *h >= 0.0),
                 });
                 v.finish();
             }
@@ -218,6 +224,10 @@
         settings.initiators = variant.initiators.unwrap_or(settings.initiators);
         let left = settings.initiators;
         day.faults.iter_mut().for_each(|f| f.initiators.retain(|i| *i < left));
+        day.traffic.honour = variant.honour.unwrap_or(day.traffic.honour);
+        if !variant.damping {
+            day.site.site.storm = None;
+        }
         if variant.through {
             day.site.site.write_back = None;
             day.site.site.classes.iter_mut().for_each(|c| c.buffered = false);
--- a/crates/flaxstand-proto/src/codec.rs
+++ b/crates/flaxstand-proto/src/codec.rs
@@ -179,7 +179,7 @@
 
 choice!(role, Role, "role", Client, Initiator, Node, List);
 choice!(code, Code, "code", Served, Error, Full);
-choice!(refusal, Refusal, "refusal", Load, Held, Client, Stopping, Unbuffered, Buffer);
+choice!(refusal, Refusal, "refusal", Load, Held, Client, Stopping, Unbuffered, Buffer, Storm);
 choice!(scope, Scope, "scope", Request, Volume, All);
 choice!(parting, Parting, "parting", Version, Protocol, WrongPeer, Bound, Stopping);
 choice!(state, State, "state", Serving, Draining, Gone);
--- a/crates/flaxstand-proto/src/frame.rs
+++ b/crates/flaxstand-proto/src/frame.rs
@@ -48,6 +48,8 @@
     Unbuffered = 5,
     /// The write-back buffer is full, or the request would have waited in it for too long.
     Buffer = 6,
+    /// It repeats a try that was refused or given up, and too many do.
+    Storm = 7,
 }
 
 /// Whom a refusal's wait concerns.
--- /dev/null
+++ b/crates/flaxstand-storm/src/repeats.rs
@@ -0,0 +1,140 @@
+//! Tells first tries from repeats. A client may say that it repeats (a try number above 0); whether it says
+//! so or not, a try for the same volume, extent and class as one that was refused or given up here within
+//! its patience repeats that one.
+//!
+//! Saying so falsely gains nothing: a repeat is never treated better than a first try. Not saying so gains
+//! nothing as long as the try names the same extent; a client that invents extents is not found out, and
+//! its volume's even part is what holds it.
+
+use flaxstand_proto::Micros;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What is known of a try as it comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Try {
+    /// The volume.
+    pub volume: u64,
+    /// Index of its plan.
+    pub plan: u16,
+    /// Index of the class.
+    pub class: u16,
+    /// The extent, if it names one.
+    pub extent: Option<u64>,
+    /// Its client says that it repeats an earlier one.
+    pub marked: bool,
+}
+
+/// What a try is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Nothing like it was turned away lately.
+    First,
+    /// It repeats one that was.
+    Repeat,
+}
+
+type Key = (u64, u64, u16);
+
+/// Tries that were turned away lately. At its bound the oldest is forgotten: its repeat counts as a first.
+#[derive(Debug)]
+pub struct Repeats {
+    /// How long a client is expected to come back.
+    patience: Micros,
+    most: usize,
+    /// When each was last turned away.
+    away: BTreeMap<Key, Micros>,
+    /// The same in order of time; entries that were overtaken are skipped.
+    order: VecDeque<(Micros, Key)>,
+}
+
+impl Repeats {
+    /// Remembers so many, for so long.
+    pub fn new(patience: Micros, most: usize) -> Self {
+        Repeats { patience, most: most.max(1), away: BTreeMap::new(), order: VecDeque::new() }
+    }
+
+    fn key(t: &Try) -> Option<Key> {
+        t.extent.map(|extent| (t.volume, extent, t.class))
+    }
+
+    fn forget_old(&mut self, now: Micros) {
+        while let Some((at, key)) = self.order.front().copied() {
+            let overtaken = self.away.get(&key).is_none_or(|last| *last != at);
+            if !overtaken && now.since(at) <= self.patience && self.away.len() <= self.most {
+                return;
+            }
+            self.order.pop_front();
+            if !overtaken {
+                self.away.remove(&key);
+            }
+        }
+    }
+
+    /// A try comes.
+    pub fn kind(&mut self, t: &Try, now: Micros) -> Kind {
+        self.forget_old(now);
+        let known = Self::key(t).is_some_and(|key| self.away.remove(&key).is_some());
+        if known || t.marked { Kind::Repeat } else { Kind::First }
+    }
+
+    /// A try was refused or given up.
+    pub fn turned_away(&mut self, t: &Try, now: Micros) {
+        if let Some(key) = Self::key(t) {
+            self.away.insert(key, now);
+            self.order.push_back((now, key));
+            self.forget_old(now);
+        }
+    }
+
+    /// How many are remembered.
+    pub fn remembered(&self) -> usize {
+        self.away.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn of(extent: u64, marked: bool) -> Try {
+        Try { volume: 1, plan: 0, class: 2, extent: Some(extent), marked }
+    }
+    const T: Micros = Micros(1_000_000);
+
+    #[test]
+    fn what_was_turned_away_and_comes_back_is_a_repeat_marked_or_not() {
+        let mut r = Repeats::new(Micros(500), 10);
+        assert_eq!(r.kind(&of(1, false), T), Kind::First);
+        r.turned_away(&of(1, false), T);
+        assert_eq!(r.kind(&of(2, false), T), Kind::First, "another extent");
+        assert_eq!(r.kind(&Try { class: 1, ..of(1, false) }, T), Kind::First, "another class");
+        assert_eq!(r.kind(&of(1, false), T.after(Micros(500))), Kind::Repeat);
+        assert_eq!(r.kind(&of(1, false), T.after(Micros(500))), Kind::First, "one repeat for each");
+        r.turned_away(&of(1, false), T);
+        assert_eq!(r.kind(&of(1, false), T.after(Micros(501))), Kind::First, "its patience is over");
+        assert_eq!(r.kind(&of(9, true), T), Kind::Repeat, "it says so");
+        assert_eq!(r.kind(&Try { extent: None, ..of(0, false) }, T), Kind::First);
+    }
+
+    #[test]
+    fn at_the_bound_the_oldest_is_forgotten() {
+        let mut r = Repeats::new(Micros(1_000_000), 3);
+        (0..5).for_each(|n| r.turned_away(&of(n, false), T.after(Micros(n))));
+        assert_eq!(r.remembered(), 3);
+        assert_eq!(r.kind(&of(1, false), T.after(Micros(9))), Kind::First);
+        assert_eq!(r.kind(&of(4, false), T.after(Micros(9))), Kind::Repeat);
+    }
+
+    #[test]
+    fn one_turned_away_again_and_again_takes_one_place() {
+        let mut r = Repeats::new(Micros(100), 3);
+        for n in 0..1000 {
+            r.turned_away(&of(7, false), T.after(Micros(n)));
+        }
+        assert_eq!(r.remembered(), 1);
+        assert!(r.order.len() <= 1000);
+        assert_eq!(r.kind(&of(7, false), T.after(Micros(1050))), Kind::Repeat, "by its last");
+        r.turned_away(&of(8, false), T.after(Micros(5000)));
+        assert_eq!(r.order.len(), 1, "what is long past is gone");
+    }
+}
