Reconnects: a crowd of clients is told its turns; storm cases at the gate tested

Need: after a gateway's restart hundreds of clients come at once. They are greeted so many a second; one more is told in the goodbye when its turn is, spread over as long as all take, and nothing is kept of it. Bye carries a wait.

--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -7,6 +7,7 @@
 use flaxstand_proto::{
     Frame, Hello, Parting, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, Welcome, encode,
 };
+use rand_core::RngCore as _;
 use std::collections::BTreeMap;
 use tracing::{debug, info, warn};
 
@@ -26,14 +27,23 @@
 
 impl Core {
     pub(super) fn client_accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
-        if self.clients >= self.config.bounds.clients || self.phase != Phase::Running {
-            let (parting, text) = match self.phase {
-                Phase::Running => (Parting::Bound, "as many clients as may be"),
-                _ => (Parting::Stopping, "stopping"),
-            };
-            info!(clients = self.clients, text, "client turned away");
+        // The cheapest refusal: nothing is kept of a client that is told to come back.
+        let refusal = match self.phase {
+            Phase::Running if self.clients >= self.config.bounds.clients => {
+                Some((Parting::Bound, Micros(0), "as many clients as may be"))
+            }
+            Phase::Running => {
+                let draw = (self.rng.next_u32() >> 8) as f64 / f64::from(1 << 24);
+                let turn = self.arrivals.comes(now, draw);
+                turn.map(|wait| (Parting::Turn, wait, "many come at once"))
+            }
+            Phase::Stopping | Phase::Stopped => Some((Parting::Stopping, Micros(0), "stopping")),
+        };
+        if let Some((parting, wait, text)) = refusal {
+            info!(clients = self.clients, wait_us = wait.0, text, "client turned away");
             let mut bytes = Vec::new();
-            encode(&Frame::Bye { parting, text }, &mut bytes);
+            let wait = u32::try_from(wait.0).unwrap_or(u32::MAX);
+            encode(&Frame::Bye { parting, wait, text }, &mut bytes);
             return Err(bytes);
         }
         self.clients += 1;
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -2,6 +2,7 @@
 
 use crate::machine::{Address, Micros};
 use flaxstand::api::Settings;
+use flaxstand_storm::ArrivalRules;
 use std::collections::BTreeSet;
 
 /// Which policy decides.
@@ -35,7 +36,7 @@
 }
 
 /// Bounds on what the core holds. `docs/settings.md` says what happens at each.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Client connections. One more is told so and closed.
     pub clients: usize,
@@ -53,6 +54,8 @@
     pub nodes: usize,
     /// Volumes that were ever used in the process' life. A request of one more is refused.
     pub volumes: usize,
+    /// Clients that are greeted a second, and at once. One more is told when its turn is, and closed.
+    pub arrivals: ArrivalRules,
 }
 
 impl Default for Bounds {
@@ -66,6 +69,7 @@
             node_bytes: 8 << 20,
             nodes: 4096,
             volumes: 1 << 20,
+            arrivals: ArrivalRules::default(),
         }
     }
 }
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -29,6 +29,7 @@
 use flaxstand::api::{Action, Class, Event, NodeId, RequestId, VolumeId};
 use flaxstand::brain::Brain;
 use flaxstand_proto::{Frame, Hello, Inbox, Outbox, Parting, Role, VERSION, VERSION_OLDEST};
+use flaxstand_storm::Arrivals;
 use list::ListPeer;
 use nodes::NodePeer;
 use pipe::{Pipe, Placement};
@@ -137,6 +138,7 @@
     brain_classes: Vec<Class>,
     back: Option<Back>,
     gate: Option<Gate>,
+    arrivals: Arrivals,
     rng: Pcg64Mcg,
     conns: BTreeMap<ConnId, Conn>,
     next_conn: u64,
@@ -193,6 +195,7 @@
             brain_classes,
             back: None,
             gate,
+            arrivals: Arrivals::new(config.bounds.arrivals, now),
             list,
             config,
             conns: BTreeMap::new(),
@@ -267,7 +270,7 @@
     /// Closes a connection from here and settles what hung on it.
     fn hang_up(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
         if self.conns.contains_key(&conn) {
-            self.push(conn, &Frame::Bye { parting, text });
+            self.push(conn, &Frame::Bye { parting, wait: 0, text });
             self.lost(conn, text, true, now);
         }
     }
@@ -290,7 +293,7 @@
         let Some(c) = self.conns.get(&conn) else { return false };
         let stage = c.stage;
         let fault = match (&c.peer, frame) {
-            (_, Frame::Bye { parting, text }) => {
+            (_, Frame::Bye { parting, text, .. }) => {
                 info!(conn = conn.0, ?parting, text, "peer said goodbye");
                 self.lost(conn, "peer said goodbye", true, now);
                 return false;
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::core::{Bounds, Config, Policy};
 use crate::machine::Address;
+use flaxstand_storm::ArrivalRules;
 use std::path::PathBuf;
 
 /// What `flaxstand run` is told.
@@ -91,6 +92,11 @@
         node_bytes: whole("node-bytes", d.node_bytes),
         nodes: whole("nodes", d.nodes),
         volumes: whole("volumes", d.volumes),
+        arrivals: ArrivalRules {
+            rate: b.number("arrivals-a-second", 0.1..=1e6, Some(d.arrivals.rate)),
+            burst: b.number("arrivals-at-once", 1.0..=1e6, Some(d.arrivals.burst)),
+            ..d.arrivals
+        },
     };
     if bounds.client_bytes > bounds.client_bytes_most {
         b.problem(format!(
--- a/crates/flaxstand-gateway/tests/core.rs
+++ b/crates/flaxstand-gateway/tests/core.rs
@@ -637,3 +637,81 @@
         prop_assert_eq!(ids, wanted, "each request of the sound client has one answer");
     }
 }
+
+#[test]
+fn a_crowd_of_clients_is_told_when_its_turns_are_and_those_served_notice_nothing() {
+    let mut w = World::new(config(), 1);
+    let served = w.client();
+    let mut told = Vec::new();
+    let mut taken = 1;
+    for _ in 0..242 {
+        match w.core.accepted(0, w.now) {
+            Ok(_) => taken += 1,
+            Err(goodbye) => match decode(&goodbye) {
+                Ok(Some((Frame::Bye { parting: Parting::Turn, wait, .. }, _))) => told.push(wait),
+                other => panic!("{other:?}"),
+            },
+        }
+    }
+    assert_eq!((taken, told.len()), (100, 143));
+    // Uniform over the time that they take: each tenth of it has about a tenth of them.
+    let most = f64::from(*told.iter().max().unwrap());
+    for tenth in 0..10 {
+        let within = |w: &&u32| (f64::from(**w) * 10.0 / (most + 1.0)) as usize == tenth;
+        let count = told.iter().filter(within).count();
+        assert!((9..=20).contains(&count), "{count} of 143 in tenth {tenth}");
+    }
+    w.submit(served, 1, READ, Some(0));
+    w.run(5);
+    let attempt = w.attempts(0)[0];
+    w.done(w.node_conn(0), attempt, Code::Served, b"");
+    w.run(2);
+    assert_eq!(w.answers(served).len(), 1);
+}
+
+/// A site that meets storms, and a client that presses again and again on a node that is not there.
+fn stormy() -> flaxstand_gateway::core::Config {
+    let mut c = config();
+    c.site.storm = Some(flaxstand_storm::Rules { repeat_floor: 2.0, ..flaxstand_storm::Rules::default() });
+    c
+}
+
+#[test]
+fn repeats_in_a_storm_are_refused_at_once_with_cause_and_scope_and_first_tries_are_not() {
+    let mut w = World::new(stormy(), 1);
+    w.dials.insert(address(0).parse().unwrap(), Dial::Refused);
+    let client = w.client();
+    // Each press is for the same extents, with little patience.
+    for press in 0..40u64 {
+        for extent in 0..10 {
+            w.submit_extent(client, press * 100 + extent, READ, extent, 60);
+        }
+        w.run(70);
+    }
+    let damped = w.core.counts().damped;
+    assert!(damped > 200, "{damped} of 390 repeats");
+    let said = w.answers(client);
+    let storms = said.iter().filter(|s| matches!(s, Said::Refused(_, Refusal::Storm))).count();
+    assert_eq!(storms as u64, damped);
+    assert_eq!(said.len(), 400, "each is answered once");
+    w.submit_extent(client, 9000, READ, 777, 500);
+    w.run(5);
+    assert_eq!(w.answers(client).len(), 400, "a first try is taken, not turned away");
+}
+
+#[test]
+fn an_answer_that_comes_as_the_deadline_passes_is_one_answer() {
+    let mut w = World::new(stormy(), 1);
+    let client = w.client();
+    w.submit_extent(client, 1, READ, 5, 300);
+    w.run(5);
+    let attempt = w.attempts(0)[0];
+    let node = w.node_conn(0);
+    // 300 ms less the margin for the answer's way: the deadline fires in the turn in which the answer comes.
+    w.run(284);
+    w.now = w.now.after(ms(1));
+    w.done(node, attempt, Code::Served, b"");
+    w.run(100);
+    assert_eq!(w.answers(client).len(), 1);
+    assert_eq!(w.core.held(), 0);
+}
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -344,6 +344,15 @@
     }
 
     pub fn submit_within(&mut self, conn: ConnId, id: u64, class: u16, shard: Option<u32>, millis: u32) {
+        self.submit_as(conn, id, class, (shard, id), millis);
+    }
+
+    pub fn submit_extent(&mut self, conn: ConnId, id: u64, class: u16, extent: u64, millis: u32) {
+        self.submit_as(conn, id, class, (Some(0), extent), millis);
+    }
+
+    fn submit_as(&mut self, conn: ConnId, id: u64, class: u16, to: (Option<u32>, u64), millis: u32) {
+        let (shard, extent) = to;
         let submit = Submit {
             id,
             operation: 1000 + id,
@@ -353,7 +362,7 @@
             try_no: 0,
             write: false,
             volume: 5,
-            extent: Some(id),
+            extent: Some(extent),
             shard,
             units: 1,
             at: None,
--- a/crates/flaxstand-lab/src/load.rs
+++ b/crates/flaxstand-lab/src/load.rs
@@ -58,6 +58,8 @@
     conn: Option<ConnId>,
     /// Number of this connection in the records; 0: not open.
     number: u64,
+    /// It was told not to come back earlier.
+    turn: Micros,
     honours: bool,
     owed: BTreeMap<u64, Operation>,
 }
@@ -103,6 +105,7 @@
             initiator: i % hosts.max(1),
             conn: None,
             number: 0,
+            turn: Micros(0),
             honours: random(rng) < day.traffic.honour,
             owed: BTreeMap::new(),
         };
@@ -463,6 +466,11 @@
                     links.record(&Record::MarkStands { at: now.0, client, id });
                 }
             }
+            Frame::Bye { wait, .. } if wait > 0 => {
+                if let Some(at) = self.by_conn.get(&conn) {
+                    self.clients[*at].turn = now.after(Micros(wait.into()));
+                }
+            }
             _ => {}
         }
     }
@@ -483,7 +491,8 @@
             }
         }
         let wait = Micros::from_ms(between(&mut self.rng, CALL_AGAIN));
-        self.due.insert((now.after(wait), Due::Call(at)));
+        let turn = if self.clients[at].honours { self.clients[at].turn } else { now };
+        self.due.insert((now.after(wait).max(turn), Due::Call(at)));
     }
 
     fn line(&mut self, _links: &mut Links, line: &str, now: Micros) {
--- a/crates/flaxstand-proto/src/codec.rs
+++ b/crates/flaxstand-proto/src/codec.rs
@@ -181,7 +181,7 @@
 choice!(code, Code, "code", Served, Error, Full);
 choice!(refusal, Refusal, "refusal", Load, Held, Client, Stopping, Unbuffered, Buffer, Storm);
 choice!(scope, Scope, "scope", Request, Volume, All);
-choice!(parting, Parting, "parting", Version, Protocol, WrongPeer, Bound, Stopping);
+choice!(parting, Parting, "parting", Version, Protocol, WrongPeer, Bound, Stopping, Turn);
 choice!(state, State, "state", Serving, Draining, Gone);
 choice!(extent, Extent, "extent of the list", Full, Changes);
 
@@ -249,8 +249,9 @@
             w.u64(h.epoch);
             w.text(h.name);
         }
-        Frame::Bye { parting, text } => {
+        Frame::Bye { parting, wait, text } => {
             w.u8(*parting as u8);
+            w.u32(*wait);
             w.text(text);
         }
         Frame::Submit(s) => {
@@ -406,7 +407,7 @@
             epoch: r.u64("epoch")?,
             name: r.text("name")?,
         }),
-        3 => Frame::Bye { parting: parting(r)?, text: r.text("text")? },
+        3 => Frame::Bye { parting: parting(r)?, wait: r.u32("wait")?, text: r.text("text")? },
         16 => Frame::Submit(Submit {
             id: r.u64("id")?,
             operation: r.u64("operation")?,
--- a/crates/flaxstand-proto/src/frame.rs
+++ b/crates/flaxstand-proto/src/frame.rs
@@ -78,6 +78,8 @@
     Bound = 4,
     /// The process stops.
     Stopping = 5,
+    /// Many come at once: each has its turn, after the stated wait.
+    Turn = 6,
 }
 
 /// State of a node in the list.
@@ -269,6 +271,8 @@
     Bye {
         /// The cause.
         parting: Parting,
+        /// Come back no earlier than this, microseconds; 0: no advice.
+        wait: u32,
         /// In words, at most 255 bytes.
         text: &'a str,
     },
--- a/crates/flaxstand-proto/tests/frames.rs
+++ b/crates/flaxstand-proto/tests/frames.rs
@@ -43,7 +43,7 @@
     vec![
         Frame::Hello(Hello { role: Role::Client, versions: (1, 3), id: 4, epoch: 5, name: "checkout" }),
         Frame::Welcome(Welcome { version: 1, role: Role::Node, id: 4, epoch: 5, name: "" }),
-        Frame::Bye { parting: Parting::Bound, text: "too many clients" },
+        Frame::Bye { parting: Parting::Turn, wait: 250_000, text: "too many clients" },
         submit(b"seat 12"),
         Frame::Served { id: 1, shard: 2, payload: b"x" },
         Frame::Refused { id: 1, wait: 250_000, refusal: Refusal::Load, scope: Scope::Volume },
--- a/crates/flaxstand-storm/src/lib.rs
+++ b/crates/flaxstand-storm/src/lib.rs
@@ -5,18 +5,15 @@
 //! - [`weather`]: is this calm, a surge of real demand, or a storm, by plan and by volume, and why
 //! - [`damper`]: what becomes of a repeat, and what wait is advised
 //! - [`arrivals`]: clients that come, in bounded steps
-//! - [`pacer`]: calls to nodes, spread over hosts and over what a cold node bears
 #![forbid(unsafe_code)]
 
 pub mod arrivals;
 pub mod damper;
-pub mod pacer;
 pub mod repeats;
 pub mod weather;
 
-pub use arrivals::Arrivals;
+pub use arrivals::{ArrivalRules, Arrivals};
 pub use damper::{Damper, Rules, Treatment};
 pub use flaxstand_proto::Micros;
-pub use pacer::Pacer;
 pub use repeats::{Kind, Repeats, Try};
 pub use weather::{Scope, Weather, WeatherReport};
