--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -421,8 +421,8 @@
             let conns: Vec<ConnId> = self.conns.keys().copied().collect();
             conns.into_iter().for_each(|conn| self.hang_up(conn, Parting::Stopping, "stopping", now));
             self.commands.push(Command::Exit);
-            let buffer = self.buffer_status(now);
-            info!(counts = ?self.counts, ?buffer, "stopped");
+            let (buffer, repeats) = (self.buffer_status(now), self.repeats_judged());
+            info!(counts = ?self.counts, ?buffer, ?repeats, "stopped");
         }
     }
 }
--- a/crates/flaxstand-gateway/src/core/storms.rs
+++ b/crates/flaxstand-gateway/src/core/storms.rs
@@ -5,7 +5,7 @@
 use crate::machine::Micros;
 use flaxstand::api::{Class, RequestId, Settings};
 use flaxstand_proto::{Frame, Refusal, Scope};
-use flaxstand_storm::{Damper, Rules, Treatment, Try};
+use flaxstand_storm::{Damper, Judged, Rules, Treatment, Try};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tracing::{debug, info};
@@ -119,6 +119,11 @@
         }
     }
 
+    /// How repeats were told, where storms are met.
+    pub fn repeats_judged(&self) -> Option<Judged> {
+        self.gate.as_ref().map(|g| g.damper.judged())
+    }
+
     /// Tells the log when a plan's weather changes. Asked for at each settling.
     pub(super) fn look_at_weather(&mut self, now: Micros) {
         let plans = self.config.site.plans.len() as u16;
--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -27,6 +27,27 @@
     pub list_late: Micros,
 }
 
+/// How clients space their tries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manners {
+    /// As `retry-wait-ms` says.
+    #[default]
+    Plain,
+    /// Exponential back-off with full jitter: up to a wait that doubles from the longest of `retry-wait-ms`, 2 s at most.
+    Jitter,
+    /// As plain, and a client's retries keep to a fifth of its first tries.
+    Budget,
+}
+
+impl Manners {
+    /// Names in files.
+    pub(crate) const CHOICE: [(&'static str, Option<Manners>); 3] = [
+        ("plain", Some(Manners::Plain)),
+        ("jitter", Some(Manners::Jitter)),
+        ("budget", Some(Manners::Budget)),
+    ];
+}
+
 /// What clients do.
 #[derive(Clone, Debug)]
 pub struct Traffic {
@@ -44,6 +65,8 @@
     pub retries: u8,
     /// Wait before a further try, ms.
     pub retry_wait: (f64, f64),
+    /// How they space their tries.
+    pub manners: Manners,
     /// How long a client waits for a try before it makes another, ms; 0: as long as there is time.
     pub patience: (f64, f64),
     /// Share of clients that honour the wait of a refusal.
@@ -421,6 +444,7 @@
         clients: b.whole("clients", 1..=10_000, Some(1)) as u32,
         retries: b.whole("retries", 0..=100, Some(0)) as u8,
         retry_wait: b.range("retry-wait-ms", MS, Some((50.0, 200.0))),
+        manners: b.choice("manners", &Manners::CHOICE, Some(None)).flatten().unwrap_or_default(),
         patience: b.range("patience-ms", MS, Some((0.0, 0.0))),
         honour: b.number("honour", SHARE, Some(1.0)),
         payload: b.whole("payload-bytes", 8..=1 << 20, Some(64)) as usize,
--- a/crates/flaxstand-storm/src/lib.rs
+++ b/crates/flaxstand-storm/src/lib.rs
@@ -15,5 +15,5 @@
 pub use arrivals::{ArrivalRules, Arrivals};
 pub use damper::{Damper, Rules, Treatment};
 pub use flaxstand_proto::Micros;
-pub use repeats::{Kind, Repeats, Try};
+pub use repeats::{Judged, Kind, Repeats, Try};
 pub use weather::{Scope, Weather, WeatherReport};
--- a/crates/flaxstand-storm/src/repeats.rs
+++ b/crates/flaxstand-storm/src/repeats.rs
@@ -35,6 +35,17 @@
 
 type Key = (u64, u64, u16);
 
+/// How telling went, where clients mark their repeats: what would have been found without the marks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Judged {
+    /// Tries that said that they repeat.
+    pub marked: u64,
+    /// Of those, found by volume, extent and class as well.
+    pub marked_and_known: u64,
+    /// Tries that did not say so and were taken for repeats.
+    pub unmarked_but_known: u64,
+}
+
 /// Tries that were turned away lately. At its bound the oldest is forgotten: its repeat counts as a first.
 #[derive(Debug)]
 pub struct Repeats {
@@ -45,12 +56,19 @@
     away: BTreeMap<Key, Micros>,
     /// The same in order of time; entries that were overtaken are skipped.
     order: VecDeque<(Micros, Key)>,
+    judged: Judged,
 }
 
 impl Repeats {
     /// Remembers so many, for so long.
     pub fn new(patience: Micros, most: usize) -> Self {
-        Repeats { patience, most: most.max(1), away: BTreeMap::new(), order: VecDeque::new() }
+        Repeats {
+            patience,
+            most: most.max(1),
+            away: BTreeMap::new(),
+            order: VecDeque::new(),
+            judged: Judged::default(),
+        }
     }
 
     fn key(t: &Try) -> Option<Key> {
@@ -74,6 +92,9 @@
     pub fn kind(&mut self, t: &Try, now: Micros) -> Kind {
         self.forget_old(now);
         let known = Self::key(t).is_some_and(|key| self.away.remove(&key).is_some());
+        self.judged.marked += u64::from(t.marked);
+        self.judged.marked_and_known += u64::from(t.marked && known);
+        self.judged.unmarked_but_known += u64::from(known && !t.marked);
         if known || t.marked { Kind::Repeat } else { Kind::First }
     }
 
@@ -86,6 +107,11 @@
         }
     }
 
+    /// How telling went so far.
+    pub fn judged(&self) -> Judged {
+        self.judged
+    }
+
     /// How many are remembered.
     pub fn remembered(&self) -> usize {
         self.away.len()
