Clean-up: one set of the buffer's figures, one way to decide on parked writes, dead code out

Cause: read once more. The buffer's figures stood twice and were copied field by field; a second way to decide on a parked write served its tests only (they now use the operators' own); advice had a calm branch that nothing reached, with state fed for it; the log kept what its segments say; letting a request through stood three times, looking at and tidying a place always went together; a buffered reread was built apart from other operations, a try's end in the client twice; the report ordered all operations twice. The module swept what was given up at each arrival; it does so once a decision.

--- a/crates/flaxstand-buffer/src/buffer.rs
+++ b/crates/flaxstand-buffer/src/buffer.rs
@@ -30,9 +30,9 @@
     Keyed(Micros),
 }
 
-/// What the buffer is told at its start. `docs/write-back.md` describes every figure.
-#[derive(Clone, Debug)]
-pub struct Config {
+/// Bounds and waits. `docs/write-back.md` describes every figure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rules {
     /// Bytes that may live in the buffer, as [`Write::cost`] counts them.
     pub bytes: u64,
     /// The same for one volume.
@@ -47,12 +47,34 @@
     pub slow: Micros,
     /// Requests and barriers that may wait here beside buffered writes.
     pub waiting: usize,
+    /// A flush is complete once all before it is durable here, in place of on the nodes.
+    pub flush_here: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            bytes: 256 << 20,
+            volume_bytes: 64 << 20,
+            age: Micros(5_000_000),
+            linger: Micros(20_000),
+            record_linger: Micros(50_000),
+            slow: Micros(50_000),
+            waiting: 4096,
+            flush_here: false,
+        }
+    }
+}
+
+/// What the buffer is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Bounds and waits.
+    pub rules: Rules,
     /// Advised wait with a refusal.
     pub refusal_wait: Micros,
     /// A place rests so long after an attempt that may still run.
     pub key_rest: Micros,
-    /// A flush is complete once all before it is durable here, in place of on the nodes.
-    pub flush_here: bool,
     /// By class.
     pub classes: Vec<Buffering>,
     /// Bound on repeats of write-outs.
@@ -89,15 +111,6 @@
     Unsure,
 }
 
-/// What an operator decides of a parked write.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is on its node.
-    Done,
-    /// It is not, and goes out as if it never had.
-    Again,
-}
-
 /// What the core is to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -350,12 +363,12 @@
             let blocked = !self.order.clear(write.place);
             let space = Space {
                 used: self.order.bytes(),
-                most: self.config.bytes,
+                most: self.config.rules.bytes,
                 volume_used: self.order.volume_bytes(write.place.volume),
-                volume_most: self.config.volume_bytes,
+                volume_most: self.config.rules.volume_bytes,
             };
             let healthy = !self.log.failing() && self.log.room();
-            match admit(space, write.cost(), blocked, healthy, self.config.slow) {
+            match admit(space, write.cost(), blocked, healthy, self.config.rules.slow) {
                 Admission::Buffer { slowed } => return self.take(ticket, write, now.after(slowed), now),
                 Admission::Through => self.status.turned_through += 1,
                 Admission::Refuse => {
@@ -385,14 +398,13 @@
 
     /// A request that is not buffered but that barriers of its volume concern; `place`: where it writes.
     pub fn pass(&mut self, ticket: Ticket, volume: u64, place: Option<Place>, now: Micros) {
-        if self.order.waiting() >= self.config.waiting {
+        if self.order.waiting() >= self.config.rules.waiting {
             return self.refuse(ticket);
         }
         let seq = self.next_seq();
         self.roles.insert(ticket, Role::Through(seq));
         if self.order.add_through(seq, ticket, volume, place, now) {
-            self.order.let_through(seq);
-            self.actions.push(Action::Through(ticket));
+            self.let_through(seq);
         } else if let Some(place) = place {
             self.consider(place, now);
         }
@@ -400,7 +412,7 @@
 
     /// A barrier on a volume.
     pub fn barrier(&mut self, ticket: Ticket, volume: u64, now: Micros) {
-        if self.order.waiting() >= self.config.waiting {
+        if self.order.waiting() >= self.config.rules.waiting {
             return self.refuse(ticket);
         }
         let seq = self.next_seq();
@@ -468,7 +480,6 @@
                 self.roles.remove(&ticket);
                 self.order.read_ended(ticket, place);
                 self.consider(place, now);
-                self.tidy(place, now);
             }
             Some(Role::Write(seq) | Role::Barrier(seq)) => {
                 if let Some((_, at)) = self.tickets.remove(seq) {
@@ -519,7 +530,6 @@
                     if let Some(place) = self.unrecorded.remove(&seq) {
                         self.order.recorded(seq, place);
                         self.consider(place, now);
-                        self.tidy(place, now);
                     }
                 }
                 Kind::Parked => {}
@@ -560,13 +570,16 @@
         }
     }
 
-    /// Looks at a place's first in line.
+    /// Looks at a place's first in line. A place of which nothing is left is dropped, once it has rested.
     fn consider(&mut self, place: Place, now: Micros) {
         match self.order.next(place, now) {
             Next::Nothing => {
                 if self.order.waits_for_log(place) {
                     self.log.hurry();
                 }
+                if let Some(until) = self.order.tidy(place, now) {
+                    self.out.rest(place, until);
+                }
             }
             Next::Rest(until) => self.out.rest(place, until),
             Next::Write(seq) => {
@@ -574,15 +587,14 @@
                     self.out.line_up(shard, seq, place);
                 }
             }
-            Next::Through(seq) => {
-                if let Some(Item::Through { ticket, .. }) = self.order.item(seq) {
-                    self.actions.push(Action::Through(*ticket));
-                }
-                self.order.let_through(seq);
-            }
+            Next::Through(seq) => self.let_through(seq),
         }
     }
 
+    fn let_through(&mut self, seq: Seq) {
+        self.actions.extend(self.order.let_through(seq).map(Action::Through));
+    }
+
     fn freed(&mut self, freed: Freed, now: Micros) {
         for seq in freed.barriers {
             self.log.append(&Record::Done { seq }, now);
@@ -593,34 +605,20 @@
                 self.actions.push(Action::Barred(ticket));
             }
         }
-        for seq in freed.throughs {
-            if let Some(Item::Through { ticket, .. }) = self.order.item(seq) {
-                self.actions.push(Action::Through(*ticket));
-            }
-            self.order.let_through(seq);
-        }
-        for place in freed.places {
-            self.consider(place, now);
-            self.tidy(place, now);
-        }
-    }
-
-    fn tidy(&mut self, place: Place, now: Micros) {
-        if let Some(until) = self.order.tidy(place, now) {
-            self.out.rest(place, until);
-        }
+        freed.throughs.into_iter().for_each(|seq| self.let_through(seq));
+        freed.places.into_iter().for_each(|place| self.consider(place, now));
     }
 
     /// Somebody waits for what is buffered: a flush, a request behind a barrier, or the end.
     fn waited_for(&self) -> bool {
-        let flushed = !self.config.flush_here && !self.flushes.is_empty();
+        let flushed = !self.config.rules.flush_here && !self.flushes.is_empty();
         self.draining || self.order.waiting() > 0 || flushed
     }
 
     fn pick(&mut self, now: Micros) {
         let waited_for = self.waited_for();
         loop {
-            let (order, linger) = (&self.order, self.config.linger);
+            let (order, linger) = (&self.order, self.config.rules.linger);
             let due = |seq: Seq| waited_for || order.entry(seq).is_none_or(|e| now.since(e.taken) >= linger);
             let level = |seq: Seq| level(&self.config, order, seq, waited_for, now);
             let Some((shard, seq, place, level)) = self.out.pick(now, level, due) else { return };
@@ -647,7 +645,7 @@
             self.out.rest(place, now.after(Micros(100_000)));
             return false;
         }
-        let Some(run) = self.order.take_run(place, |_| keyed) else { return false };
+        let Some(run) = self.order.take_run(place, keyed) else { return false };
         self.unsure.remove(&seq);
         self.next_try += 1;
         self.status.repeats += u64::from(repeat);
@@ -698,27 +696,6 @@
         self.unsure.remove(&seq);
     }
 
-    /// An operator has looked at a parked write's node. Returns false, and changes nothing, if it is not parked.
-    pub fn decide(&mut self, seq: Seq, verdict: Verdict, now: Micros) -> bool {
-        let Some(entry) = self.order.entry(seq).filter(|e| e.stage == Stage::Parked) else { return false };
-        let (place, taken, write) = (entry.write.place, entry.taken_wall, entry.write.clone());
-        match verdict {
-            Verdict::Done => {
-                self.log.append(&Record::Done { seq }, now);
-                self.log.forget(seq);
-                self.unrecorded.insert(seq, place);
-                let freed = self.order.finish(seq, Micros(0));
-                self.freed(freed, now);
-            }
-            Verdict::Again => {
-                self.log.append(&Record::Write { seq, taken, started: None, parked: false, write }, now);
-                self.order.unpark(seq);
-                self.consider(place, now);
-            }
-        }
-        true
-    }
-
     /// How a try ended.
     pub fn try_ended(&mut self, id: TryId, end: TryEnd, now: Micros) {
         let Some(t) = self.tries.remove(&id) else { return };
@@ -766,7 +743,6 @@
     pub fn settle(&mut self, now: Micros) -> Option<Micros> {
         for place in self.out.rested(now) {
             self.consider(place, now);
-            self.tidy(place, now);
         }
         while let Some((at, seq)) = self.acks.first().copied().filter(|(at, _)| *at <= now) {
             self.acks.remove(&(at, seq));
@@ -783,21 +759,21 @@
         if let Some(batch) = self.log.batch(self.record_linger(), now) {
             self.actions.push(Action::Store(batch));
         }
-        let due = |seq| self.order.entry(seq).map(|e| e.taken.after(self.config.linger));
+        let due = |seq| self.order.entry(seq).map(|e| e.taken.after(self.config.rules.linger));
         let linger = self.out.firsts().filter_map(due).filter(|at| *at > now).min();
         let ack = self.acks.first().map(|(at, _)| *at);
         let log = self.log.wake(self.record_linger());
         // Urgency rises with age alone.
-        let age = (!self.tries.is_empty()).then(|| now.after(Micros(self.config.age.0 / 8 + 1)));
+        let age = (!self.tries.is_empty()).then(|| now.after(Micros(self.config.rules.age.0 / 8 + 1)));
         [linger, ack, log, age, self.out.wake(now)].into_iter().flatten().min()
     }
 
     fn record_linger(&self) -> Micros {
-        if self.draining { Micros(0) } else { self.config.record_linger }
+        if self.draining { Micros(0) } else { self.config.rules.record_linger }
     }
 
     fn complete_flushes(&mut self) {
-        let here = self.config.flush_here;
+        let here = self.config.rules.flush_here;
         let complete = |(_, (volume, upto)): &(&Ticket, &(Option<u64>, Seq))| match here {
             true => self.order.durable(*volume, *upto),
             false => self.order.over(*volume, *upto),
@@ -855,11 +831,6 @@
         }
     }
 
-    /// Buffered writes that are not on their nodes, in order, with what is known of each.
-    pub fn writes(&self) -> impl Iterator<Item = (Seq, &Entry)> {
-        self.order.writes()
-    }
-
     /// What is to be done, in order.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -870,7 +841,7 @@
         Status {
             writes: self.order.buffered(),
             bytes: self.order.bytes(),
-            bytes_most: self.config.bytes,
+            bytes_most: self.config.rules.bytes,
             log_bytes: self.log.bytes(),
             oldest: self.order.oldest().map_or(Micros(0), |t| now.since(t)),
             parked: self.order.parked(),
@@ -885,8 +856,8 @@
 
 /// How urgent a write is now.
 fn level(config: &Config, order: &Order, seq: Seq, waited_for: bool, now: Micros) -> Level {
-    let fill = order.bytes() as f64 / config.bytes.max(1) as f64;
+    let fill = order.bytes() as f64 / config.rules.bytes.max(1) as f64;
     let age = order.entry(seq).map_or(Micros(0), |e| now.since(e.taken));
-    let part = fill.max(age.0 as f64 / config.age.0.max(1) as f64);
+    let part = fill.max(age.0 as f64 / config.rules.age.0.max(1) as f64);
     Level::of(part, waited_for)
 }
--- a/crates/flaxstand-buffer/src/lib.rs
+++ b/crates/flaxstand-buffer/src/lib.rs
@@ -25,10 +25,11 @@
 pub mod storage;
 pub mod writeout;
 
-pub use buffer::{Action, Buffer, Config, Expired, Offer, ReadBack, Status, Ticket, TryEnd, TryId, Verdict};
+pub use buffer::{Action, Buffer, Config, Expired, Offer, ReadBack, Rules, Status, Ticket, TryEnd, TryId};
 pub use flaxstand_proto::Micros;
 pub use folder::Folder;
 pub use log::Batch;
+pub use offline::Verdict;
 pub use record::{Place, Seq, Write};
 pub use recover::{Live, RecoverError, Recovered, recover, salvage};
 pub use storage::{Storage, perform};
--- a/crates/flaxstand-buffer/src/log.rs
+++ b/crates/flaxstand-buffer/src/log.rs
@@ -100,8 +100,6 @@
     void: Vec<u64>,
     /// The segment that is written to, if its header is durable.
     current: Option<u64>,
-    /// The last segment with a durable header, and how much of it is durable.
-    durable: Option<(u64, u64)>,
     next_segment: u64,
     next_batch: u64,
     queue: Queue,
@@ -135,7 +133,6 @@
                 .collect(),
             placed,
             current: None,
-            durable: segments.last().copied(),
             next_segment: highest + 1,
             next_batch: batch + 1,
             queue: Queue::default(),
@@ -237,7 +234,7 @@
             None => {
                 let number = self.next_segment;
                 self.next_segment += 1;
-                let header = Header { version: VERSION, number, before: self.durable };
+                let header = Header { version: VERSION, number, before: self.last() };
                 ops.push(StoreOp::Create(number));
                 ops.push(StoreOp::Append(number, header.encode()));
                 // Its own sync: a batch never lies behind a header that may be lost.
@@ -253,11 +250,15 @@
         Batch { ops }
     }
 
-    /// Oldest segments that nothing needs any more; never the one that is written to, nor the last durable one.
+    /// The last segment with a durable header, and how much of it is durable. It is never removed.
+    fn last(&self) -> Option<(u64, u64)> {
+        self.segments.last_key_value().map(|(n, s)| (*n, s.len))
+    }
+
+    /// Oldest segments that nothing needs any more.
     fn removable(&self) -> Vec<u64> {
-        let last = self.durable.map(|(n, _)| n);
-        let idle =
-            |(n, s): &(&u64, &Segment)| s.live.is_empty() && Some(**n) != self.current && Some(**n) != last;
+        let last = self.last().map(|(n, _)| n);
+        let idle = |(n, s): &(&u64, &Segment)| s.live.is_empty() && Some(**n) != last;
         // One that was given up holds nothing that was ever acknowledged.
         self.void.iter().chain(self.segments.iter().take_while(idle).map(|(n, _)| n)).copied().collect()
     }
@@ -296,7 +297,6 @@
                 self.current = Some(segment);
                 let s = self.segments.entry(segment).or_default();
                 s.len += bytes;
-                self.durable = Some((segment, s.len));
                 self.counts.syncs += 1;
                 self.counts.records += queue.about.len() as u64;
                 self.counts.bytes += bytes;
@@ -315,12 +315,10 @@
     /// Live writes and barriers of the oldest segment, if the log is much longer than what lives in it:
     /// to be appended anew, so that the segment can go. At most every other segment's worth.
     pub fn stale(&self, live_bytes: u64) -> Vec<Seq> {
-        let last = self.durable.map(|(n, _)| n);
+        let last = self.last().map(|(n, _)| n);
         let much = self.bytes() > 2 * live_bytes + 4 * SEGMENT;
         match self.segments.first_key_value() {
-            Some((n, s)) if much && Some(*n) != self.current && Some(*n) != last => {
-                s.live.iter().copied().collect()
-            }
+            Some((n, s)) if much && Some(*n) != last => s.live.iter().copied().collect(),
             _ => Vec::new(),
         }
     }
@@ -330,13 +328,9 @@
         if self.flight.is_some() {
             return None;
         }
-        let retry = self.failing.map(|(at, _)| at);
-        let lazy = self.lazy_since.map(|since| if self.urgent { since } else { since.after(linger) });
-        match (retry, lazy) {
-            (Some(retry), Some(lazy)) => Some(retry.max(lazy)),
-            (None, lazy) => lazy,
-            (Some(retry), None) => (!self.stuck && !self.removable().is_empty()).then_some(retry),
-        }
+        // While a batch fails its records are in the queue.
+        let due = self.lazy_since.map(|since| if self.urgent { since } else { since.after(linger) })?;
+        Some(self.failing.map_or(due, |(retry, _)| due.max(retry)))
     }
 
     /// Room in the queue: a batch stays within its bound also after a failure.
--- a/crates/flaxstand-buffer/src/offline.rs
+++ b/crates/flaxstand-buffer/src/offline.rs
@@ -1,12 +1,20 @@
 //! What operators do with the log of an initiator that is stopped.
 
-use crate::buffer::Verdict;
 use crate::log::Batch;
 use crate::record::{Record, Seq};
 use crate::recover::{Live, RecoverError, recover};
 use crate::storage::{Storage, perform};
 use flaxstand_proto::Micros;
 
+/// What an operator decides of a parked write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is on its node.
+    Done,
+    /// It is not, and goes out as if it never had.
+    Again,
+}
+
 /// An operator's word on a parked write. False, and nothing is changed, if there is no such write.
 ///
 /// # Errors
--- a/crates/flaxstand-buffer/src/order.rs
+++ b/crates/flaxstand-buffer/src/order.rs
@@ -292,20 +292,20 @@
         self.lanes.get(&place).is_some_and(|lane| !lane.unrecorded.is_empty() && !lane.queue.is_empty())
     }
 
-    /// It was let go through.
-    pub fn let_through(&mut self, seq: Seq) {
+    /// Lets it go through. Returns the core's name for it.
+    pub fn let_through(&mut self, seq: Seq) -> Option<Ticket> {
         self.waiting.remove(&seq);
-        if let Some(Item::Through { out, place, .. }) = self.items.get_mut(&seq) {
-            *out = true;
-            if let Some(lane) = place.and_then(|p| self.lanes.get_mut(&p)) {
-                lane.busy = true;
-            }
+        let Some(Item::Through { out, place, ticket, .. }) = self.items.get_mut(&seq) else { return None };
+        *out = true;
+        if let Some(lane) = place.and_then(|p| self.lanes.get_mut(&p)) {
+            lane.busy = true;
         }
+        Some(*ticket)
     }
 
     /// Takes the first writes of a place as one: those that follow each other durable and may be merged.
     /// One that may have run goes again as it was. `alone`: its effect forbids merging.
-    pub fn take_run(&mut self, place: Place, alone: impl Fn(&Write) -> bool) -> Option<Run> {
+    pub fn take_run(&mut self, place: Place, alone: bool) -> Option<Run> {
         let lane = self.lanes.get(&place)?;
         let run = match &lane.frozen {
             Some(run) => run.clone(),
@@ -315,13 +315,13 @@
         Some(run)
     }
 
-    fn merged_run(&self, place: Place, lane: &Lane, alone: impl Fn(&Write) -> bool) -> Option<Run> {
+    fn merged_run(&self, place: Place, lane: &Lane, alone: bool) -> Option<Run> {
         let first = *lane.queue.front()?;
         let mut run = Run { seqs: vec![first], write: self.entry(first)?.write.clone() };
         for seq in lane.queue.iter().skip(1) {
             let Some(e) = self.entry(*seq).filter(|e| e.stage == Stage::Ready) else { break };
             let differs = e.write.class != run.write.class || e.write.shard != run.write.shard;
-            if differs || alone(&run.write) || self.fenced(*seq, place.volume) {
+            if alone || differs || self.fenced(*seq, place.volume) {
                 break;
             }
             let Some(write) = merged(&run.write, &e.write) else { break };
@@ -379,14 +379,6 @@
         }
     }
 
-    /// An operator lets a parked write go again, as if no attempt of it had been made.
-    pub fn unpark(&mut self, seq: Seq) {
-        self.parked.remove(&seq);
-        if let Some(e) = self.entry_mut(seq) {
-            (e.stage, e.started) = (Stage::Ready, None);
-        }
-    }
-
     /// Something with a number is over. `rest_until`: an attempt of it may still run.
     pub fn finish(&mut self, seq: Seq, rest_until: Micros) -> Freed {
         let mut freed = Freed::default();
--- a/crates/flaxstand-buffer/tests/promises/rig.rs
+++ b/crates/flaxstand-buffer/tests/promises/rig.rs
@@ -6,7 +6,7 @@
 use flaxstand_buffer::faulty::{Faults, Faulty};
 use flaxstand_buffer::image::lay;
 use flaxstand_buffer::log::StoreOp;
-use flaxstand_buffer::order::Stage;
+use flaxstand_buffer::offline;
 use flaxstand_buffer::record::Wall;
 use flaxstand_buffer::writeout::RepeatBudget;
 use flaxstand_buffer::*;
@@ -124,7 +124,7 @@
 }
 
 pub fn config(plant: Plant) -> Config {
-    Config {
+    let rules = Rules {
         bytes: 6_000,
         volume_bytes: 4_000,
         age: Micros(500_000),
@@ -132,9 +132,12 @@
         record_linger: Micros(20_000),
         slow: Micros(20_000),
         waiting: 20,
+        flush_here: false,
+    };
+    Config {
+        rules,
         refusal_wait: Micros(1000),
         key_rest: if plant == Plant::NoRest { Micros(0) } else { KEY_REST },
-        flush_here: false,
         classes: vec![
             Buffering::Repeatable,
             if plant == Plant::WindowIgnored { Buffering::Repeatable } else { Buffering::Keyed(WINDOW) },
@@ -446,24 +449,22 @@
         self.buffer.status(self.now).parked > 0
     }
 
-    /// Operators look at the nodes and decide what becomes of parked writes.
+    /// Operators stop the process, look at the nodes and decide what becomes of parked writes.
     fn decide(&mut self) {
-        let parked: Vec<(Seq, u64)> = self
-            .buffer
-            .writes()
-            .filter(|(_, e)| e.stage == Stage::Parked)
-            .map(|(seq, e)| (seq, e.write.operation))
-            .collect();
-        for (seq, operation) in parked {
+        self.crash(false);
+        let live = recover(&mut self.disk).expect("the log is sound").live;
+        for (seq, live) in live {
+            let Live::Write { parked: true, write, .. } = live else { continue };
             self.count("parked");
-            let ran = self.node.keys.get(&operation).is_some_and(|(_, ran)| *ran);
+            let ran = self.node.keys.get(&write.operation).is_some_and(|(_, ran)| *ran);
             let verdict = if ran { Verdict::Done } else { Verdict::Again };
             if !ran {
-                self.node.keys.remove(&operation);
+                self.node.keys.remove(&write.operation);
             }
-            assert!(self.buffer.decide(seq, verdict, self.now));
+            assert!(offline::decide(&mut self.disk, seq, verdict).expect("the log is sound"));
         }
-        self.settle();
+        self.crash(false);
+        self.buffer.drain();
     }
 
     /// No more faults: everything is brought to its end and compared.
@@ -477,7 +478,7 @@
             if self.buffer.drained() && self.asked.is_empty() && self.batch.is_none() && !self.parked() {
                 break;
             }
-            if round % 100 == 99 {
+            if round % 100 == 99 && self.parked() {
                 self.decide();
             }
         }
--- a/crates/flaxstand-client/src/core.rs
+++ b/crates/flaxstand-client/src/core.rs
@@ -196,6 +196,16 @@
     refused: Option<Refusal>,
 }
 
+impl Held {
+    /// Until when a try of it may be made: its end, or that of its key's window if one may have run.
+    fn lasts(&self) -> Micros {
+        match (self.call.safety, self.ran_since) {
+            (Safety::Keyed(window), Some(since)) => self.until.min(since.after(window)),
+            _ => self.until,
+        }
+    }
+}
+
 /// The client.
 #[derive(Debug)]
 pub struct Client {
@@ -402,11 +412,10 @@
         let unsent = held.tries == 0;
         let wait = if unsent { Micros(0) } else { self.pace.wait(&self.config, held.tries, advised) };
         let at = now.after(wait).max(self.pace.not_before(held.call.volume));
-        let lasts = match (held.call.safety, held.ran_since) {
-            (_, None) | (Safety::Repeatable, _) => held.until,
-            (Safety::Keyed(window), Some(since)) => held.until.min(since.after(window)),
-            (Safety::Once, Some(_)) => return self.give_up(id, Why::MayHaveRun),
-        };
+        if held.call.safety == Safety::Once && held.ran_since.is_some() {
+            return self.give_up(id, Why::MayHaveRun);
+        }
+        let lasts = held.lasts();
         if at.after(self.config.least_try) > lasts {
             let why = if lasts < held.until { Why::MayHaveRun } else { Why::Time };
             return self.give_up(id, why);
@@ -421,10 +430,7 @@
         let number = self.number();
         let Some(held) = self.calls.get_mut(&id) else { return };
         let c = &held.call;
-        let lasts = match (c.safety, held.ran_since) {
-            (Safety::Keyed(window), Some(since)) => held.until.min(since.after(window)),
-            _ => held.until,
-        };
+        let lasts = held.lasts();
         if now.after(self.config.least_try) > lasts {
             return self.give_up(id, Why::Time);
         }
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -155,7 +155,7 @@
         now: Micros,
     ) {
         debug!(request = id.0, conn = conn.0, client_id = s.id, class = s.class, shard = s.shard, "taken");
-        self.requests.insert(id, Held::new((conn, s.id), s, valid_until, now));
+        self.requests.insert(id, Held::new((conn, s.id), s, valid_until));
         self.timers.insert((valid_until, Timer::Deadline(id)));
         let Some(class) = self.gate(id, now) else { return };
         if !self.offer(id, s, now)
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -119,45 +119,15 @@
     pub buffered: bool,
 }
 
-/// The write-back buffer's figures. `docs/write-back.md` describes them.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// How writes are buffered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WriteBack {
-    /// Bytes that may live in the buffer.
-    pub bytes: u64,
-    /// The same for one volume.
-    pub volume_bytes: u64,
-    /// A write should be on its node after this.
-    pub age: Micros,
-    /// A write waits so long for one that overwrites it.
-    pub linger: Micros,
-    /// Word of what is done waits so long for company before it is written.
-    pub record_linger: Micros,
-    /// Longest wait of an acknowledgement as space runs out.
-    pub slow: Micros,
-    /// Requests and barriers that may wait in the buffer beside its writes.
-    pub waiting: usize,
-    /// A flush is complete once all before it is durable here, in place of on the nodes.
-    pub flush_here: bool,
+    /// The buffer's bounds and waits.
+    pub rules: flaxstand_buffer::Rules,
     /// Only writes of these volumes are buffered; none: of all.
     pub volumes: Option<BTreeSet<u64>>,
 }
 
-impl Default for WriteBack {
-    fn default() -> Self {
-        WriteBack {
-            bytes: 256 << 20,
-            volume_bytes: 64 << 20,
-            age: Micros(5_000_000),
-            linger: Micros(20_000),
-            record_linger: Micros(50_000),
-            slow: Micros(50_000),
-            waiting: 4096,
-            flush_here: false,
-            volumes: None,
-        }
-    }
-}
-
 /// What a site tells all its initiators.
 #[derive(Clone, Debug)]
 pub struct Site {
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -22,7 +22,6 @@
 pub use backoff::Backoff;
 pub use config::{Bounds, ClassInfo, Config, Policy, Site, Waits, WriteBack};
 pub use list::{SavedListError, check_saved_list};
-pub use writeback::status_json;
 
 use crate::machine::{Command, ConnId, Control, Machine, Micros};
 use clients::Client;
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -73,7 +73,6 @@
     pub(super) told: bool,
     /// A barrier or a flush.
     pub(super) mark: bool,
-    pub(super) came: Micros,
     pub(super) volume: u64,
     pub(super) extent: Option<u64>,
     pub(super) shard: Option<u32>,
@@ -106,7 +105,6 @@
             repeats: false,
             told: false,
             mark: false,
-            came: Micros(0),
             volume: 0,
             extent: None,
             shard: None,
@@ -122,14 +120,13 @@
     }
 
     /// A client's request.
-    pub(super) fn new((conn, id): (ConnId, u64), s: &Submit<'_>, valid_until: Micros, now: Micros) -> Self {
+    pub(super) fn new((conn, id): (ConnId, u64), s: &Submit<'_>, valid_until: Micros) -> Self {
         Held {
             operation: s.operation,
             class: s.class,
             plan: s.plan,
             write: s.write,
             try_no: s.try_no,
-            came: now,
             volume: s.volume,
             extent: s.extent,
             shard: s.shard,
--- a/crates/flaxstand-gateway/src/core/storms.rs
+++ b/crates/flaxstand-gateway/src/core/storms.rs
@@ -94,7 +94,7 @@
     pub(super) fn advice(&mut self, module: Micros) -> Micros {
         let Some(gate) = self.gate.as_mut().filter(|_| module > Micros(0)) else { return module };
         let draw = gate.draw();
-        gate.damper.advice(draw, true).min(module)
+        gate.damper.advice(draw).min(module)
     }
 
     /// A client's request is over: the damper learns how.
@@ -105,7 +105,7 @@
         }
         let this = try_of(held);
         match held.verdict {
-            Verdict::Served => gate.damper.served(&this, now.since(held.came), now),
+            Verdict::Served => gate.damper.served(&this, now),
             Verdict::NotRun(_) | Verdict::Failed => gate.damper.turned_away(&this, now),
             Verdict::None => {}
         }
--- a/crates/flaxstand-gateway/src/core/writeback.rs
+++ b/crates/flaxstand-gateway/src/core/writeback.rs
@@ -69,16 +69,9 @@
         span: Micros::from_ms(b.span),
     };
     Config {
-        bytes: w.bytes,
-        volume_bytes: w.volume_bytes,
-        age: w.age,
-        linger: w.linger,
-        record_linger: w.record_linger,
-        slow: w.slow,
-        waiting: w.waiting,
+        rules: w.rules.clone(),
         refusal_wait: Micros::from_ms(site.settings.max_retry_after),
         key_rest: Micros::from_ms(site.settings.key_rest),
-        flush_here: w.flush_here,
         classes: site.classes.iter().zip(&site.settings.classes).map(buffering).collect(),
         repeats: site.settings.budget.map(span),
         calendar: Wall(core.config.calendar),
@@ -375,7 +368,7 @@
 }
 
 /// Figures as a JSON object. Names carry their units.
-pub fn status_json(s: &Status) -> String {
+fn status_json(s: &Status) -> String {
     let mut out = String::from("{");
     let figures: [(&str, u64); 20] = [
         ("writes", s.writes as u64),
--- a/crates/flaxstand-gateway/src/settings/site.rs
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -172,11 +172,11 @@
 }
 
 fn read_write_back(b: &Block<'_>) -> WriteBack {
-    let d = WriteBack::default();
+    let d = flaxstand_buffer::Rules::default();
     let wait = |key, default: Micros| Micros::from_ms(b.number(key, MS, Some(default.ms())));
     let bytes = |key, default| b.whole(key, 1..=1 << 40, Some(default));
     let volumes = b.wholes("volumes", 0..=u64::MAX >> 1);
-    let w = WriteBack {
+    let rules = flaxstand_buffer::Rules {
         bytes: bytes("bytes", d.bytes),
         volume_bytes: bytes("volume-bytes", d.volume_bytes),
         age: Micros::from_ms(b.number("age-ms", POSITIVE_MS, Some(d.age.ms()))),
@@ -185,13 +185,12 @@
         slow: wait("slow-ms", d.slow),
         waiting: b.whole("waiting", 1..=1 << 24, Some(d.waiting as u64)) as usize,
         flush_here: b.choice("flush", &[("nodes", false), ("here", true)], Some(false)).unwrap_or(false),
-        volumes: (!volumes.is_empty()).then(|| volumes.into_iter().collect()),
     };
-    if w.linger > w.age {
-        b.problem(format!("linger-ms is {}, expected at most age-ms, {}", w.linger.ms(), w.age.ms()));
+    if rules.linger > rules.age {
+        b.problem(format!("linger-ms is {}, expected at most age-ms, {}", rules.linger.ms(), rules.age.ms()));
     }
     b.finish();
-    w
+    WriteBack { rules, volumes: (!volumes.is_empty()).then(|| volumes.into_iter().collect()) }
 }
 
 fn read_class(b: &Block<'_>) -> (ClassInfo, Class) {
--- a/crates/flaxstand-gateway/tests/writeback.rs
+++ b/crates/flaxstand-gateway/tests/writeback.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use flaxstand_buffer::faulty::{Faults, Faulty};
-use flaxstand_buffer::{Storage as _, perform, recover};
+use flaxstand_buffer::{Rules, Storage as _, perform, recover};
 use flaxstand_gateway::core::{Config, Core, WriteBack};
 use flaxstand_gateway::machine::{ConnId, Control, Machine as _, Micros};
 use flaxstand_proto::*;
@@ -16,8 +16,8 @@
     let mut c = config();
     c.site.classes[0].buffered = true;
     c.site.settings.key_rest = 20.0;
-    c.site.write_back =
-        Some(WriteBack { linger: Micros(0), record_linger: ms(5), age: ms(2000), ..WriteBack::default() });
+    let rules = Rules { linger: Micros(0), record_linger: ms(5), age: ms(2000), ..Rules::default() };
+    c.site.write_back = Some(WriteBack { rules, volumes: None });
     c
 }
 
@@ -55,45 +55,42 @@
         payload: &[u8],
         time_left: u32,
     ) {
-        let submit = Submit {
-            id,
-            operation: 1000 + id,
-            class,
-            plan: 0,
-            writers: 1,
-            try_no: 0,
-            write: true,
-            volume: 5,
-            extent: Some(extent),
-            shard: Some(0),
-            units: 1,
-            at,
-            time_left,
-            payload,
-        };
-        self.w.tell(self.client, &Frame::Submit(submit));
+        self.submit(id, class, extent, Some((at, payload)), time_left);
         self.w.run(1);
     }
 
     fn read(&mut self, id: u64, extent: u64) {
+        self.submit(id, PLAIN, extent, None, 1_000_000);
+        self.w.run(3);
+    }
+
+    /// A read, or a write with where it begins and its data.
+    fn submit(
+        &mut self,
+        id: u64,
+        class: u16,
+        extent: u64,
+        write: Option<(Option<u32>, &[u8])>,
+        time_left: u32,
+    ) {
+        let (at, payload) = write.unwrap_or((None, &[]));
         let submit = Submit {
             id,
             operation: 1000 + id,
-            class: PLAIN,
+            class,
             plan: 0,
             writers: 1,
             try_no: 0,
-            write: false,
+            write: write.is_some(),
             volume: 5,
             extent: Some(extent),
             shard: Some(0),
             units: 1,
-            at: None,
-            time_left: 1_000_000,
-            payload: &[],
+            at,
+            time_left,
+            payload,
         };
         self.w.tell(self.client, &Frame::Submit(submit));
-        self.w.run(3);
     }
 
     fn say(&mut self, frame: &Frame<'_>) {
--- a/crates/flaxstand-lab/src/load.rs
+++ b/crates/flaxstand-lab/src/load.rs
@@ -149,7 +149,7 @@
 
     fn arrive(&mut self, links: &mut Links, at: f64, now: Micros) {
         let weights: Vec<f64> = self.volumes.iter().map(|v| v.weight * self.day.factor(v.plan, at)).collect();
-        let volume = self.draw(weights.into_iter());
+        let mut volume = self.draw(weights.into_iter());
         let shares: Vec<f64> = self.day.mixes.iter().map(|m| m.share).collect();
         let class = self.draw(shares.into_iter());
         let mix = self.day.mixes[class];
@@ -157,7 +157,7 @@
         let units = 1 + ((most - 1.0) * random(&mut self.rng).powi(2)).round() as u32;
         self.next_op += 1;
         let v = &self.volumes[volume];
-        let (id, plan, writers, hosts) = (v.id, v.plan, v.hosts.len() as u16, v.hosts.clone());
+        let id = v.id;
         let item = (random(&mut self.rng) * mix.items as f64) as u64;
         let fixed = v.shards.get(item as usize % v.shards.len().max(1)).copied();
         // Items that were there before have numbers of their own, apart from new objects'.
@@ -180,13 +180,16 @@
         }
         // Whatever concerns a buffered item goes one way: only through its own initiator is it in order.
         let buffered = mix.write && self.day.site.site.classes[class].buffered;
+        let mut one_way = buffered;
         if buffered {
             (extent, shard) = (extent ^ ((class as u64 + 1) << 40), fixed);
         } else if !mix.write && !self.buffered.is_empty() && random(&mut self.rng) < mix.reread_buffered {
             let at = (random(&mut self.rng) * self.buffered.len() as f64) as usize;
-            let (volume, written, at) = self.buffered[at];
-            return self.reread(links, class as u16, volume, written, at, units, now);
+            let (written_in, written, at) = self.buffered[at];
+            (volume, extent, shard, one_way) = (written_in, written, Some(at), true);
         }
+        let v = &self.volumes[volume];
+        let (id, plan, writers, hosts) = (v.id, v.plan, v.hosts.len() as u16, v.hosts.clone());
         let deadline = Micros::from_ms(self.day.site.site.settings.classes[class].deadline);
         let operation = Operation {
             op: self.next_op,
@@ -202,10 +205,13 @@
             begun: now,
             until: now.after(deadline),
         };
-        if buffered {
+        if one_way {
             let client = hosts[0] as usize;
             self.submit(links, client, operation, now);
-            return self.mark(links, client, volume, now);
+            if buffered {
+                self.mark(links, client, volume, now);
+            }
+            return;
         }
         // A volume's leading host takes most of its requests.
         let host = hosts[(random(&mut self.rng).powi(2) * hosts.len() as f64) as usize];
@@ -214,38 +220,6 @@
         self.submit(links, client, operation, now);
     }
 
-    /// Reads a buffered item, the way that it was written.
-    #[allow(clippy::too_many_arguments)]
-    fn reread(
-        &mut self,
-        links: &mut Links,
-        class: u16,
-        volume: usize,
-        extent: u64,
-        shard: u32,
-        units: u32,
-        now: Micros,
-    ) {
-        let v = &self.volumes[volume];
-        let deadline = Micros::from_ms(self.day.site.site.settings.classes[usize::from(class)].deadline);
-        let operation = Operation {
-            op: self.next_op,
-            class,
-            plan: v.plan,
-            volume: v.id,
-            writers: v.hosts.len() as u16,
-            extent,
-            shard: Some(shard),
-            units,
-            write: false,
-            tries: 0,
-            begun: now,
-            until: now.after(deadline),
-        };
-        let client = v.hosts[0] as usize;
-        self.submit(links, client, operation, now);
-    }
-
     /// A barrier or a flush after a buffered write, if it is time for one.
     fn mark(&mut self, links: &mut Links, at: usize, volume: usize, now: Micros) {
         let v = &mut self.volumes[volume];
--- a/crates/flaxstand-lab/src/recovery.rs
+++ b/crates/flaxstand-lab/src/recovery.rs
@@ -2,9 +2,9 @@
 //! that was served in time over the worth wanted.
 
 use crate::day::{Day, Trouble};
-use crate::report::operations;
-use flaxstand_audit::Book;
+use crate::report::Operation;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// Seconds in a row that must be well before service counts as back.
 const WELL: usize = 3;
@@ -28,7 +28,7 @@
 }
 
 /// Service by second, and when it was back. None: nothing goes wrong on this day.
-pub fn recovery(day: &Day, book: &Book) -> Option<Recovery> {
+pub(crate) fn recovery(day: &Day, operations: &BTreeMap<u64, Operation>) -> Option<Recovery> {
     let first = day.faults.iter().map(|f| f.at).fold(f64::INFINITY, f64::min);
     let cold = day.site.site.settings.cold_time / 1000.0;
     let warm = |f: &crate::day::Fault| match f.trouble {
@@ -36,7 +36,6 @@
         _ => f.at + f.length,
     };
     let warm = day.faults.iter().map(warm).fold(0.0, f64::max);
-    let operations = operations(book);
     let start = operations.values().map(|o| o.first).min()?;
     let mut bins: Vec<(f64, f64)> = Vec::new();
     for o in operations.values() {
--- a/crates/flaxstand-lab/src/report.rs
+++ b/crates/flaxstand-lab/src/report.rs
@@ -109,7 +109,8 @@
         *attempts.entry(request.op).or_default() += request.attempts.len() as u64;
     }
     let (mut worth, mut wanted) = (0.0, 0.0);
-    for (op, o) in operations(book) {
+    let operations = operations(book);
+    for (op, o) in &operations {
         let class = &site.settings.classes[usize::from(o.class)];
         let lag = o.served.map(|at| at.saturating_sub(o.first));
         let in_time = lag.is_some_and(|lag| lag as f64 <= class.aim * 1000.0);
@@ -118,7 +119,7 @@
         for (s, lags) in [&mut classes[usize::from(o.class)], &mut plans[usize::from(o.plan)]] {
             s.wanted += 1;
             s.tries += o.tries;
-            s.attempts += attempts.get(&op).copied().unwrap_or(0);
+            s.attempts += attempts.get(op).copied().unwrap_or(0);
             match (lag, o.last) {
                 (Some(lag), _) => {
                     lags.saturating_record(lag.max(1));
@@ -145,7 +146,7 @@
     };
     let service = if wanted > 0.0 { worth / wanted } else { 1.0 };
     Report {
-        recovery: recovery(day, book),
+        recovery: recovery(day, &operations),
         day: day.name.clone(),
         service,
         classes: finish(classes),
--- a/crates/flaxstand-storm/src/damper.rs
+++ b/crates/flaxstand-storm/src/damper.rs
@@ -4,8 +4,8 @@
 //!   equal worth, and none waits where nothing else does.
 //! - In a storm of its volume or plan (or of all) a volume's repeats keep to an even part of what is
 //!   served: beyond it they are turned away before they cost anything. First tries never are.
-//! - Advice follows the wait that is to be expected, and is spread over as long again, so that those who
-//!   heed it do not come back as one.
+//! - Advice is spread, from half to the whole of what clients heed, so that those who heed it do not come
+//!   back as one.
 
 use crate::repeats::{Judged, Kind, Repeats, Try};
 use crate::weather::{Scope, Station, Weather, WeatherReport};
@@ -77,8 +77,6 @@
     allowances: BTreeMap<u64, Allowance>,
     /// The last weather told of each plan and of all.
     told: BTreeMap<Scope, Weather>,
-    /// Wait of what was served lately, a running mean.
-    served_after: Micros,
     turned_away: u64,
 }
 
@@ -91,7 +89,6 @@
             station: Station::default(),
             allowances: BTreeMap::new(),
             told: BTreeMap::new(),
-            served_after: Micros(0),
             turned_away: 0,
         }
     }
@@ -114,7 +111,7 @@
         }
         self.turned_away += 1;
         self.turned_away(t, now);
-        Treatment::TurnedAway { wait: self.advice(draw, true), scope }
+        Treatment::TurnedAway { wait: self.advice(draw), scope }
     }
 
     /// Takes one of a volume's allowance: an even part, over the volumes that are active, of what may pass.
@@ -136,18 +133,13 @@
     }
 
     /// The wait to advise with a refusal, at most what clients heed; `draw` is uniform in 0 to 1.
-    pub fn advice(&self, draw: f64, storm: bool) -> Micros {
-        let most = self.rules.advice_most.0 as f64;
-        // Expected: as long as what is served now waited; in a storm as long as may be.
-        let expected = if storm { most } else { (self.served_after.0 as f64 * 2.0).clamp(most / 4.0, most) };
-        Micros((expected * (0.5 + 0.5 * draw.clamp(0.0, 1.0))) as u64)
+    pub fn advice(&self, draw: f64) -> Micros {
+        Micros((self.rules.advice_most.0 as f64 * (0.5 + 0.5 * draw.clamp(0.0, 1.0))) as u64)
     }
 
-    /// A try was served, so long after it came.
-    pub fn served(&mut self, t: &Try, after: Micros, now: Micros) {
+    /// A try was served.
+    pub fn served(&mut self, t: &Try, now: Micros) {
         self.station.served(t.plan, t.volume, now);
-        let (old, new) = (self.served_after.0 as f64, after.0 as f64);
-        self.served_after = Micros((old + 0.05 * (new - old)) as u64);
     }
 
     /// A try was refused or given up.
@@ -200,7 +192,7 @@
             if n < first {
                 let t = of(volume, at << 32 | n);
                 assert_eq!(d.came(&t, now, 0.5), Treatment::Full, "a first try is never damped");
-                d.served(&t, Micros(20_000), now);
+                d.served(&t, now);
             }
             if n < repeats {
                 let t = of(volume, 1 << 60 | n);
@@ -255,9 +247,9 @@
     proptest! {
         /// Advice never exceeds what clients heed, and draws spread it evenly over half of its length.
         #[test]
-        fn advice_is_bounded_and_spread(a in 0.0..1.0f64, b in 0.0..1.0f64, storm in any::<bool>()) {
+        fn advice_is_bounded_and_spread(a in 0.0..1.0f64, b in 0.0..1.0f64) {
             let d = Damper::new(Rules::default());
-            let (x, y) = (d.advice(a, storm), d.advice(b, storm));
+            let (x, y) = (d.advice(a), d.advice(b));
             prop_assert!(x <= Rules::default().advice_most && x.0 > 0);
             prop_assert_eq!(a < b, x < y || (x == y && a < b));
         }
@@ -275,7 +267,7 @@
                         d.turned_away(&t, now);
                         away.insert((volume, extent));
                     }
-                    1 => d.served(&t, Micros(1000), now),
+                    1 => d.served(&t, now),
                     _ => {
                         let treated = d.came(&t, now, 0.3);
                         let repeat = away.remove(&(volume, extent));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -514,8 +514,8 @@
         });
         volume.writers = volume.writers.max(f64::from(a.writers));
         let (attempts, node) = (Vec::new(), None);
-        self.given_up.retain(|_, at| now < *at + PATIENCE);
-        let repeats = a.key.is_some_and(|key| self.given_up.remove(&(a.volume, key)).is_some());
+        let given_up = a.key.and_then(|key| self.given_up.remove(&(a.volume, key)));
+        let repeats = given_up.is_some_and(|at| now < at + PATIENCE);
         let (over, streaming) = (false, false);
         self.requests.insert(a.id, Request { a, due, attempts, node, over, streaming, repeats });
     }
@@ -598,6 +598,7 @@
         self.look_at_all(now);
         self.volumes.values_mut().for_each(|v| v.fill(&self.s, now));
         self.lines.retain(|_, line| !line.waiting.is_empty() || now < line.rest_until);
+        self.given_up.retain(|_, at| now < *at + PATIENCE);
         self.expire(now, actions);
         self.place(now);
         self.release(now, actions);
