Tests and audit: shared pieces in place of copies, attempts out counted by the settings

No behaviour changes. Tests of the core and of losses share what they repeated; the audit is told how many attempts a request may have out in place of a flag read twice.

--- a/crates/flaxstand-audit/src/rules.rs
+++ b/crates/flaxstand-audit/src/rules.rs
@@ -38,8 +38,8 @@
     pub buffered: Vec<bool>,
     /// By plan: rate, most at once and slack of the limit, units; rate 0: none.
     pub limits: Vec<(f64, f64, f64)>,
-    /// A request may have two attempts out at once.
-    pub second_copies: bool,
+    /// Attempts that a request may have out at once.
+    pub most_out: usize,
     /// Rule 3.
     pub drain_grace: u64,
     /// Rule 4: multiple, time, units always borne.
@@ -258,12 +258,11 @@
 }
 
 fn two_out(request: &Request, terms: &Terms, v: &mut Verdict) {
-    let allowed = if terms.second_copies { 2 } else { 1 };
     for (i, later) in request.attempts.iter().enumerate() {
         let out = |a: &&Attempt| a.over.is_none_or(|over| over > later.at + terms.transit);
         let earlier: Vec<String> =
             request.attempts[..i].iter().filter(out).map(|a| a.no.to_string()).collect();
-        if earlier.len() >= allowed {
+        if earlier.len() >= terms.most_out {
             let how = format!("attempt {} sent while attempt {} was out", later.no, earlier.join(" and "));
             v.breach(Rule::Effects, later.at, Some(request.op), Some(later.node), how);
         }
--- a/crates/flaxstand-audit/tests/planted.rs
+++ b/crates/flaxstand-audit/tests/planted.rs
@@ -19,7 +19,7 @@
         ],
         buffered: vec![false, false, false, false, true],
         limits: vec![(0.0, 0.0, 0.0), (10.0, 20.0, 2.0)],
-        second_copies: false,
+        most_out: 1,
         drain_grace: 250 * MS,
         fall: (2.0, 1000 * MS, 3.0),
         key_rest: 100 * MS,
@@ -222,7 +222,7 @@
         }
         all.push(answered(151, 1, SERVED));
         all.sort_by_key(Record::at);
-        audit(&Book::new(all), &Terms { second_copies: true, budget: None, ..terms() })
+        audit(&Book::new(all), &Terms { most_out: 2, budget: None, ..terms() })
     };
     assert!(audited(2).kept(), "{:?}", audited(2).breaches);
     let third = audited(3);
@@ -392,28 +392,11 @@
 
 /// A write of the buffered class, acknowledged as such.
 fn buffered(at: u64, op: u64, extent: u64) -> Vec<Record> {
-    let Record::Submitted { client, id, initiator, class, plan, volume, units, try_no, until, .. } =
-        submitted(at, op, 4, 0)
-    else {
-        unreachable!("made there")
-    };
-    let (at, write) = (at * MS, true);
-    let submitted = Record::Submitted {
-        at,
-        client,
-        id,
-        op,
-        initiator,
-        class,
-        plan,
-        volume,
-        extent,
-        units,
-        write,
-        try_no,
-        until,
-    };
-    vec![submitted, Record::Answered { at: at + 2 * MS, client, id, answer: Answer::Buffered }]
+    let mut submitted = submitted(at, op, 4, 0);
+    if let Record::Submitted { extent: place, write, .. } = &mut submitted {
+        (*place, *write) = (extent, true);
+    }
+    vec![submitted, answered(at + 2, op, Answer::Buffered)]
 }
 
 fn stored(at: u64, op: u64, extent: u64) -> Record {
--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -44,9 +44,7 @@
             std::fs::metadata(path).and_then(|m| m.modified()).ok().and_then(|at| at.elapsed().ok())
         && age > most
     {
-        let aside = path.with_extension("old");
-        warn!(age_s = age.as_secs(), path = %path.display(), aside = %aside.display(), "the saved list is too old: it is set aside");
-        std::fs::rename(path, &aside).map_err(system("cannot set the saved list aside"))?;
+        set_aside(path, "old", &format!("it is too old: {} s", age.as_secs()))?;
     }
     let saved = state.as_ref().and_then(|path| match std::fs::read(path) {
         Ok(bytes) => Some(bytes),
@@ -68,9 +66,7 @@
         Ok(core) => core,
         Err(cause) => {
             if let Some(path) = &state {
-                let aside = path.with_extension("damaged");
-                warn!(%cause, path = %path.display(), aside = %aside.display(), "the saved list is set aside");
-                std::fs::rename(path, &aside).map_err(system("cannot set the saved list aside"))?;
+                set_aside(path, "damaged", &cause)?;
             }
             Core::new(config.clone(), None, now).map_err(|e| Failure::System(e.to_string()))?
         }
@@ -118,6 +114,14 @@
     }
 }
 
+/// Keeps a saved list that is not used beside its place, under another extension.
+fn set_aside(path: &Path, extension: &str, cause: &dyn std::fmt::Display) -> Result<(), Failure> {
+    let aside = path.with_extension(extension);
+    warn!(%cause, path = %path.display(), aside = %aside.display(), "the saved list is set aside");
+    std::fs::rename(path, &aside)
+        .map_err(|e| Failure::System(format!("cannot set the saved list aside: {e}")))
+}
+
 /// Opens a write-back log for this process alone and reads it back. A log that is in use, damaged or of a
 /// newer version is left as it is.
 pub fn open_log(folder: &Path) -> Result<(Box<dyn Storage>, Recovered), Failure> {
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -64,7 +64,7 @@
     /// The module wants to hear of changes.
     pub(super) fn subscribe(&mut self, now: Micros) {
         match self.list.conn {
-            Some(conn) if self.conns.get(&conn).is_some_and(|c| c.stage == Stage::Open) => {
+            Some(conn) if self.is_open(conn) => {
                 self.push(conn, &Frame::Watch);
             }
             Some(_) => {}
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -250,6 +250,11 @@
         id
     }
 
+    /// Whether frames may pass on it.
+    fn is_open(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_some_and(|c| c.stage == Stage::Open)
+    }
+
     /// Puts a frame into a connection's outbox. Returns where it ends in the stream.
     fn push(&mut self, conn: ConnId, frame: &Frame<'_>) -> u64 {
         let Some(c) = self.conns.get_mut(&conn) else { return u64::MAX };
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -78,7 +78,7 @@
         let Some(node) = self.node(at) else { return };
         node.out.insert((id, attempt));
         let open = match node.conn {
-            Some(conn) => self.conns.get(&conn).is_some_and(|c| c.stage == Stage::Open).then_some(conn),
+            Some(conn) => self.is_open(conn).then_some(conn),
             None => {
                 self.dial(at, now);
                 None
@@ -102,8 +102,7 @@
         self.timers.insert((ends, Timer::Probe(at, token)));
         let Some(node) = self.node(at) else { return };
         node.probe = Some((token, ends));
-        let conn = node.conn.filter(|c| self.conns.get(c).is_some_and(|c| c.stage == Stage::Open));
-        if let Some(conn) = conn {
+        if let Some(conn) = node.conn.filter(|conn| self.is_open(*conn)) {
             self.push(conn, &Frame::Probe { token });
         }
     }
--- a/crates/flaxstand-gateway/src/settings/site.rs
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -14,8 +14,6 @@
     pub drain_grace: Micros,
     /// By plan: units by which a limit may be passed.
     pub limit_slack: Vec<f64>,
-    /// A request may have two attempts out at once.
-    pub second_copies: bool,
 }
 
 /// What the shared part holds.
@@ -75,7 +73,6 @@
         Some(b) => {
             let read = (read_settings(&b, empty), read_waits(&b));
             rules.drain_grace = Micros::from_ms(b.number("drain-grace-ms", MS, Some(1000.0)));
-            rules.second_copies = read.0.most_out > 1;
             b.finish();
             read
         }
--- a/crates/flaxstand-gateway/tests/core.rs
+++ b/crates/flaxstand-gateway/tests/core.rs
@@ -308,19 +308,12 @@
 }
 
 fn change(since: u64, revision: u64, state: State) -> Vec<u8> {
-    let address = &address(0);
-    let entries = vec![Entry {
-        node: 0,
-        incarnation: 1,
-        state,
-        age: None,
-        shard: 0,
-        zone: 0,
-        size: 0,
-        pace: None,
-        address,
-    }];
-    bytes_of(&Frame::List(List { extent: Extent::Changes, since, revision, entries }))
+    changed(since, revision, entry(0, state, 0, &address(0)))
+}
+
+fn changed(since: u64, revision: u64, entry: Entry<'_>) -> Vec<u8> {
+    let extent = Extent::Changes;
+    bytes_of(&Frame::List(List { extent, since, revision, entries: vec![entry] }))
 }
 
 #[test]
@@ -581,8 +574,12 @@
 }
 
 fn sealed(kind: u8, body: &[u8]) -> Vec<u8> {
+    sealed_as(VERSION, kind, body)
+}
+
+fn sealed_as(version: u8, kind: u8, body: &[u8]) -> Vec<u8> {
     let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
-    let rest: Vec<u8> = [VERSION, kind, 0, 0].into_iter().chain(body.iter().copied()).collect();
+    let rest: Vec<u8> = [version, kind, 0, 0].into_iter().chain(body.iter().copied()).collect();
     bytes.extend(crc32c::crc32c_append(crc32c::crc32c(&bytes), &rest).to_le_bytes());
     bytes.extend(rest);
     bytes
@@ -726,23 +723,25 @@
     assert_eq!(w.core.held(), 0);
 }
 
+/// A request that node 0 serves after so many ms.
+fn serve(w: &mut World, client: ConnId, id: u64, millis: u64) {
+    w.submit(client, id, READ, Some(0));
+    w.run(millis);
+    let sent = *w.attempts(0).last().unwrap();
+    w.done(w.node_conn(0), sent, Code::Served, b"data");
+    w.run(2);
+}
+
 /// A core that may probe and copy, with an answer of node 0 just lost.
 fn after_a_loss() -> (World, ConnId) {
     let mut c = config();
     (c.site.settings.most_out, c.site.settings.may_probe, c.site.settings.may_cancel) = (2, true, true);
     let mut w = World::new(c, 1);
     let client = w.client();
-    let serve = |w: &mut World, id| {
-        w.submit(client, id, READ, Some(0));
-        w.run(10);
-        let sent = *w.attempts(0).last().unwrap();
-        w.done(w.node_conn(0), sent, Code::Served, b"data");
-        w.run(2);
-    };
-    (0..5).for_each(|id| serve(&mut w, id));
+    (0..5).for_each(|id| serve(&mut w, client, id, 10));
     w.submit(client, 10, READ, Some(0));
     w.run(5);
-    serve(&mut w, 11);
+    serve(&mut w, client, 11, 10);
     w.run(1100);
     assert_eq!(w.answers(client).last(), Some(&Said::Failed(10)));
     (w, client)
@@ -798,13 +797,7 @@
 fn what_was_learnt_of_a_nodes_pace_lasts_over_the_switch_and_ends_with_its_start() {
     let mut w = World::new(config(), 1);
     let client = w.client();
-    for id in 0..5 {
-        w.submit(client, id, READ, Some(0));
-        w.run(30);
-        let sent = *w.attempts(0).last().unwrap();
-        w.done(w.node_conn(0), sent, Code::Served, b"data");
-        w.run(2);
-    }
+    (0..5).for_each(|id| serve(&mut w, client, id, 30));
     assert_eq!(saved_pace(&w), None, "the list came before anything was learnt");
     w.core.control(Control::Stop, w.now);
     w.run(50);
@@ -820,30 +813,18 @@
     next.run(3);
     assert!(matches!(next.answers(client)[..], [Said::Refused(1, _)]));
     // Another start of the node: learnt afresh.
-    let address = &address(0);
-    let entries = vec![Entry {
-        node: 0,
-        incarnation: 2,
-        state: State::Serving,
-        age: Some(1),
-        shard: 0,
-        zone: 0,
-        size: 0,
-        pace: None,
-        address,
-    }];
-    let changes = List { extent: Extent::Changes, since: 1, revision: 2, entries };
-    next.core.received(next.list_conn(), &bytes_of(&Frame::List(changes)), next.now);
+    let address = address(0);
+    let start = Entry { incarnation: 2, age: Some(1), ..entry(0, State::Serving, 0, &address) };
+    next.core.received(next.list_conn(), &changed(1, 2, start), next.now);
     next.run(5);
     assert_eq!(saved_pace(&next), None);
 }
 
 #[test]
 fn a_pace_is_void_at_a_start_that_the_node_tells_before_the_list_does() {
-    let address = &address(0);
-    let (state, age, pace) = (State::Serving, None, Some(40_000));
-    let entry = Entry { node: 0, incarnation: 1, state, age, shard: 0, zone: 0, size: 0, pace, address };
-    let list = List { extent: Extent::Full, since: 1, revision: 1, entries: vec![entry] };
+    let (address, pace) = (address(0), Some(40_000));
+    let learnt = Entry { pace, ..entry(0, State::Serving, 0, &address) };
+    let list = List { extent: Extent::Full, since: 1, revision: 1, entries: vec![learnt] };
     for (start, kept) in [(1, pace), (2, None)] {
         let mut w = World::cut_off(config(), 1, &bytes_of(&Frame::List(list.clone())));
         w.starts.insert(0, start);
@@ -863,12 +844,7 @@
     let mut body = saved[12..].to_vec();
     let at = body.len() - address(0).len() - 1 - 9;
     body.drain(at..at + 9);
-    let rest: Vec<u8> = [2, saved[9], 0, 0].into_iter().chain(body.iter().copied()).collect();
-    let len = (body.len() as u32).to_le_bytes();
-    let sum = crc32c::crc32c_append(crc32c::crc32c(&len), &rest);
-    let old = [&len[..], &sum.to_le_bytes(), &rest].concat();
-    let mut w = World::with_saved(config(), 1, Some(&old));
-    w.list_up = false;
+    let mut w = World::cut_off(config(), 1, &sealed_as(2, saved[9], &body));
     let client = w.client();
     w.submit(client, 1, READ, Some(0));
     w.run(5);
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -167,6 +167,31 @@
     format!("127.0.0.1:{}", 100 + node)
 }
 
+/// A read of one unit.
+pub fn request(id: u64, class: u16, (shard, extent): (Option<u32>, u64)) -> Submit<'static> {
+    Submit {
+        id,
+        operation: 1000 + id,
+        class,
+        plan: 0,
+        writers: 1,
+        try_no: 0,
+        write: false,
+        volume: 5,
+        extent: Some(extent),
+        shard,
+        units: 1,
+        at: None,
+        time_left: 1_000_000,
+        payload: b"payload",
+    }
+}
+
+/// A node's entry in the list, at its first start.
+pub fn entry(node: u64, state: State, shard: u32, address: &str) -> Entry<'_> {
+    Entry { node, incarnation: 1, state, age: None, shard, zone: 0, size: 0, pace: None, address }
+}
+
 pub fn bytes_of(frame: &Frame<'_>) -> Vec<u8> {
     let mut out = Vec::new();
     encode(frame, &mut out);
@@ -301,17 +326,7 @@
 
     pub fn tell_list(&mut self, conn: ConnId) {
         let list = self.list.clone();
-        let entries = list.iter().map(|(node, state, shard, address)| Entry {
-            node: *node,
-            incarnation: 1,
-            state: *state,
-            age: None,
-            shard: *shard,
-            zone: 0,
-            size: 0,
-            pace: None,
-            address,
-        });
+        let entries = list.iter().map(|(node, state, shard, address)| entry(*node, *state, *shard, address));
         let (since, revision) = (self.revision, self.revision);
         let list = List { extent: Extent::Full, since, revision, entries: entries.collect() };
         self.tell(conn, &Frame::List(list));
@@ -368,24 +383,7 @@
     }
 
     fn submit_as(&mut self, conn: ConnId, id: u64, class: u16, to: (Option<u32>, u64), millis: u32) {
-        let (shard, extent) = to;
-        let submit = Submit {
-            id,
-            operation: 1000 + id,
-            class,
-            plan: 0,
-            writers: 1,
-            try_no: 0,
-            write: false,
-            volume: 5,
-            extent: Some(extent),
-            shard,
-            units: 1,
-            at: None,
-            time_left: millis * 1000,
-            payload: b"payload",
-        };
-        self.tell(conn, &Frame::Submit(submit));
+        self.tell(conn, &Frame::Submit(Submit { time_left: millis * 1000, ..request(id, class, to) }));
     }
 
     /// Attempts that a node was sent.
--- a/crates/flaxstand-gateway/tests/writeback.rs
+++ b/crates/flaxstand-gateway/tests/writeback.rs
@@ -74,22 +74,8 @@
         time_left: u32,
     ) {
         let (at, payload) = write.unwrap_or((None, &[]));
-        let submit = Submit {
-            id,
-            operation: 1000 + id,
-            class,
-            plan: 0,
-            writers: 1,
-            try_no: 0,
-            write: write.is_some(),
-            volume: 5,
-            extent: Some(extent),
-            shard: Some(0),
-            units: 1,
-            at,
-            time_left,
-            payload,
-        };
+        let base = request(id, class, (Some(0), extent));
+        let submit = Submit { write: write.is_some(), at, time_left, payload, ..base };
         self.w.tell(self.client, &Frame::Submit(submit));
     }
 
--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -352,7 +352,7 @@
             classes: s.classes.iter().map(|c| (effect(&c.effect), c.in_order)).collect(),
             buffered: self.site.site.classes.iter().map(|c| c.buffered).collect(),
             limits: s.plans.iter().enumerate().map(limit).collect(),
-            second_copies: self.site.rules.second_copies,
+            most_out: s.most_out as usize,
             drain_grace: self.site.rules.drain_grace.0,
             fall: (s.fall_multiple, us(s.fall_time), s.cold_bears),
             key_rest: us(s.key_rest),
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -9,17 +9,25 @@
     Settings { most_out: 2, may_probe: true, ..settings() }
 }
 
-/// A host that has just seen an answer lost: what was sent before it was answered, and it never was.
-fn after_a_loss(s: Settings, nodes: u32) -> Host {
-    let mut host = Host::new(s, nodes);
+/// Sends a request, and another after it that is answered first.
+fn overtaken(host: &mut Host, first: Arrival) {
+    let later = first.id.0 + 1;
+    host.arrive(first);
+    host.now += 5.0;
+    host.arrive(arrival(later, Some(0), host.now + 1500.0));
+    host.take();
+    host.now += 20.0;
+    host.end(later, 0, Outcome::Served, 20.0);
+}
+
+/// A host of one node that has just seen an answer lost: one sent later came, and it never did.
+fn after_a_loss(s: Settings) -> Host {
+    let mut host = Host::new(s, 1);
     for id in 0..10 {
         host.warm_up(1000 + id, 0, 20.0);
     }
-    host.arrive(arrival(1, Some(0), host.now + 1500.0));
-    host.now += 5.0;
-    host.arrive(arrival(2, Some(0), host.now + 1500.0));
-    host.now += 20.0;
-    host.end(2, 0, Outcome::Served, 20.0);
+    let first = arrival(1, Some(0), host.now + 1500.0);
+    overtaken(&mut host, first);
     host.pass(1475.0);
     host.end(1, 0, Outcome::TimedOut, 1500.0);
     host.take();
@@ -32,7 +40,7 @@
 
 #[test]
 fn what_a_probe_overtook_is_sent_again_and_the_lost_attempt_called_off() {
-    let mut host = after_a_loss(copying(), 1);
+    let mut host = after_a_loss(copying());
     host.arrive(arrival(10, Some(0), host.now + 1500.0));
     assert_eq!(host.sends(), [(10, 0)]);
     host.pass(80.0);
@@ -48,7 +56,7 @@
 
 #[test]
 fn a_queue_is_no_loss_nothing_is_sent_twice_while_the_probe_waits_too() {
-    let mut host = after_a_loss(copying(), 1);
+    let mut host = after_a_loss(copying());
     host.arrive(arrival(10, Some(0), host.now + 1500.0));
     host.take();
     host.pass(80.0);
@@ -70,13 +78,9 @@
 
 #[test]
 fn with_one_attempt_out_at_a_time_the_lost_one_is_called_off_first() {
-    let mut host = after_a_loss(settings(), 1);
-    host.arrive(arrival(10, Some(0), host.now + 1500.0));
-    host.now += 5.0;
-    host.arrive(arrival(11, Some(0), host.now + 1500.0));
-    host.take();
-    host.now += 20.0;
-    host.end(11, 0, Outcome::Served, 20.0);
+    let mut host = after_a_loss(settings());
+    let first = arrival(10, Some(0), host.now + 1500.0);
+    overtaken(&mut host, first);
     host.pass(100.0);
     let cancel = Action::Cancel { request: RequestId(10), attempt: AttemptNo(0) };
     assert!(host.take().contains(&cancel));
@@ -89,13 +93,9 @@
     for most_out in [1, 2] {
         let mut s = Settings { most_out, ..copying() };
         s.classes[1].effect = Effect::Once;
-        let mut host = after_a_loss(s, 1);
-        host.arrive(Arrival { class: ClassId(1), ..arrival(10, Some(0), host.now + 1500.0) });
-        host.now += 5.0;
-        host.arrive(arrival(11, Some(0), host.now + 1500.0));
-        host.take();
-        host.now += 20.0;
-        host.end(11, 0, Outcome::Served, 20.0);
+        let mut host = after_a_loss(s);
+        let first = Arrival { class: ClassId(1), ..arrival(10, Some(0), host.now + 1500.0) };
+        overtaken(&mut host, first);
         host.pass(800.0);
         let actions = host.take();
         assert!(
@@ -217,7 +217,7 @@
 fn a_copy_that_fails_ends_nothing_while_the_first_attempt_is_out() {
     let mut s = copying();
     s.max_attempts = 2;
-    let mut host = after_a_loss(s, 1);
+    let mut host = after_a_loss(s);
     host.arrive(arrival(10, Some(0), host.now + 1500.0));
     host.pass(80.0);
     host.tell(Event::Probed(NodeId(0), Outcome::Served));
