--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -36,11 +36,14 @@
 
 #[derive(Subcommand)]
 pub enum Task {
-    /// Run an initiator until SIGTERM; SIGHUP reads its bounds anew
+    /// Run an initiator until SIGTERM; SIGHUP reads its bounds and the list service's address anew
     Run {
         /// Its settings
-        #[arg(long, value_name = "FILE")]
-        config: PathBuf,
+        #[arg(long, value_name = "FILE", required_unless_present = "platform")]
+        config: Option<PathBuf>,
+        /// Speak the platform's HTTP/1.1 and take the configuration from the file that RELAY_CONFIG names
+        #[arg(long, conflicts_with_all = ["config", "with_parent"])]
+        platform: bool,
         /// Stop when standard input ends
         #[arg(long, hide = true)]
         with_parent: bool,
--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -5,7 +5,7 @@
 use flaxstand_buffer::{Folder, Recovered, Storage, recover};
 use flaxstand_gateway::core::Core;
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
-use flaxstand_gateway::machine::{Control, Machine as _, Micros};
+use flaxstand_gateway::machine::{Control, Machine as _, Micros, Reloaded};
 use flaxstand_gateway::settings::{Daemon, read_daemon};
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
@@ -27,10 +27,6 @@
 pub fn run(path: &Path, purpose: Purpose) -> Result<(), Failure> {
     let Daemon { mut config, listen, state, state_age_most, log, files } =
         told(read_daemon(&name(path), &read(path)?))?;
-    let system = |what: &str| {
-        let what = what.to_owned();
-        move |e: std::io::Error| Failure::System(format!("{what}: {e}"))
-    };
     if let Some(files) = files {
         use rustix::process::{Resource, Rlimit, setrlimit};
         let limit = Rlimit { current: Some(files), maximum: Some(files) };
@@ -114,12 +110,17 @@
     }
 }
 
+/// What the system would not do.
+pub fn system(what: &str) -> impl FnOnce(std::io::Error) -> Failure + use<> {
+    let what = what.to_owned();
+    move |e| Failure::System(format!("{what}: {e}"))
+}
+
 /// Keeps a saved list that is not used beside its place, under another extension.
 fn set_aside(path: &Path, extension: &str, cause: &dyn std::fmt::Display) -> Result<(), Failure> {
     let aside = path.with_extension(extension);
     warn!(%cause, path = %path.display(), aside = %aside.display(), "the saved list is set aside");
-    std::fs::rename(path, &aside)
-        .map_err(|e| Failure::System(format!("cannot set the saved list aside: {e}")))
+    std::fs::rename(path, &aside).map_err(system("cannot set the saved list aside"))
 }
 
 /// Opens a write-back log for this process alone and reads it back. A log that is in use, damaged or of a
@@ -133,13 +134,13 @@
     Ok((Box::new(storage), recovered))
 }
 
-/// Reads the bounds anew. A file with problems changes nothing.
+/// Reads what may change anew. A file with problems changes nothing.
 fn reload(path: PathBuf) -> Reload {
     Box::new(move || {
         let text =
             std::fs::read_to_string(&path).inspect_err(|error| error!(%error, "cannot reload")).ok()?;
         match read_daemon(&name(&path), &text) {
-            Ok(daemon) => Some(daemon.config.bounds),
+            Ok(Daemon { config, .. }) => Some(Reloaded { bounds: config.bounds, list: config.list }),
             Err(problems) => {
                 error!(%problems, "cannot reload");
                 None
--- a/crates/flaxstand-cli/src/main.rs
+++ b/crates/flaxstand-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod buffer;
 mod daemon;
 mod kit;
+mod platform;
 
 use args::{Args, LogFormat, Task};
 use clap::Parser;
@@ -38,7 +39,10 @@
     let args = Args::parse();
     log(&args);
     let done = match args.task {
-        Task::Run { config, with_parent } => daemon::run(&config, Purpose::Serve { with_parent }),
+        Task::Run { config: Some(config), with_parent, .. } => {
+            daemon::run(&config, Purpose::Serve { with_parent })
+        }
+        Task::Run { config: None, .. } => platform::run(),
         Task::Check { file } => kit::check(&file),
         Task::Rehearse(rehearsal) => kit::rehearse(rehearsal),
         Task::Report { day, folder, json, html } => {
--- /dev/null
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -0,0 +1,112 @@
+//! `flaxstand run --platform`: an initiator on the platform's own protocol.
+//!
+//! Everything it is told comes from the file that `RELAY_CONFIG` names. What needs a disk, or would refuse
+//! more than the module does, is off: write-back, storm damping, pacing of clients that come, the saved list.
+
+use crate::Failure;
+use crate::daemon::system;
+use flaxstand::api::ListScope;
+use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
+use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
+use flaxstand_gateway::machine::{Address, Micros, Reloaded};
+use flaxstand_platform::{Configuration, Limits};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tracing::{error, info};
+
+/// Names the configuration file.
+const FILE: &str = "RELAY_CONFIG";
+/// Descriptors that are neither a client's nor a node's: epoll, signals, listener, list, log.
+const RESERVE: usize = 24;
+/// Longest that the list service is asked to wait; twice in the time within which it must be asked.
+const WATCH_MOST: f64 = 20_000.0;
+/// For so long after SIGTERM clients are still sent here; a margin added.
+const STOP_GRACE: Micros = Micros(500_000);
+/// From the last answer that is due after that to the end.
+const STOP_MARGIN: Micros = Micros(100_000);
+
+fn read(path: &Path) -> Result<Configuration, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Configuration::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// What is held follows from what the process may use: each connection holds one request of bounded size.
+fn bounds(limits: Limits) -> Bounds {
+    let sockets = usize::try_from(limits.sockets).unwrap_or(usize::MAX);
+    let clients = sockets / 2;
+    Bounds {
+        clients,
+        links: sockets - clients - RESERVE,
+        partial_bytes: usize::try_from(limits.memory_mb << 20).unwrap_or(usize::MAX) / 8,
+        ..Bounds::default()
+    }
+}
+
+fn config(c: &Configuration) -> Result<Config, Failure> {
+    let settings = c.settings.settings().map_err(Failure::System)?;
+    let ms =
+        |told: Option<f64>, factor: f64, default| told.map_or(default, |ms| Micros::from_ms(ms * factor));
+    let d = Waits::default();
+    let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let watch = if settings.ask_within > 0.0 { settings.ask_within / 2.0 } else { WATCH_MOST };
+    let waits = Waits {
+        dial: ms(c.settings.dial_timeout_ms(), 1.0, d.dial),
+        // Well before the node closes it: what crosses that on its way is lost.
+        idle: ms(c.settings.keepalive_ms(), 0.6, d.idle),
+        watch: Micros::from_ms(watch.min(WATCH_MOST)),
+        stop_grace: STOP_GRACE,
+        stop: Micros::from_ms(longest).after(STOP_GRACE).after(STOP_MARGIN),
+        ..d
+    };
+    let info = |name: &str| ClassInfo { name: name.into(), stream: false, buffered: false };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    Ok(Config {
+        name: c.name.clone(),
+        index: 0,
+        epoch: since,
+        calendar: since.saturating_sub(clock().0),
+        seed: c.seed,
+        list: Address::Tcp(c.discovery),
+        site: Site {
+            classes: c.settings.classes().map(info).collect(),
+            plans: c.settings.plans().map(str::to_owned).collect(),
+            settings,
+            waits,
+            write_back: None,
+            storm: None,
+        },
+        bounds: bounds(c.limits),
+        policy: Policy::Module,
+        wire: Wire::Platform,
+    })
+}
+
+pub fn run() -> Result<(), Failure> {
+    let path = std::env::var_os(FILE).map(PathBuf::from);
+    let path = path.ok_or_else(|| Failure::System(format!("{FILE} is not set, expected a file")))?;
+    let configuration = read(&path).map_err(Failure::System)?;
+    let mut core =
+        Core::new(config(&configuration)?, None, clock()).map_err(|e| Failure::System(e.to_string()))?;
+    core.take_platform_list(ListScope::Saved, &configuration.known, clock());
+    let options = Options { reload: Some(reload(path)), ..Options::default() };
+    let mut driver = Driver::new(core, options).map_err(system("cannot start"))?;
+    let listen = Address::Tcp(configuration.listen);
+    let at = driver.listen(&listen).map_err(system(&format!("cannot listen at {listen}")))?;
+    info!(initiator = configuration.name, listen = %at, discovery = %configuration.discovery, "running");
+    let core = driver.run().map_err(system("the driver failed"))?;
+    if core.counts().overdue > 0 {
+        error!(overdue = core.counts().overdue, "the module left requests without an answer: report this");
+    }
+    Ok(())
+}
+
+/// Reads what may change anew. A file with problems changes nothing.
+fn reload(path: PathBuf) -> Reload {
+    Box::new(move || match read(&path) {
+        Ok(c) => Some(Reloaded { bounds: bounds(c.limits), list: Address::Tcp(c.discovery) }),
+        Err(cause) => {
+            error!(cause, "cannot reload: all stays as it is");
+            None
+        }
+    })
+}
--- a/crates/flaxstand-drill/src/main.rs
+++ b/crates/flaxstand-drill/src/main.rs
@@ -6,10 +6,11 @@
 
 use flaxstand::api::{Action, Event, NodeId, Settings};
 use flaxstand::brain::Brain;
+use flaxstand_platform::Params;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
-use wire::{Inbound, Outbound, Params};
+use wire::{Inbound, Outbound};
 
 /// One simulated initiator: its brain and the names that only the wire knows.
 struct Instance {
--- a/crates/flaxstand-drill/src/wire.rs
+++ b/crates/flaxstand-drill/src/wire.rs
@@ -1,9 +1,10 @@
 //! The wire's messages, and their translation to and from the module's interface.
 
 use flaxstand::api::{
-    Action, Arrival, AttemptNo, Budget, Class, ClassId, Effect, Ended, Event, Key, ListScope, NodeEntry,
-    NodeId, Outcome, Plan, PlanId, Readiness, RepeatGroup, RequestId, Settings, ShardId, VolumeId, ZoneId,
+    Action, Arrival, AttemptNo, ClassId, Ended, Event, Key, ListScope, NodeEntry, NodeId, Outcome, PlanId,
+    Readiness, RequestId, Settings, ShardId, VolumeId, ZoneId,
 };
+use flaxstand_platform::Params;
 use serde::{Deserialize, Serialize};
 
 /// A message from the bench.
@@ -184,10 +185,10 @@
                 Event::List(scope, entries.collect())
             }
             Body::Knock(k) => {
-                let class = params.classes.iter().position(|c| c.name == k.class);
+                let class = params.classes().position(|name| name == k.class);
                 let class = class.ok_or_else(|| format!("unknown class {}", k.class))?;
                 let plan = match &k.plan {
-                    Some(name) => params.grades.iter().position(|g| g.name == *name),
+                    Some(name) => params.plans().position(|plan| plan == name),
                     None => Some(0),
                 };
                 let plan = plan.ok_or_else(|| format!("unknown plan {:?}", k.plan))?;
@@ -236,199 +237,6 @@
     })
 }
 
-/// The settings as the wire tells them; keys that the module has no use for are left unread.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Params {
-    balancers: u32,
-    classes: Vec<WireClass>,
-    #[serde(default)]
-    grades: Vec<WirePlan>,
-    caps: WireCaps,
-    rules: WireRules,
-    #[serde(default)]
-    family_info: WireFamily,
-    registry_mode: RegistryMode,
-    #[serde(default)]
-    tick_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum RegistryMode {
-    Pushed,
-    OnRequest,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireClass {
-    name: String,
-    aim_ms: f64,
-    #[serde(default)]
-    aim_stretch: f64,
-    deadline_ms: f64,
-    #[serde(default)]
-    late_value: f64,
-    #[serde(default)]
-    worth: f64,
-    semantics: Semantics,
-    #[serde(default)]
-    group: WireGroup,
-    #[serde(default)]
-    dedup_window_ms: f64,
-    #[serde(default)]
-    in_order: bool,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "snake_case")]
-enum Semantics {
-    Repeatable,
-    ByKey,
-    Once,
-}
-
-#[derive(Deserialize, Clone, Copy, Default)]
-#[serde(rename_all = "snake_case")]
-enum WireGroup {
-    All,
-    Zone,
-    #[default]
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct WirePlan {
-    name: String,
-    base_rate: f64,
-    floor_rate: f64,
-    ceiling_rate: f64,
-    most_at_once: f64,
-    price: f64,
-}
-
-impl Default for WirePlan {
-    fn default() -> Self {
-        let name = String::new();
-        let (base_rate, floor_rate, ceiling_rate, most_at_once) = Default::default();
-        WirePlan { name, base_rate, floor_rate, ceiling_rate, most_at_once, price: 1.0 }
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireCaps {
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after_ms: f64,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    second_copies: bool,
-    #[serde(default)]
-    cancel: bool,
-    #[serde(default)]
-    may_probe: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct WireRules {
-    ask_within_ms: f64,
-    cold_from: f64,
-    cold_ms: f64,
-    fall_ms: f64,
-    fall_multiple: f64,
-    extra_floor: Option<f64>,
-    further_ratio: Option<f64>,
-    budget_span_ms: Option<f64>,
-    key_rest_ms: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct WireFamily {
-    cold_bears: f64,
-    unit_mean: f64,
-    most_units: f64,
-    fair_worth: f64,
-    idle_worth: f64,
-}
-
-impl Params {
-    /// The module's settings.
-    pub fn settings(&self) -> Result<Settings, String> {
-        if self.classes.is_empty() {
-            return Err("settings name no class".into());
-        }
-        let classes = self.classes.iter().map(|c| Class {
-            aim: c.aim_ms,
-            aim_stretch: c.aim_stretch,
-            deadline: c.deadline_ms,
-            late_value: c.late_value,
-            worth: c.worth,
-            effect: match (c.semantics, c.group) {
-                (Semantics::Repeatable, _) => Effect::Repeatable,
-                (Semantics::Once, _) => Effect::Once,
-                (Semantics::ByKey, group) => Effect::Keyed {
-                    group: match group {
-                        WireGroup::All => RepeatGroup::All,
-                        WireGroup::Zone => RepeatGroup::Zone,
-                        WireGroup::Cell => RepeatGroup::Cell,
-                    },
-                    window: c.dedup_window_ms,
-                },
-            },
-            in_order: c.in_order,
-        });
-        let plan = |g: &WirePlan| Plan {
-            base_rate: g.base_rate,
-            reserve_rate: g.floor_rate,
-            limit_rate: g.ceiling_rate,
-            limit_burst: g.most_at_once,
-            price: g.price,
-        };
-        let mut plans: Vec<Plan> = self.grades.iter().map(plan).collect();
-        if plans.is_empty() {
-            plans.push(plan(&WirePlan::default()));
-        }
-        let rules = &self.rules;
-        let budget = match (rules.extra_floor, rules.further_ratio, rules.budget_span_ms) {
-            (None, None, None) => None,
-            (floor, ratio, Some(span)) => {
-                Some(Budget { floor: floor.unwrap_or(0.0), ratio: ratio.unwrap_or(0.0), span })
-            }
-            _ => return Err("a budget of attempts without its span".into()),
-        };
-        Ok(Settings {
-            initiators: self.balancers.max(1),
-            classes: classes.collect(),
-            plans,
-            list_on_request: matches!(self.registry_mode, RegistryMode::OnRequest),
-            ask_within: rules.ask_within_ms,
-            max_attempts: self.caps.max_attempts,
-            most_out: if self.caps.second_copies { 2 } else { 1 },
-            may_cancel: self.caps.cancel,
-            may_probe: self.caps.may_probe,
-            max_retry_after: if self.caps.retry_after { self.caps.max_retry_after_ms } else { 0.0 },
-            cold_from: rules.cold_from,
-            cold_time: rules.cold_ms,
-            fall_multiple: rules.fall_multiple,
-            fall_time: rules.fall_ms,
-            cold_bears: self.family_info.cold_bears,
-            key_rest: rules.key_rest_ms,
-            budget,
-            unit_mean: self.family_info.unit_mean,
-            unit_most: self.family_info.most_units,
-            share_worth: self.family_info.fair_worth,
-            spare_worth: self.family_info.idle_worth,
-            tick: self.tick_ms,
-        })
-    }
-}
-
 /// A message to the bench.
 #[derive(Serialize)]
 #[serde(tag = "cmd", rename_all = "camelCase", rename_all_fields = "camelCase")]
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -1,11 +1,12 @@
 //! Clients: their greeting, their submissions, and the bounds that keep one from harming the others.
 
+use super::door::Origin;
 use super::requests::{Held, With};
-use super::{Conn, Core, Peer, Phase, Stage, Timer};
+use super::{Conn, Core, Inlet, Peer, Phase, Stage, Timer};
 use crate::machine::{Command, ConnId, Micros};
 use flaxstand::api::{Event, RequestId, VolumeId};
 use flaxstand_proto::{
-    Frame, Hello, Parting, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, Welcome, encode,
+    Frame, Hello, Inbox, Parting, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, Welcome, encode,
 };
 use rand_core::RngCore as _;
 use std::collections::BTreeMap;
@@ -29,6 +30,7 @@
     pub(super) fn client_accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
         // The cheapest refusal: nothing is kept of a client that is told to come back.
         let refusal = match self.phase {
+            _ if self.on_platform() => return self.door_accepted(now),
             Phase::Running if self.clients >= self.config.bounds.clients => {
                 Some((Parting::Bound, Micros(0), "as many clients as may be"))
             }
@@ -37,7 +39,9 @@
                 let turn = self.arrivals.comes(now, draw);
                 turn.map(|wait| (Parting::Turn, wait, "many come at once"))
             }
-            Phase::Stopping | Phase::Stopped => Some((Parting::Stopping, Micros(0), "stopping")),
+            Phase::Leaving | Phase::Stopping | Phase::Stopped => {
+                Some((Parting::Stopping, Micros(0), "stopping"))
+            }
         };
         if let Some((parting, wait, text)) = refusal {
             info!(clients = self.clients, wait_us = wait.0, text, "client turned away");
@@ -47,7 +51,8 @@
             return Err(bytes);
         }
         self.clients += 1;
-        let conn = self.new_conn(Peer::Client(Client::default()), Stage::Greeting);
+        let conn =
+            self.new_conn(Peer::Client(Client::default()), Stage::Greeting, Inlet::Frames(Inbox::default()));
         self.timers.insert((now.after(self.config.site.waits.greeting), Timer::Dial(conn)));
         Ok(conn)
     }
@@ -78,7 +83,13 @@
     }
 
     /// A request. What can't be one is the client's fault; what is beyond a bound is refused.
-    pub(super) fn submitted(&mut self, conn: ConnId, s: &Submit<'_>, now: Micros) -> Result<(), Fault> {
+    pub(super) fn submitted(
+        &mut self,
+        conn: ConnId,
+        s: &Submit<'_>,
+        origin: Option<Origin>,
+        now: Micros,
+    ) -> Result<(), Fault> {
         let fault = |text: String| Err((Parting::Protocol, text));
         let site = &self.config.site;
         let unit_most = site.settings.unit_most;
@@ -96,7 +107,12 @@
         else {
             return Ok(());
         };
-        self.take_request(conn, id, s, valid_until, now);
+        let mut held = Held::new((conn, s.id), s, valid_until);
+        if let Some(origin) = origin {
+            self.open_ids.insert(origin.id.clone());
+            held.origin = Some(Box::new(origin));
+        }
+        self.take_request(id, held, s, now);
         Ok(())
     }
 
@@ -116,7 +132,7 @@
         self.counts.taken += 1;
         let bounds = &self.config.bounds;
         let new_volume = volume.is_some_and(|v| !self.volumes.contains(&v));
-        let refusal = if self.phase != Phase::Running {
+        let refusal = if matches!(self.phase, Phase::Stopping | Phase::Stopped) {
             Some((Refusal::Stopping, Scope::All))
         } else if self.requests.len() >= bounds.held {
             Some((Refusal::Held, Scope::All))
@@ -132,7 +148,7 @@
             debug!(conn = conn.0, id = client_id, ?refusal, "turned away");
             let wait = Micros::from_ms(self.config.site.settings.max_retry_after).0;
             let wait = u32::try_from(wait).unwrap_or(u32::MAX);
-            self.push(conn, &Frame::Refused { id: client_id, wait, refusal, scope });
+            self.tell_client(conn, &Frame::Refused { id: client_id, wait, refusal, scope }, now);
             self.client_wrote(conn, now);
             return Ok(None);
         }
@@ -146,16 +162,10 @@
         Ok(Some((id, now.after(time_left))))
     }
 
-    fn take_request(
-        &mut self,
-        conn: ConnId,
-        id: RequestId,
-        s: &Submit<'_>,
-        valid_until: Micros,
-        now: Micros,
-    ) {
-        debug!(request = id.0, conn = conn.0, client_id = s.id, class = s.class, shard = s.shard, "taken");
-        self.requests.insert(id, Held::new((conn, s.id), s, valid_until));
+    fn take_request(&mut self, id: RequestId, held: Held, s: &Submit<'_>, now: Micros) {
+        let valid_until = held.valid_until;
+        debug!(request = id.0, owner = ?held.owner, class = s.class, shard = s.shard, "taken");
+        self.requests.insert(id, held);
         self.timers.insert((valid_until, Timer::Deadline(id)));
         let Some(class) = self.gate(id, now) else { return };
         if !self.offer(id, s, now)
@@ -169,6 +179,9 @@
     pub(super) fn client_wrote(&mut self, conn: ConnId, now: Micros) {
         let bounds = self.config.bounds;
         let Some(c) = self.conns.get_mut(&conn) else { return };
+        if let Inlet::Door(_) = c.inlet {
+            return self.door_wrote(conn, now);
+        }
         let Peer::Client(client) = &mut c.peer else { return };
         if c.outbox.len() > bounds.client_bytes_most {
             warn!(conn = conn.0, bytes = c.outbox.len(), "client does not read its answers: disconnected");
@@ -197,7 +210,9 @@
     pub(super) fn client_finished(&mut self, conn: ConnId) -> bool {
         let Some(c) = self.conns.get_mut(&conn) else { return false };
         match &mut c.peer {
-            Peer::Client(client) if !client.owed.is_empty() || !c.outbox.is_empty() => {
+            Peer::Client(client)
+                if matches!(c.inlet, Inlet::Frames(_)) && !client.owed.is_empty() || !c.outbox.is_empty() =>
+            {
                 client.finished = true;
                 true
             }
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -50,7 +50,13 @@
     pub client_bytes_most: usize,
     /// Bytes that wait for one node. Above it an attempt counts as turned away unseen.
     pub node_bytes: usize,
-    /// Nodes that were ever listed in the process' life. One more is left out, with a warning.
+    /// Connections to nodes, where each carries one request. Beyond it the longest idle is closed for a new
+    /// one; where none is idle, an attempt ends as never sent.
+    pub links: usize,
+    /// Bytes of requests that are not yet whole, over all clients that speak HTTP. The one whose bytes pass it
+    /// is told so and closed.
+    pub partial_bytes: usize,
+    /// Nodes listed, those lately gone included. One more is left out, with a warning.
     pub nodes: usize,
     /// Volumes that were ever used in the process' life. A request of one more is refused.
     pub volumes: usize,
@@ -67,6 +73,8 @@
             client_bytes: 1 << 20,
             client_bytes_most: 64 << 20,
             node_bytes: 8 << 20,
+            links: 1024,
+            partial_bytes: 32 << 20,
             nodes: 4096,
             volumes: 1 << 20,
             arrivals: ArrivalRules::default(),
@@ -89,6 +97,10 @@
     pub list_silence: Micros,
     /// First and longest wait before the list service is called again.
     pub list_retry: (Micros, Micros),
+    /// Longest wait that the list service is asked to answer after, where each watch is a call of its own.
+    pub watch: Micros,
+    /// So long after a stop was asked for all is as before: clients are still on their way.
+    pub stop_grace: Micros,
     /// What is still held this long after a stop was asked for is failed.
     pub stop: Micros,
 }
@@ -103,6 +115,8 @@
             answer: ms(10),
             list_silence: ms(5000),
             list_retry: (ms(50), ms(2000)),
+            watch: ms(5000),
+            stop_grace: ms(0),
             stop: ms(5000),
         }
     }
@@ -145,6 +159,16 @@
     pub storm: Option<flaxstand_storm::Rules>,
 }
 
+/// What clients, nodes and the list service speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Wire {
+    /// Frames: one connection to each peer, many requests on it.
+    #[default]
+    Frames,
+    /// The platform's HTTP/1.1: one request at a time on a connection.
+    Platform,
+}
+
 /// What one initiator is told.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -166,4 +190,6 @@
     pub bounds: Bounds,
     /// What decides.
     pub policy: Policy,
+    /// What its peers speak.
+    pub wire: Wire,
 }
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/door.rs
@@ -0,0 +1,334 @@
+//! Clients that speak HTTP: one request at a time on a connection, and what each that can't be served gets.
+//!
+//! What a client sends is trusted no further than it is whole and makes sense: a fault in its framing gets an
+//! error and the connection is closed, one in its meaning an error alone. Neither reaches the module. Bytes
+//! behind a request wait until it is answered and the answer written, so that a client that sends without
+//! reading holds up only itself.
+
+use super::clients::Client;
+use super::{Conn, Core, Inlet, Peer, Phase, Stage, Timer};
+use crate::machine::{Command, ConnId, Micros};
+use flaxstand::api::Readiness;
+use flaxstand_http::{Request, Requests, write_answer};
+use flaxstand_platform::{ClientRequest, READY, Terms};
+use flaxstand_proto::{Frame, Submit};
+use std::fmt::Display;
+use tracing::debug;
+
+/// A connection that has said nothing yet, among as many as may be, is closed for a new one after this.
+const MUTE: Micros = Micros(250_000);
+/// One that has asked before and waits to ask again; the platform's clients may be parted with after 2 s.
+const RESTING: Micros = Micros(2_000_000);
+/// After an error the peer has so long, and so many bytes, to stop sending and read it.
+const LINGER: Micros = Micros(500_000);
+const LINGER_BYTES: usize = 1 << 20;
+
+/// How a request came, for passing it on unchanged.
+#[derive(Clone, Debug)]
+pub(super) struct Origin {
+    pub(super) method: &'static str,
+    pub(super) target: String,
+    pub(super) id: String,
+    pub(super) key: Option<String>,
+}
+
+/// How far a connection is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Flow {
+    Open,
+    /// It ends with the answer to the request that it has open.
+    LastAnswer,
+    /// An error was its last answer: what still comes is dropped, up to so many bytes.
+    Lingering(usize),
+}
+
+/// A client's HTTP.
+#[derive(Debug)]
+pub(super) struct Door {
+    reader: Requests,
+    flow: Flow,
+    /// Since when a request is on its way in, or the connection waits for one.
+    since: Micros,
+    /// Requests that came whole.
+    asked: u64,
+}
+
+impl Door {
+    fn new(now: Micros) -> Self {
+        Door { reader: Requests::default(), flow: Flow::Open, since: now, asked: 0 }
+    }
+
+    /// Bytes held.
+    pub(super) fn held(&self) -> usize {
+        self.reader.len()
+    }
+
+    /// What a full reader is sent waits with its peer.
+    pub(super) fn wants_read(&self) -> bool {
+        matches!(self.flow, Flow::Lingering(_)) || !self.reader.is_full()
+    }
+}
+
+impl Core {
+    fn door(&mut self, conn: ConnId) -> Option<&mut Door> {
+        match self.conns.get_mut(&conn) {
+            Some(Conn { inlet: Inlet::Door(door), .. }) => Some(door),
+            _ => None,
+        }
+    }
+
+    pub(super) fn door_accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
+        let open = matches!(self.phase, Phase::Running | Phase::Leaving);
+        if !open || self.clients >= self.config.bounds.clients && !self.make_room(now) {
+            debug!(clients = self.clients, "client turned away");
+            let mut bytes = Vec::new();
+            write_answer(&mut bytes, 503, &[], b"no room\n", false);
+            return Err(bytes);
+        }
+        self.clients += 1;
+        let inlet = Inlet::Door(Door::new(now));
+        let conn = self.new_conn(Peer::Client(Client::default()), Stage::Open, inlet);
+        self.timers.insert((now.after(self.config.site.waits.greeting), Timer::Quiet(conn)));
+        Ok(conn)
+    }
+
+    /// Guards against clients that hold connections for nothing: the one that has waited longest without a
+    /// request is closed, those that never asked and those that are done first.
+    fn make_room(&mut self, now: Micros) -> bool {
+        let waits = |(id, c): (&ConnId, &Conn)| {
+            let (Peer::Client(client), Inlet::Door(door)) = (&c.peer, &c.inlet) else { return None };
+            let least = match (door.flow, door.asked) {
+                (Flow::Lingering(_), _) => Micros(0),
+                (_, 0) => MUTE,
+                _ => RESTING,
+            };
+            let free = client.owed.is_empty() && c.outbox.is_empty();
+            let long = free && now.since(door.since) >= least && (door.asked == 0 || door.reader.is_empty());
+            long.then_some((door.asked > 0 && door.flow == Flow::Open, door.since, *id))
+        };
+        let longest = self.conns.iter().filter_map(waits).min();
+        if let Some((.., conn)) = longest {
+            self.lost(conn, "its place is needed", true, now);
+        }
+        longest.is_some()
+    }
+
+    pub(super) fn door_received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
+        let Some(door) = self.door(conn) else { return };
+        match &mut door.flow {
+            Flow::Lingering(left) if *left > bytes.len() => *left -= bytes.len(),
+            Flow::Lingering(_) => self.lost(conn, "it goes on after an error", true, now),
+            Flow::Open | Flow::LastAnswer => {
+                if door.reader.is_empty() && door.asked > 0 {
+                    door.since = now;
+                }
+                door.reader.push(bytes);
+                let full = !door.wants_read();
+                self.partial_bytes += bytes.len();
+                if self.partial_bytes > self.config.bounds.partial_bytes {
+                    self.turn_away(conn, 503, "too much is on its way in", now);
+                } else {
+                    self.read_door(conn, now);
+                }
+                if full {
+                    self.commands.push(Command::Flush(conn));
+                }
+            }
+        }
+    }
+
+    /// Reads the next request, unless one is open or its answer is not yet written.
+    fn read_door(&mut self, conn: ConnId, now: Micros) {
+        loop {
+            let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), outbox, .. }) =
+                self.conns.get_mut(&conn)
+            else {
+                return;
+            };
+            if door.flow != Flow::Open
+                || !client.owed.is_empty()
+                || !outbox.is_empty()
+                || door.reader.is_empty()
+            {
+                return;
+            }
+            let before = door.reader.len();
+            match door.reader.next() {
+                Ok(Some(request)) => {
+                    self.partial_bytes -= before - door.reader.len();
+                    (door.asked, door.since) = (door.asked + 1, now);
+                    if !request.keeps {
+                        door.flow = Flow::LastAnswer;
+                    }
+                    self.asked(conn, request, now);
+                }
+                Ok(None) => {
+                    // The first has its time from when the connection stood.
+                    if door.asked > 0 {
+                        let due = door.since.after(self.config.site.waits.greeting);
+                        self.timers.insert((due, Timer::Quiet(conn)));
+                    }
+                    return;
+                }
+                Err(fault) => return self.turn_away(conn, fault.status(), &fault.to_string(), now),
+            }
+        }
+    }
+
+    /// A whole request came.
+    fn asked(&mut self, conn: ConnId, request: Request, now: Micros) {
+        if request.target == READY {
+            let ready = self.phase == Phase::Running
+                && self.nodes.values().any(|n| n.readiness == Readiness::Serving);
+            return self.say(conn, if ready { 200 } else { 503 }, &[], b"", now);
+        }
+        let settings = &self.config.site.settings;
+        let terms = Terms {
+            classes: &self.class_names,
+            plans: &self.config.site.plans,
+            units: settings.unit_most,
+            hosts: settings.initiators,
+        };
+        let r = match ClientRequest::read(&request, &terms) {
+            Ok(r) => r,
+            Err(bad) => {
+                debug!(conn = conn.0, %bad, "a request that can't be served");
+                self.counts.protocol_faults += 1;
+                return self.say(conn, bad.status(), &[], format!("{bad}\n").as_bytes(), now);
+            }
+        };
+        if self.open_ids.contains(r.id) {
+            debug!(conn = conn.0, id = r.id, "an id that is open");
+            self.counts.protocol_faults += 1;
+            return self.say(conn, 409, &[], b"a request with this id is open\n", now);
+        }
+        let deadline = Micros::from_ms(settings.classes[usize::from(r.class)].deadline).0;
+        let submit = Submit {
+            id: self.door(conn).map_or(0, |door| door.asked),
+            operation: 0,
+            class: r.class,
+            plan: r.plan,
+            writers: r.hosts,
+            try_no: r.retried.into(),
+            write: r.write,
+            volume: r.volume,
+            extent: Some(r.extent),
+            shard: r.shard,
+            units: r.units,
+            at: None,
+            // No client waits for longer than its class says; one that says so is not held for longer.
+            time_left: u32::try_from(deadline).map_or(r.time_left, |most| r.time_left.min(most)),
+            payload: &request.body,
+        };
+        let origin = Origin {
+            method: if r.write { "PUT" } else { "GET" },
+            target: request.target.clone(),
+            id: r.id.to_owned(),
+            key: r.key.map(str::to_owned),
+        };
+        if let Err((_, text)) = self.submitted(conn, &submit, Some(origin), now) {
+            self.say(conn, 400, &[], text.as_bytes(), now);
+        }
+    }
+
+    /// A request's final answer, in the words of the client's wire.
+    pub(super) fn tell_client(&mut self, conn: ConnId, frame: &Frame<'_>, now: Micros) {
+        if self.speaks_frames(conn) {
+            self.push(conn, frame);
+            return;
+        }
+        match frame {
+            Frame::Served { payload, .. } => self.say(conn, 200, &[], payload, now),
+            Frame::Refused { wait: 0, .. } => self.say(conn, 503, &[], b"refused\n", now),
+            Frame::Refused { wait, .. } => {
+                let seconds = f64::from(*wait) / 1e6;
+                self.say(conn, 503, &[("Retry-After", &format_args!("{seconds:.3}"))], b"refused\n", now);
+            }
+            _ => self.say(conn, 500, &[], b"failed\n", now),
+        }
+    }
+
+    /// Answers the request that a client has open.
+    fn say(&mut self, conn: ConnId, status: u16, fields: &[(&str, &dyn Display)], body: &[u8], now: Micros) {
+        let stays = self.phase != Phase::Stopping;
+        let Some(door) = self.door(conn) else { return };
+        if !stays && door.flow == Flow::Open {
+            door.flow = Flow::LastAnswer;
+        }
+        door.since = now;
+        let keeps = door.flow == Flow::Open;
+        self.put(conn, |bytes| write_answer(bytes, status, fields, body, keeps));
+    }
+
+    /// An error for what can't be read any further. What is still on its way is dropped, so that the client
+    /// can read the error.
+    fn turn_away(&mut self, conn: ConnId, status: u16, text: &str, now: Micros) {
+        debug!(conn = conn.0, status, text, "closing a connection for what its peer sent");
+        self.counts.protocol_faults += 1;
+        let Some(door) = self.door(conn) else { return };
+        let held = door.held();
+        door.reader = Requests::default();
+        (door.flow, door.since) = (Flow::Lingering(LINGER_BYTES), now);
+        self.partial_bytes -= held;
+        self.timers.insert((now.after(LINGER), Timer::Quiet(conn)));
+        self.put(conn, |bytes| write_answer(bytes, status, &[], format!("{text}\n").as_bytes(), false));
+    }
+
+    /// Something was written, or added: the next request can be read once all is written.
+    pub(super) fn door_wrote(&mut self, conn: ConnId, now: Micros) {
+        let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), outbox, .. }) =
+            self.conns.get_mut(&conn)
+        else {
+            return;
+        };
+        if !outbox.is_empty() || !client.owed.is_empty() {
+            return;
+        }
+        match door.flow {
+            Flow::Open => self.read_door(conn, now),
+            // What it sent behind its last request is not read; a close now could take the answer with it.
+            Flow::LastAnswer => {
+                let held = door.held();
+                door.reader = Requests::default();
+                (door.flow, door.since) = (Flow::Lingering(LINGER_BYTES), now);
+                self.partial_bytes -= held;
+                self.timers.insert((now.after(LINGER), Timer::Quiet(conn)));
+            }
+            Flow::Lingering(_) => {}
+        }
+        // It may be read again.
+        self.commands.push(Command::Flush(conn));
+    }
+
+    /// Looks whether a connection was at one thing for too long. Guards against heads that never end, half
+    /// requests and silent clients.
+    pub(super) fn door_quiet(&mut self, conn: ConnId, now: Micros) {
+        let most = self.config.site.waits.greeting;
+        let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), .. }) = self.conns.get(&conn)
+        else {
+            return;
+        };
+        let waited = now.since(door.since);
+        match door.flow {
+            Flow::Lingering(_) if waited >= LINGER => self.lost(conn, "parted", true, now),
+            Flow::Lingering(_) => {}
+            _ if !client.owed.is_empty() || waited < most => {}
+            // Silent since it stood: nothing was asked that an answer could be for.
+            _ if door.asked == 0 && door.reader.is_empty() => self.lost(conn, "silent", true, now),
+            _ if !door.reader.is_empty() => self.turn_away(conn, 408, "the request does not end", now),
+            _ => {}
+        }
+    }
+
+    /// Nothing new is taken: connections without a request are closed, the others after their answer.
+    pub(super) fn part_with_clients(&mut self, now: Micros) {
+        let mut free = Vec::new();
+        for (conn, c) in &mut self.conns {
+            let (Peer::Client(client), Inlet::Door(door)) = (&c.peer, &mut c.inlet) else { continue };
+            if client.owed.is_empty() && c.outbox.is_empty() && door.reader.is_empty() {
+                free.push(*conn);
+            }
+        }
+        free.into_iter().for_each(|conn| self.lost(conn, "stopping", true, now));
+    }
+}
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -2,13 +2,14 @@
 //! of their revisions; the whole list asked for after a gap; a copy saved for the next start.
 
 use super::clients::Fault;
-use super::nodes::NodePeer;
-use super::{Backoff, Core, Decider, Peer, Stage, Timer, Waits};
+use super::nodes::{NodeName, NodePeer};
+use super::pool::Link;
+use super::{Backoff, Core, Decider, Inlet, Peer, Stage, Timer, Waits, Wire};
 use crate::machine::{Address, Command, ConnId, Micros};
 use flaxstand::api::{Event, ListScope, NodeEntry, NodeId, Readiness};
 use flaxstand_proto::{
-    Entry, Extent, Frame, FrameError, List, Parting, Role, State, VERSION, VERSION_OLDEST, Welcome, decode,
-    encode,
+    Entry, Extent, Frame, FrameError, Inbox, List, Parting, Role, State, VERSION, VERSION_OLDEST, Welcome,
+    decode, encode,
 };
 use thiserror::Error;
 use tracing::{debug, info, warn};
@@ -42,15 +43,15 @@
 /// The list service.
 #[derive(Debug)]
 pub(super) struct ListPeer {
-    conn: Option<ConnId>,
+    pub(super) conn: Option<ConnId>,
     /// Of the list held, once the service has told one in this life.
-    revision: Option<u64>,
+    pub(super) revision: Option<u64>,
     heard_at: Micros,
     /// The whole list has been asked for and has not come.
     asked: bool,
     /// It has changed; saved once the module has heard, or a pace would be saved with the wrong start.
     pub(super) unsaved: bool,
-    backoff: Backoff,
+    pub(super) backoff: Backoff,
 }
 
 impl ListPeer {
@@ -60,11 +61,49 @@
     }
 }
 
+/// An entry of a list, whatever wire told it.
+#[derive(Debug)]
+pub(super) struct Told {
+    pub(super) name: NodeName,
+    /// Grows with each start of the node.
+    pub(super) incarnation: u64,
+    pub(super) readiness: Readiness,
+    /// Milliseconds on our clock; none: long ago.
+    pub(super) booted_at: Option<f64>,
+    pub(super) shard: u32,
+    pub(super) zone: u32,
+    /// Hundredths; 0: not told.
+    pub(super) size: u32,
+    /// Unloaded time of a unit, ms.
+    pub(super) pace: Option<f64>,
+    pub(super) address: String,
+}
+
+impl Told {
+    fn of(e: &Entry<'_>, now: Micros) -> Self {
+        Told {
+            name: NodeName::Number(e.node),
+            incarnation: e.incarnation,
+            readiness: match e.state {
+                State::Serving => Readiness::Serving,
+                State::Draining => Readiness::Draining,
+                State::Gone => Readiness::Gone,
+            },
+            booted_at: e.age.map(|age| now.ms() - Micros(age).ms()),
+            shard: e.shard,
+            zone: e.zone,
+            size: e.size,
+            pace: e.pace.map(|pace| Micros(pace.into()).ms()),
+            address: e.address.to_owned(),
+        }
+    }
+}
+
 impl Core {
     /// The module wants to hear of changes.
     pub(super) fn subscribe(&mut self, now: Micros) {
         match self.list.conn {
-            Some(conn) if self.is_open(conn) => {
+            Some(conn) if self.is_open(conn) && self.speaks_frames(conn) => {
                 self.push(conn, &Frame::Watch);
             }
             Some(_) => {}
@@ -74,7 +113,11 @@
 
     pub(super) fn call_list(&mut self, now: Micros) {
         if self.list.conn.is_none() {
-            let conn = self.new_conn(Peer::List, Stage::Dialing);
+            let inlet = match self.config.wire {
+                Wire::Frames => Inlet::Frames(Inbox::default()),
+                Wire::Platform => Inlet::Link(Link::of_list(now)),
+            };
+            let conn = self.new_conn(Peer::List, Stage::Dialing, inlet);
             self.list.conn = Some(conn);
             self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
             self.commands.push(Command::Connect { conn, address: self.config.list.clone() });
@@ -117,6 +160,9 @@
 
     pub(super) fn list_silent(&mut self, now: Micros) {
         let Some(conn) = self.list.conn else { return };
+        if self.on_platform() {
+            return self.lost(conn, "the list service is silent", true, now);
+        }
         let silence = self.config.site.waits.list_silence;
         let due = self.list.heard_at.after(silence);
         if now < due {
@@ -160,78 +206,87 @@
     }
 
     fn take_list(&mut self, scope: ListScope, list: &List<'_>, now: Micros) {
+        let told: Vec<Told> = list.entries.iter().map(|e| Told::of(e, now)).collect();
+        self.take_told(scope, list.revision, told, now);
+    }
+
+    pub(super) fn take_told(&mut self, scope: ListScope, revision: u64, told: Vec<Told>, now: Micros) {
         if scope != ListScope::Changes {
-            self.nodes.iter_mut().for_each(|n| n.readiness = Readiness::Gone);
+            for node in self.nodes.values_mut().filter(|n| n.readiness != Readiness::Gone) {
+                (node.readiness, node.gone_at) = (Readiness::Gone, now);
+            }
         }
-        let told: Vec<NodeEntry> = list.entries.iter().filter_map(|e| self.take_entry(e, now)).collect();
-        info!(?scope, revision = list.revision, entries = told.len(), "node list");
+        let told: Vec<NodeEntry> = told.into_iter().filter_map(|e| self.take_entry(e, now)).collect();
+        info!(?scope, revision, entries = told.len(), "node list");
         self.events.push_back(Event::List(scope, told));
-        for at in 0..self.nodes.len() {
-            self.close_if_gone(NodeId(at as u32), now);
-        }
+        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+        ids.into_iter().for_each(|at| self.close_if_gone(at, now));
     }
 
-    fn take_entry(&mut self, e: &Entry<'_>, now: Micros) -> Option<NodeEntry> {
-        let address: Address = match e.address.parse() {
-            Ok(address) => address,
-            Err(cause) => {
-                warn!(node = e.node, %cause, "a listed node is left out");
+    fn take_entry(&mut self, e: Told, now: Micros) -> Option<NodeEntry> {
+        let known = self.node_ids.get(&e.name).copied();
+        let address: Address = match (e.address.parse(), known) {
+            (Ok(address), _) => address,
+            // What is gone needs no address any more.
+            (Err(_), Some(id)) if e.readiness == Readiness::Gone => self.nodes.get(&id)?.address.clone(),
+            (Err(cause), _) => {
+                warn!(node = %e.name, %cause, "a listed node is left out");
                 return None;
             }
         };
-        let id = match self.node_ids.get(&e.node) {
-            Some(id) => *id,
+        let id = match known {
+            Some(id) => id,
             None if self.nodes.len() >= self.config.bounds.nodes => {
-                warn!(
-                    node = e.node,
-                    bound = self.config.bounds.nodes,
-                    "a listed node beyond the bound is left out"
-                );
+                let bound = self.config.bounds.nodes;
+                warn!(node = %e.name, bound, "a listed node beyond the bound is left out");
                 return None;
             }
             None => {
-                let id = NodeId(self.nodes.len() as u32);
-                self.nodes.push(NodePeer::new(e.node, address.clone()));
-                self.node_ids.insert(e.node, id);
+                let id = NodeId(self.next_node);
+                self.next_node += 1;
+                self.nodes.insert(id, NodePeer::new(e.name.clone(), address.clone()));
+                self.node_ids.insert(e.name.clone(), id);
                 id
             }
         };
-        let node = &mut self.nodes[id.0 as usize];
+        let node = self.nodes.get_mut(&id)?;
         if e.incarnation > node.incarnation {
             // Fixed at first word of this start, by the list or by the node: a staler age that comes later
             // must not make it look like another.
             node.incarnation = e.incarnation;
-            node.booted_at = e.age.map(|age| now.ms() - Micros(age).ms());
+            node.booted_at = e.booted_at;
         }
-        node.readiness = match e.state {
-            State::Serving => Readiness::Serving,
-            State::Draining => Readiness::Draining,
-            State::Gone => Readiness::Gone,
-        };
-        (node.shard, node.zone, node.size, node.address) = (e.shard, e.zone, e.size, address);
+        if e.readiness == Readiness::Gone && node.readiness != Readiness::Gone {
+            node.gone_at = now;
+        }
+        let moved = node.address != address;
+        (node.readiness, node.shard, node.zone, node.size) = (e.readiness, e.shard, e.zone, e.size);
+        node.address = address;
         // Told with the entry that tells it and not kept: it holds for that start of the node alone.
-        let pace = e.pace.map(|pace| Micros(pace.into()).ms());
-        let entry = NodeEntry { pace, ..node.entry(id) };
-        info!(node = e.node, state = ?e.state, shard = e.shard, address = e.address, "listed");
+        let entry = NodeEntry { pace: e.pace, ..node.entry(id) };
+        info!(node = %e.name, state = ?e.readiness, shard = e.shard, address = e.address, "listed");
+        if moved {
+            self.drop_idle(id, now);
+        }
         Some(entry)
     }
 
     pub(super) fn saved_list(&self, now: Micros) -> Vec<u8> {
-        let listed = self.nodes.iter().enumerate().filter(|(_, n)| n.readiness != Readiness::Gone);
+        let listed = self.nodes.iter().filter(|(_, n)| n.readiness != Readiness::Gone);
         let addresses: Vec<String> = listed.clone().map(|(_, n)| n.address.to_string()).collect();
-        let pace = |at: usize| match &self.decider {
-            Decider::Module(brain) => brain.pace_of(NodeId(at as u32)),
+        let pace = |at: NodeId| match &self.decider {
+            Decider::Module(brain) => brain.pace_of(at),
             Decider::Pipe(_) => None,
         };
         let entries = listed.zip(&addresses).map(|((at, n), address)| Entry {
-            node: n.name,
+            node: if let NodeName::Number(number) = n.name { number } else { 0 },
             incarnation: n.incarnation,
             state: if n.readiness == Readiness::Serving { State::Serving } else { State::Draining },
             age: n.booted_at.map(|at| Micros::from_ms(now.ms() - at).0),
             shard: n.shard,
             zone: n.zone,
             size: n.size,
-            pace: pace(at).and_then(|ms| u32::try_from(Micros::from_ms(ms).0).ok()),
+            pace: pace(*at).and_then(|ms| u32::try_from(Micros::from_ms(ms).0).ok()),
             address,
         });
         let revision = self.list.revision.unwrap_or(0);
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -8,30 +8,42 @@
 //! - [`storms`]: repeats told from first tries, and damped
 //! - [`writeback`]: the write-back buffer's place between clients and the module
 //! - [`list`]: the node list, its breaks, the saved copy
+//!
+//! Peers speak frames, or the platform's HTTP/1.1 ([`Wire`]). A request's life is the same for both; three
+//! places differ:
+//!
+//! - [`door`]: clients that ask one request at a time of a connection
+//! - [`pool`]: connections to a node that carry one request each
+//! - [`watch`]: the list, told by calls that wait
 
 mod backoff;
 mod clients;
 mod config;
+mod door;
 mod list;
 mod nodes;
 mod pipe;
+mod pool;
 mod requests;
 mod storms;
+mod watch;
 mod writeback;
 
 pub use backoff::Backoff;
-pub use config::{Bounds, ClassInfo, Config, Policy, Site, Waits, WriteBack};
+pub use config::{Bounds, ClassInfo, Config, Policy, Site, Waits, Wire, WriteBack};
 pub use list::{SavedListError, check_saved_list};
 
 use crate::machine::{Command, ConnId, Control, Machine, Micros};
 use clients::Client;
+use door::Door;
 use flaxstand::api::{Action, Class, Event, NodeId, Outcome, Readiness, RequestId, VolumeId};
 use flaxstand::brain::Brain;
-use flaxstand_proto::{Frame, Hello, Inbox, Outbox, Parting, Role, VERSION, VERSION_OLDEST};
+use flaxstand_proto::{Frame, Hello, Inbox, Outbox, Parting, Role, VERSION, VERSION_OLDEST, encode};
 use flaxstand_storm::Arrivals;
 use list::ListPeer;
-use nodes::NodePeer;
+use nodes::{NodeName, NodePeer};
 use pipe::{Pipe, Placement};
+use pool::Link;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use requests::Held;
@@ -59,11 +71,21 @@
     Open,
 }
 
+/// What reads a connection's bytes.
+#[derive(Debug)]
+enum Inlet {
+    Frames(Inbox),
+    /// A client's HTTP.
+    Door(Door),
+    /// HTTP that we ask, of a node or of the list service.
+    Link(Link),
+}
+
 #[derive(Debug)]
 struct Conn {
     peer: Peer,
     stage: Stage,
-    inbox: Inbox,
+    inlet: Inlet,
     outbox: Outbox,
 }
 
@@ -78,6 +100,12 @@
     Idle(ConnId),
     /// A probe of a node has been out for long enough.
     Probe(NodeId, u64),
+    /// A connection that speaks HTTP may have been at one thing for too long.
+    Quiet(ConnId),
+    /// Look for pooled connections that have idled long enough, and nodes long gone.
+    Sweep,
+    /// The time is over in which a stop changes nothing yet.
+    GraceEnds,
     /// Call the list service.
     ListCall,
     /// Has the list service been silent for too long?
@@ -95,6 +123,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Running,
+    /// A stop was asked for, and clients that do not know yet are still served as before.
+    Leaving,
     /// No new requests; what is held is answered, then the process ends.
     Stopping,
     Stopped,
@@ -147,8 +177,19 @@
     requests: BTreeMap<RequestId, Held>,
     next_request: u64,
     next_probe: u64,
-    nodes: Vec<NodePeer>,
-    node_ids: BTreeMap<u64, NodeId>,
+    nodes: BTreeMap<NodeId, NodePeer>,
+    node_ids: BTreeMap<NodeName, NodeId>,
+    next_node: u32,
+    /// Connections to nodes that carry one request each.
+    links: usize,
+    /// Ids under which clients of the platform have requests here.
+    open_ids: BTreeSet<String>,
+    /// Bytes of requests that are not yet whole.
+    partial_bytes: usize,
+    /// Names of zones, in the order of the module's.
+    zones: Vec<String>,
+    /// Names of classes, in the order of the module's.
+    class_names: Vec<String>,
     volumes: BTreeSet<VolumeId>,
     list: ListPeer,
     timers: BTreeSet<(Micros, Timer)>,
@@ -191,6 +232,7 @@
             Policy::TwoChoices => Decider::Pipe(Pipe::new(Placement::TwoChoices, config.seed)),
         };
         let list = ListPeer::new(&config.site.waits);
+        let class_names = config.site.classes.iter().map(|c| c.name.clone()).collect();
         let mut core = Core {
             rng: Pcg64Mcg::seed_from_u64(config.seed.wrapping_add(config.epoch)),
             decider,
@@ -206,8 +248,14 @@
             requests: BTreeMap::new(),
             next_request: 0,
             next_probe: 0,
-            nodes: Vec::new(),
+            nodes: BTreeMap::new(),
             node_ids: BTreeMap::new(),
+            next_node: 0,
+            links: 0,
+            open_ids: BTreeSet::new(),
+            partial_bytes: 0,
+            zones: Vec::new(),
+            class_names,
             volumes: BTreeSet::new(),
             timers: BTreeSet::new(),
             events: VecDeque::new(),
@@ -242,11 +290,10 @@
         self.clients
     }
 
-    fn new_conn(&mut self, peer: Peer, stage: Stage) -> ConnId {
+    fn new_conn(&mut self, peer: Peer, stage: Stage, inlet: Inlet) -> ConnId {
         self.next_conn += 1;
         let id = ConnId(self.next_conn);
-        let (inbox, outbox) = Default::default();
-        self.conns.insert(id, Conn { peer, stage, inbox, outbox });
+        self.conns.insert(id, Conn { peer, stage, inlet, outbox: Outbox::default() });
         id
     }
 
@@ -257,11 +304,24 @@
 
     /// Puts a frame into a connection's outbox. Returns where it ends in the stream.
     fn push(&mut self, conn: ConnId, frame: &Frame<'_>) -> u64 {
+        self.put(conn, |bytes| encode(frame, bytes))
+    }
+
+    /// Puts bytes into a connection's outbox. Returns where they end in the stream.
+    fn put(&mut self, conn: ConnId, add: impl FnOnce(&mut Vec<u8>)) -> u64 {
         let Some(c) = self.conns.get_mut(&conn) else { return u64::MAX };
         if c.outbox.is_empty() {
             self.commands.push(Command::Flush(conn));
         }
-        c.outbox.push(frame)
+        c.outbox.write(add)
+    }
+
+    fn speaks_frames(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_some_and(|c| matches!(c.inlet, Inlet::Frames(_)))
+    }
+
+    fn on_platform(&self) -> bool {
+        self.config.wire == Wire::Platform
     }
 
     fn greet(&mut self, conn: ConnId) {
@@ -275,12 +335,19 @@
         self.push(conn, &Frame::Hello(hello));
     }
 
+    /// Closes a connection from here that nothing hangs on any more.
+    fn drop_quietly(&mut self, conn: ConnId, _now: Micros) {
+        if self.conns.remove(&conn).is_some() {
+            self.commands.push(Command::Close { conn, last: Vec::new() });
+        }
+    }
+
     /// Closes a connection from here and settles what hung on it.
     fn hang_up(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
-        if self.conns.contains_key(&conn) {
+        if self.speaks_frames(conn) {
             self.push(conn, &Frame::Bye { parting, wait: 0, text });
-            self.lost(conn, text, true, now);
         }
+        self.lost(conn, text, true, now);
     }
 
     /// A connection is no more.
@@ -289,10 +356,21 @@
         if by_us {
             self.commands.push(Command::Close { conn, last: gone.outbox.pending().to_vec() });
         }
-        match gone.peer {
-            Peer::Client(client) => self.client_lost(conn, &client, cause, now),
-            Peer::Node(node) => self.node_lost(conn, node, gone.stage, gone.outbox.written(), cause, now),
-            Peer::List => self.list_lost(gone.stage, cause, now),
+        match (gone.peer, gone.inlet) {
+            (Peer::Client(client), inlet) => {
+                if let Inlet::Door(door) = inlet {
+                    self.partial_bytes -= door.held();
+                }
+                self.client_lost(conn, &client, cause, now);
+            }
+            (Peer::Node(node), Inlet::Link(link)) => {
+                self.link_lost(conn, node, &link, gone.outbox.written(), cause, now);
+            }
+            (Peer::List, Inlet::Link(_)) => self.list_lost(gone.stage, cause, now),
+            (Peer::Node(node), _) => {
+                self.node_lost(conn, node, gone.stage, gone.outbox.written(), cause, now)
+            }
+            (Peer::List, _) => self.list_lost(gone.stage, cause, now),
         }
     }
 
@@ -307,7 +385,9 @@
                 return false;
             }
             (Peer::Client(_), Frame::Hello(h)) if stage == Stage::Greeting => self.client_greeted(conn, &h),
-            (Peer::Client(_), Frame::Submit(s)) if stage == Stage::Open => self.submitted(conn, &s, now),
+            (Peer::Client(_), Frame::Submit(s)) if stage == Stage::Open => {
+                self.submitted(conn, &s, None, now)
+            }
             (Peer::Client(_), Frame::Barrier { id, volume, time_left }) if stage == Stage::Open => {
                 self.submitted_mark(conn, id, Mark::Barrier(volume), time_left, now)
             }
@@ -394,8 +474,16 @@
                     self.hang_up(conn, Parting::Protocol, "no greeting in time", now);
                 }
             }
+            Timer::Quiet(conn) => self.quiet(conn, now),
+            Timer::Sweep => self.sweep(now),
+            Timer::GraceEnds => self.close_doors(now),
             Timer::Idle(conn) => self.idle(conn, now),
-            Timer::Probe(node, token) => self.probed(node, token, Outcome::TimedOut),
+            Timer::Probe(node, token) => {
+                self.probed(node, token, Outcome::TimedOut);
+                if self.on_platform() {
+                    self.hang_up_probe(token, now);
+                }
+            }
             Timer::ListCall => self.call_list(now),
             Timer::ListSilence => self.list_silent(now),
             Timer::StopEnds => self.stop_ends(now),
@@ -404,11 +492,24 @@
 
     fn stop(&mut self, now: Micros) {
         if self.phase == Phase::Running {
-            info!(held = self.requests.len(), "stopping: no new requests, what is held is answered");
+            let waits = &self.config.site.waits;
+            self.timers.insert((now.after(waits.stop), Timer::StopEnds));
+            self.timers.insert((now.after(waits.stop_grace), Timer::GraceEnds));
+            info!(held = self.requests.len(), grace_ms = waits.stop_grace.ms(), "stopping");
+            self.phase = Phase::Leaving;
+            if waits.stop_grace == Micros(0) {
+                self.close_doors(now);
+            }
+        }
+    }
+
+    /// No new requests from now on; what is held is answered.
+    fn close_doors(&mut self, now: Micros) {
+        if self.phase == Phase::Leaving {
             self.phase = Phase::Stopping;
             self.commands.push(Command::StopListening);
             self.drain_buffer(now);
-            self.timers.insert((now.after(self.config.site.waits.stop), Timer::StopEnds));
+            self.part_with_clients(now);
         }
     }
 
@@ -434,7 +535,8 @@
             let conns: Vec<ConnId> = self.conns.keys().copied().collect();
             conns.into_iter().for_each(|conn| self.hang_up(conn, Parting::Stopping, "stopping", now));
             // What was learnt of the nodes since the list last changed is kept for the next start.
-            if self.nodes.iter().any(|n| n.readiness != Readiness::Gone) {
+            let listed = self.nodes.values().any(|n| n.readiness != Readiness::Gone);
+            if listed && !self.on_platform() {
                 self.commands.push(Command::Save(self.saved_list(now)));
             }
             self.commands.push(Command::Exit);
@@ -449,10 +551,14 @@
         self.client_accepted(now)
     }
 
-    fn connected(&mut self, conn: ConnId, _now: Micros) {
-        if let Some(c) = self.conns.get_mut(&conn) {
+    fn connected(&mut self, conn: ConnId, now: Micros) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if let Inlet::Frames(_) = c.inlet {
             c.stage = Stage::Greeting;
             self.greet(conn);
+        } else {
+            c.stage = Stage::Open;
+            self.link_stands(conn, now);
         }
     }
 
@@ -462,10 +568,15 @@
 
     fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
-        let mut inbox = std::mem::take(&mut c.inbox);
+        let inbox = match &mut c.inlet {
+            Inlet::Frames(inbox) => inbox,
+            Inlet::Door(_) => return self.door_received(conn, bytes, now),
+            Inlet::Link(_) => return self.link_received(conn, bytes, now),
+        };
+        let mut inbox = std::mem::take(inbox);
         let fed = inbox.feed(bytes, |frame| self.frame(conn, frame, now));
         if let Some(c) = self.conns.get_mut(&conn) {
-            c.inbox = inbox;
+            c.inlet = Inlet::Frames(inbox);
             if let Err(e) = fed {
                 self.protocol_fault(conn, Parting::Protocol, &e.to_string(), now);
             }
@@ -492,8 +603,9 @@
     }
 
     fn wants_read(&self, conn: ConnId) -> bool {
-        match self.conns.get(&conn).map(|c| &c.peer) {
-            Some(Peer::Client(client)) => !client.paused,
+        match self.conns.get(&conn).map(|c| (&c.peer, &c.inlet)) {
+            Some((_, Inlet::Door(door))) => door.wants_read(),
+            Some((Peer::Client(client), _)) => !client.paused,
             Some(_) => true,
             None => false,
         }
@@ -506,9 +618,13 @@
     fn control(&mut self, control: Control, now: Micros) {
         match control {
             Control::Stop => self.stop(now),
-            Control::Bounds(bounds) => {
-                info!(?bounds, "new bounds");
-                self.config.bounds = bounds;
+            Control::Reload(reloaded) => {
+                info!(?reloaded, "settings read anew");
+                self.config.bounds = reloaded.bounds;
+                if self.config.list != reloaded.list {
+                    self.config.list = reloaded.list;
+                    self.list_moved(now);
+                }
             }
             // Only where the driver reads it: whoever started the process is gone.
             Control::InputEnded => self.stop(now),
@@ -524,7 +640,7 @@
         self.look_at_weather(now);
         self.settle_buffer(now);
         self.tell(now);
-        if std::mem::take(&mut self.list.unsaved) {
+        if std::mem::take(&mut self.list.unsaved) && !self.on_platform() {
             self.commands.push(Command::Save(self.saved_list(now)));
         }
         let woken = self.wake_at.is_some_and(|at| at <= now);
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -2,21 +2,39 @@
 //! is gone. What is known of an attempt whose connection broke depends on how much of it had left.
 
 use super::clients::Fault;
+use super::pool::Carried;
 use super::requests::Owner;
-use super::{Conn, Core, Peer, Stage, Timer};
+use super::{Conn, Core, Inlet, Peer, Stage, Timer};
 use crate::machine::{Address, Command, ConnId, Micros};
 use flaxstand::api::{
     AttemptNo, Event, ListScope, NodeEntry, NodeId, Outcome, Readiness, RequestId, ShardId, ZoneId,
 };
-use flaxstand_proto::{Attempt, Code, Done, Frame, Parting, Role, VERSION, VERSION_OLDEST, Welcome};
+use flaxstand_proto::{Attempt, Code, Done, Frame, Inbox, Parting, Role, VERSION, VERSION_OLDEST, Welcome};
 use std::collections::BTreeSet;
+use std::fmt;
 use tracing::{debug, info};
 
-/// A node that was ever listed.
+/// What a list calls a node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum NodeName {
+    Number(u64),
+    Uid(String),
+}
+
+impl fmt::Display for NodeName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NodeName::Number(number) => write!(f, "{number}"),
+            NodeName::Uid(uid) => f.write_str(uid),
+        }
+    }
+}
+
+/// A node that is listed, or lately was.
 #[derive(Debug)]
 pub(super) struct NodePeer {
-    /// Its number in the list.
-    pub(super) name: u64,
+    /// Its name in the list.
+    pub(super) name: NodeName,
     pub(super) incarnation: u64,
     /// Milliseconds on our clock; fixed for an incarnation from when it was first heard of.
     pub(super) booted_at: Option<f64>,
@@ -27,17 +45,21 @@
     pub(super) size: u32,
     pub(super) address: Address,
     conn: Option<ConnId>,
+    /// Pooled connections that wait for a request, the longest idle first.
+    pub(super) idle: Vec<ConnId>,
+    /// When the list took it out.
+    pub(super) gone_at: Micros,
     /// Attempts that wait for the connection, in the order of sending.
     waiting: Vec<(RequestId, AttemptNo)>,
     /// Attempts without an end, those that wait included.
-    out: BTreeSet<(RequestId, AttemptNo)>,
+    pub(super) out: BTreeSet<(RequestId, AttemptNo)>,
     /// The probe that is out, by its token, and when it ends unanswered.
-    probe: Option<(u64, Micros)>,
-    idle_since: Micros,
+    pub(super) probe: Option<(u64, Micros)>,
+    pub(super) idle_since: Micros,
 }
 
 impl NodePeer {
-    pub(super) fn new(name: u64, address: Address) -> Self {
+    pub(super) fn new(name: NodeName, address: Address) -> Self {
         NodePeer {
             name,
             incarnation: 0,
@@ -48,6 +70,8 @@
             size: 0,
             address,
             conn: None,
+            idle: Vec::new(),
+            gone_at: Micros(0),
             waiting: Vec::new(),
             out: BTreeSet::new(),
             probe: None,
@@ -70,13 +94,17 @@
 }
 
 impl Core {
-    fn node(&mut self, node: NodeId) -> Option<&mut NodePeer> {
-        self.nodes.get_mut(node.0 as usize)
+    pub(super) fn node(&mut self, node: NodeId) -> Option<&mut NodePeer> {
+        self.nodes.get_mut(&node)
     }
 
     pub(super) fn send_attempt(&mut self, id: RequestId, attempt: AttemptNo, at: NodeId, now: Micros) {
         let Some(node) = self.node(at) else { return };
         node.out.insert((id, attempt));
+        if self.on_platform() {
+            return self.carry(at, Carried::Attempt(id, attempt), now);
+        }
+        let Some(node) = self.node(at) else { return };
         let open = match node.conn {
             Some(conn) => self.is_open(conn).then_some(conn),
             None => {
@@ -102,6 +130,10 @@
         self.timers.insert((ends, Timer::Probe(at, token)));
         let Some(node) = self.node(at) else { return };
         node.probe = Some((token, ends));
+        if self.on_platform() {
+            return self.carry(at, Carried::Probe(token), now);
+        }
+        let Some(node) = self.node(at) else { return };
         if let Some(conn) = node.conn.filter(|conn| self.is_open(*conn)) {
             self.push(conn, &Frame::Probe { token });
         }
@@ -117,12 +149,12 @@
     }
 
     fn dial(&mut self, at: NodeId, now: Micros) {
-        let conn = self.new_conn(Peer::Node(at), Stage::Dialing);
+        let conn = self.new_conn(Peer::Node(at), Stage::Dialing, Inlet::Frames(Inbox::default()));
         self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
         if let Some(node) = self.node(at) {
             node.conn = Some(conn);
             let address = node.address.clone();
-            debug!(node = node.name, %address, conn = conn.0, "calling a node");
+            debug!(node = %node.name, %address, conn = conn.0, "calling a node");
             self.commands.push(Command::Connect { conn, address });
         }
     }
@@ -174,7 +206,7 @@
         }
         let idle = self.config.site.waits.idle;
         let Some(node) = self.node(at) else { return Ok(()) };
-        if w.role != Role::Node || w.id != node.name {
+        if w.role != Role::Node || NodeName::Number(w.id) != node.name {
             let text = format!("expected node {}, met {:?} {}", node.name, w.role, w.id);
             return Err((Parting::WrongPeer, text));
         }
@@ -188,7 +220,7 @@
         // nodes: of hundreds of hosts whose canaries wait for a dead node, each would send one at once.
         let restarted = w.epoch > node.incarnation;
         if restarted {
-            info!(node = node.name, incarnation = w.epoch, "met a start that the list has not told yet");
+            info!(node = %node.name, incarnation = w.epoch, "met a start that the list has not told yet");
             (node.incarnation, node.booted_at) = (w.epoch, Some(now.ms()));
             let entry = node.entry(at);
             self.events.push_back(Event::List(ListScope::Changes, vec![entry]));
@@ -226,7 +258,7 @@
         node.waiting.clear();
         let out: Vec<_> = node.out.iter().copied().collect();
         if !out.is_empty() || stage != Stage::Open {
-            info!(node = node.name, cause, out = out.len(), ?stage, "connection to a node lost");
+            info!(node = %node.name, cause, out = out.len(), ?stage, "connection to a node lost");
         }
         for (id, attempt) in out {
             let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
@@ -252,7 +284,7 @@
         match d.code {
             Code::Served => {
                 let Some(Conn { peer: Peer::Node(at), .. }) = self.conns.get(&conn) else { return };
-                let shard = self.nodes[at.0 as usize].shard;
+                let shard = self.nodes.get(at).map_or(0, |n| n.shard);
                 self.served(id, attempt, shard, d.payload, now);
             }
             Code::Error => self.end_attempt(id, attempt, Outcome::Error, now),
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -0,0 +1,345 @@
+//! Connections that carry one request each: a pool for every node, the newest idle one used first, and the
+//! list service's. An answer is held whole before anything of it goes on; a connection whose answer is
+//! spoilt, or brings more than belongs to it, is not used again. Giving up an attempt closes its connection.
+
+use super::{Conn, Core, Inlet, Peer, Stage, Timer};
+use crate::machine::{Command, ConnId, Micros};
+use flaxstand::api::{AttemptNo, NodeId, Outcome, Readiness, RequestId};
+use flaxstand_http::{Answer, Answers, write_request};
+use flaxstand_platform::{Answered, HEALTH, field};
+use std::fmt::Display;
+use tracing::{debug, info};
+
+/// An answer that has begun and is not whole after this is spoilt: targets send theirs in one go.
+const ANSWER_WHOLE: Micros = Micros(250_000);
+/// How often idle connections are looked through.
+const SWEEP: Micros = Micros(1_000_000);
+/// A node that is gone is remembered for so long: lists may flap.
+const REMEMBERED: Micros = Micros(30_000_000);
+
+/// What a connection carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Carried {
+    Attempt(RequestId, AttemptNo),
+    Probe(u64),
+    ListCall,
+}
+
+/// HTTP that we ask.
+#[derive(Debug)]
+pub(super) struct Link {
+    reader: Answers,
+    carries: Option<Carried>,
+    /// When its answer began, or when it fell idle.
+    since: Micros,
+}
+
+impl Link {
+    fn new(carries: Carried, now: Micros) -> Self {
+        Link { reader: Answers::default(), carries: Some(carries), since: now }
+    }
+
+    pub(super) fn of_list(now: Micros) -> Self {
+        Link::new(Carried::ListCall, now)
+    }
+}
+
+impl Core {
+    pub(super) fn link(&mut self, conn: ConnId) -> Option<&mut Link> {
+        match self.conns.get_mut(&conn) {
+            Some(Conn { inlet: Inlet::Link(link), .. }) => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Sends by the newest idle connection to the node, or by a new one.
+    pub(super) fn carry(&mut self, at: NodeId, what: Carried, now: Micros) {
+        let Some(node) = self.node(at) else { return };
+        if let Some(conn) = node.idle.pop() {
+            if let Some(link) = self.link(conn) {
+                link.carries = Some(what);
+            }
+            return self.write_carried(conn, now);
+        }
+        let address = node.address.clone();
+        if self.links >= self.config.bounds.links && !self.close_longest_idle(now) {
+            debug!(links = self.links, "no connection to be had");
+            match what {
+                Carried::Attempt(id, attempt) => self.end_attempt(id, attempt, Outcome::Moot, now),
+                Carried::Probe(token) => self.probed(at, token, Outcome::Moot),
+                Carried::ListCall => {}
+            }
+            return;
+        }
+        if self.links == 0 {
+            self.timers.insert((now.after(SWEEP), Timer::Sweep));
+        }
+        self.links += 1;
+        let conn = self.new_conn(Peer::Node(at), Stage::Dialing, Inlet::Link(Link::new(what, now)));
+        self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
+        self.commands.push(Command::Connect { conn, address });
+        if let Carried::Attempt(id, attempt) = what {
+            self.note_handed(id, attempt, conn, u64::MAX);
+        }
+    }
+
+    fn note_handed(&mut self, id: RequestId, attempt: AttemptNo, conn: ConnId, ends: u64) {
+        let flight =
+            self.requests.get_mut(&id).and_then(|r| r.flights.iter_mut().find(|f| f.attempt == attempt));
+        if let Some(flight) = flight {
+            flight.handed = Some((conn, ends));
+        }
+    }
+
+    /// A new connection stands.
+    pub(super) fn link_stands(&mut self, conn: ConnId, now: Micros) {
+        let dial = self.config.site.waits.dial;
+        let Some(c) = self.conns.get(&conn) else { return };
+        let since = if let Inlet::Link(link) = &c.inlet { link.since } else { now };
+        self.timers.remove(&(since.after(dial), Timer::Dial(conn)));
+        let (peer, carried) = match (&c.peer, &c.inlet) {
+            (Peer::Node(at), Inlet::Link(link)) => (Some(*at), link.carries),
+            _ => (None, None),
+        };
+        if let (Some(at), Some(Carried::Attempt(id, attempt))) = (peer, carried)
+            && self.nodes.get(&at).is_none_or(|n| n.readiness != Readiness::Serving)
+        {
+            // The node began to drain while it was called. Guards the rule on drains.
+            self.free(conn, now);
+            return self.end_attempt(id, attempt, Outcome::Moot, now);
+        }
+        self.write_carried(conn, now);
+    }
+
+    fn write_carried(&mut self, conn: ConnId, now: Micros) {
+        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.conns.get(&conn) else { return };
+        let host = match peer {
+            Peer::Node(at) => self.nodes.get(at).map(|n| n.address.to_string()).unwrap_or_default(),
+            _ => self.config.list.to_string(),
+        };
+        let host: (&str, &dyn Display) = ("Host", &host);
+        match link.carries {
+            Some(Carried::Attempt(id, attempt)) => {
+                let Some(held) = self.requests.get_mut(&id) else { return };
+                let Some(origin) = held.origin.take() else { return };
+                let payload = std::mem::take(&mut held.payload);
+                let left = held.valid_until.since(now).ms().max(1.0) / 1000.0;
+                let left = format_args!("{left:.3}");
+                let mut fields = vec![host, (field::ID, &origin.id), (field::TIMEOUT, &left)];
+                if let Some(key) = &origin.key {
+                    fields.push((field::KEY, key));
+                }
+                let body = held.write.then_some(payload.as_slice());
+                let ends = self.put(conn, |bytes| {
+                    write_request(bytes, origin.method, &origin.target, &fields, body);
+                });
+                self.counts.attempts += 1;
+                if let Some(held) = self.requests.get_mut(&id) {
+                    (held.origin, held.payload) = (Some(origin), payload);
+                }
+                self.note_handed(id, attempt, conn, ends);
+            }
+            Some(Carried::Probe(_)) => {
+                self.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
+            }
+            Some(Carried::ListCall) => {
+                let call = self.next_list_call();
+                self.put(conn, |bytes| write_request(bytes, "GET", &call, &[host], None));
+                self.list_call_written(now);
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn link_received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
+        let Some(link) = self.link(conn) else { return };
+        if link.carries.is_none() {
+            return self.lost(conn, "bytes that nobody asked for", true, now);
+        }
+        let begins = link.reader.is_empty();
+        link.reader.push(bytes);
+        match link.reader.next() {
+            Ok(Some(answer)) => self.link_answered(conn, &answer, now),
+            Ok(None) if begins => {
+                link.since = now;
+                self.timers.insert((now.after(ANSWER_WHOLE), Timer::Quiet(conn)));
+            }
+            Ok(None) => {}
+            Err(fault) => self.spoilt(conn, &fault, now),
+        }
+    }
+
+    /// What came is no answer; what was asked may have run.
+    fn spoilt(&mut self, conn: ConnId, why: &dyn Display, now: Micros) {
+        debug!(conn = conn.0, %why, "a spoilt answer");
+        self.counts.protocol_faults += 1;
+        let carried = self.link(conn).and_then(|link| link.carries.take());
+        let at = match self.conns.get(&conn).map(|c| &c.peer) {
+            Some(Peer::Node(at)) => Some(*at),
+            _ => None,
+        };
+        self.lost(conn, "a spoilt answer", true, now);
+        match (carried, at) {
+            (Some(Carried::Attempt(id, attempt)), _) => self.end_attempt(id, attempt, Outcome::Error, now),
+            (Some(Carried::Probe(token)), Some(at)) => self.probed(at, token, Outcome::Error),
+            _ => {}
+        }
+    }
+
+    fn link_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
+        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.conns.get_mut(&conn) else { return };
+        let (at, carried) = (if let Peer::Node(at) = peer { Some(*at) } else { None }, link.carries.take());
+        if carried == Some(Carried::ListCall) {
+            return self.list_answered(conn, answer, now);
+        }
+        let Some(at) = at else { return };
+        // Freed first: what the answer leads to may use it again.
+        if answer.keeps {
+            self.free(conn, now)
+        } else {
+            self.lost(conn, "it is not kept", true, now)
+        }
+        let answered = Answered::of(answer);
+        match carried {
+            Some(Carried::Attempt(id, attempt)) if answered == Answered::Served => {
+                let shard = self.nodes.get(&at).map_or(0, |n| n.shard);
+                self.served(id, attempt, shard, &answer.body, now);
+            }
+            Some(Carried::Attempt(id, attempt)) => self.end_attempt(id, attempt, answered.outcome(), now),
+            Some(Carried::Probe(token)) => self.probed(at, token, answered.outcome()),
+            _ => {}
+        }
+    }
+
+    /// The next call of the list, on the connection of the last.
+    pub(super) fn call_list_again(&mut self, conn: ConnId, now: Micros) {
+        if let Some(link) = self.link(conn) {
+            link.carries = Some(Carried::ListCall);
+            self.write_carried(conn, now);
+        }
+    }
+
+    /// A connection has nothing to carry.
+    fn free(&mut self, conn: ConnId, now: Micros) {
+        let Some(Conn { peer: Peer::Node(at), inlet: Inlet::Link(link), .. }) = self.conns.get_mut(&conn)
+        else {
+            return;
+        };
+        (link.carries, link.since) = (None, now);
+        let at = *at;
+        match self.node(at).filter(|n| n.readiness != Readiness::Gone) {
+            Some(node) => node.idle.push(conn),
+            None => self.lost(conn, "node is gone", true, now),
+        }
+    }
+
+    /// A pooled connection is no more. What it carried can't have run unless all of it had left.
+    pub(super) fn link_lost(
+        &mut self,
+        conn: ConnId,
+        at: NodeId,
+        link: &Link,
+        written: u64,
+        cause: &str,
+        now: Micros,
+    ) {
+        self.links -= 1;
+        if let Some(node) = self.node(at) {
+            node.idle.retain(|idle| *idle != conn);
+        }
+        match link.carries {
+            Some(Carried::Attempt(id, attempt)) => {
+                let flight =
+                    self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
+                let left =
+                    flight.and_then(|f| f.handed).is_some_and(|(c, ends)| c == conn && ends <= written);
+                debug!(request = id.0, cause, left, "an attempt's connection is lost");
+                let outcome = if left { Outcome::Reset } else { Outcome::ConnectFailed };
+                self.end_attempt(id, attempt, outcome, now);
+            }
+            Some(Carried::Probe(token)) => self.probed(at, token, Outcome::ConnectFailed),
+            _ => {}
+        }
+    }
+
+    /// Gives an attempt up: its connection is closed, and nothing else of the node's.
+    pub(super) fn hang_up_attempt(
+        &mut self,
+        conn: ConnId,
+        ends: u64,
+        (id, attempt): (RequestId, AttemptNo),
+        outcome: Outcome,
+        now: Micros,
+    ) {
+        let left = self.conns.get(&conn).is_some_and(|c| c.outbox.written() >= ends);
+        if let Some(link) = self.link(conn) {
+            link.carries = None;
+        }
+        self.lost(conn, "given up", true, now);
+        self.end_attempt(id, attempt, if left { outcome } else { Outcome::ConnectFailed }, now);
+    }
+
+    /// A probe is not waited for any longer.
+    pub(super) fn hang_up_probe(&mut self, token: u64, now: Micros) {
+        let carries =
+            |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries == Some(Carried::Probe(token)));
+        if let Some(conn) = self.conns.iter().find(|(_, c)| carries(c)).map(|(conn, _)| *conn) {
+            self.lost(conn, "a probe took too long", true, now);
+        }
+    }
+
+    /// Looks whether a connection was at one thing for too long.
+    pub(super) fn quiet(&mut self, conn: ConnId, now: Micros) {
+        match self.conns.get_mut(&conn) {
+            Some(Conn { inlet: Inlet::Link(link), .. }) => {
+                let over = !link.reader.is_empty() && now.since(link.since) >= ANSWER_WHOLE;
+                if over && link.carries.is_some() {
+                    self.spoilt(conn, &"it does not end", now);
+                }
+            }
+            Some(_) => self.door_quiet(conn, now),
+            None => {}
+        }
+    }
+
+    fn close_longest_idle(&mut self, now: Micros) -> bool {
+        let first = |n: &super::nodes::NodePeer| n.idle.first().copied();
+        let since = |conn: &ConnId| match self.conns.get(conn).map(|c| &c.inlet) {
+            Some(Inlet::Link(link)) => link.since,
+            _ => now,
+        };
+        let longest = self.nodes.values().filter_map(first).min_by_key(since);
+        if let Some(conn) = longest {
+            self.lost(conn, "its place is needed", true, now);
+        }
+        longest.is_some()
+    }
+
+    /// Closes what has idled for long, before its node does, and forgets nodes long gone.
+    pub(super) fn sweep(&mut self, now: Micros) {
+        let idle = self.config.site.waits.idle;
+        let old = |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries.is_none() && now.since(l.since) >= idle);
+        let old: Vec<ConnId> = self.conns.iter().filter(|(_, c)| old(c)).map(|(conn, _)| *conn).collect();
+        old.into_iter().for_each(|conn| self.lost(conn, "idle", true, now));
+        let forgotten = |n: &super::nodes::NodePeer| {
+            n.readiness == Readiness::Gone && n.out.is_empty() && now.since(n.gone_at) >= REMEMBERED
+        };
+        let gone: Vec<NodeId> = self.nodes.iter().filter(|(_, n)| forgotten(n)).map(|(id, _)| *id).collect();
+        for id in gone {
+            self.drop_idle(id, now);
+            if let Some(node) = self.nodes.remove(&id) {
+                info!(node = %node.name, "forgotten");
+                self.node_ids.remove(&node.name);
+            }
+        }
+        if self.links > 0 || self.nodes.values().any(|n| n.readiness == Readiness::Gone) {
+            self.timers.insert((now.after(SWEEP), Timer::Sweep));
+        }
+    }
+
+    /// Closes a node's idle connections: its address is no longer what they lead to.
+    pub(super) fn drop_idle(&mut self, at: NodeId, now: Micros) {
+        let idle = self.node(at).map(|n| std::mem::take(&mut n.idle)).unwrap_or_default();
+        idle.into_iter().for_each(|conn| self.lost(conn, "its node has moved or is gone", true, now));
+    }
+}
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -1,6 +1,7 @@
 //! A request's life: taken, sent at the module's word, answered once, forgotten when its last attempt has
 //! ended.
 
+use super::door::Origin;
 use super::{Core, Peer, Timer};
 use crate::machine::{ConnId, Micros};
 use flaxstand::api::{Action, AttemptNo, Ended, Event, NodeId, Outcome, RequestId};
@@ -14,7 +15,8 @@
     pub(super) attempt: AttemptNo,
     pub(super) node: NodeId,
     pub(super) sent: Micros,
-    /// The connection it was handed to, and where in that one's stream it ends.
+    /// The connection it was handed to, and where in that one's stream it ends; the last place there is
+    /// while that is not known.
     pub(super) handed: Option<(ConnId, u64)>,
 }
 
@@ -81,6 +83,8 @@
     pub(super) at: Option<u32>,
     pub(super) valid_until: Micros,
     pub(super) payload: Vec<u8>,
+    /// How a client of the platform asked for it.
+    pub(super) origin: Option<Box<Origin>>,
     /// How many attempts the module has asked for.
     pub(super) attempts: u32,
     pub(super) flights: Vec<Flight>,
@@ -113,6 +117,7 @@
             at: None,
             valid_until,
             payload: Vec::new(),
+            origin: None,
             attempts: 0,
             flights: Vec::new(),
             streaming: false,
@@ -210,7 +215,7 @@
         held.attempts += 1;
         held.flights.push(Flight { attempt, node, sent: now, handed: None });
         debug!(request = request.0, attempt = attempt.0, node = node.0, "sent");
-        let listed = self.nodes.get(node.0 as usize);
+        let listed = self.nodes.get(&node);
         let holds = listed.is_some_and(|n| held.shard.is_none_or(|shard| shard == n.shard));
         if held.owner.is_none() || now >= held.valid_until || !holds {
             self.end_attempt(request, attempt, Outcome::Moot, now);
@@ -284,7 +289,7 @@
         if let Some(Peer::Client(client)) = self.conns.get_mut(&conn).map(|c| &mut c.peer) {
             client.owed.remove(&client_id);
         }
-        self.push(conn, &frame(client_id));
+        self.tell_client(conn, &frame(client_id), now);
         self.forget(id, now);
         self.client_wrote(conn, now);
     }
@@ -303,6 +308,9 @@
     pub(super) fn call_off(&mut self, id: RequestId, attempt: AttemptNo, outcome: Outcome, now: Micros) {
         let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
         let Some(handed) = flight.map(|f| f.handed) else { return };
+        if let Some((conn, ends)) = handed.filter(|_| self.on_platform()) {
+            return self.hang_up_attempt(conn, ends, (id, attempt), outcome, now);
+        }
         if let Some((conn, _)) = handed {
             self.push(conn, &Frame::Cancel { request: id.0, attempt: attempt.0 });
         }
@@ -341,6 +349,9 @@
             && let Some(held) = self.requests.remove(&id)
         {
             self.timers.remove(&(held.valid_until, Timer::Deadline(id)));
+            if let Some(origin) = &held.origin {
+                self.open_ids.remove(&origin.id);
+            }
             self.tell_gate(&held, now);
             self.over(id, &held, now);
         }
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -3,7 +3,7 @@
 //! Each turn: wait for events or the machine's next moment, read the clock, hand over what came (a bounded
 //! part of each connection, so that none starves the others), let the machine settle, do what it wants.
 
-use crate::machine::{Address, Command, ConnId, Control, Machine, Micros, Sink};
+use crate::machine::{Address, Command, ConnId, Control, Machine, Micros, Reloaded, Sink};
 use flaxstand_buffer::{Batch, Storage, perform};
 use rustix::event::{Timespec, epoll};
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -22,6 +22,8 @@
 const READ_A_TURN: usize = 256 * 1024;
 /// Most connections accepted from one listener in a turn.
 const ACCEPT_A_TURN: usize = 64;
+/// Connections that the system holds for us until they are accepted, most.
+const BACKLOG: i32 = 4096;
 /// Events taken from the system in a turn.
 const EVENTS_A_TURN: usize = 1024;
 /// Longest sleep without a moment of the machine's.
@@ -84,8 +86,8 @@
 const INPUT: u64 = 1 << 60;
 const DISK: u64 = 1 << 59;
 
-/// Reads the bounds anew; none: they stay.
-pub type Reload = Box<dyn FnMut() -> Option<crate::core::Bounds> + Send>;
+/// Reads the settings anew; none: they stay.
+pub type Reload = Box<dyn FnMut() -> Option<Reloaded> + Send>;
 
 /// What a driver does beside running its machine.
 #[derive(Default)]
@@ -100,7 +102,7 @@
     pub input: bool,
     /// Where `Store` puts batches, on a thread of its own: the machine never waits for a disk.
     pub log: Option<Box<dyn Storage>>,
-    /// Called at SIGHUP; new bounds are handed to the machine.
+    /// Called at SIGHUP; what it reads is handed to the machine.
     pub reload: Option<Reload>,
 }
 
@@ -209,6 +211,7 @@
         let (listener, at) = match address {
             Address::Tcp(address) => {
                 let listener = TcpListener::bind(address)?;
+                net::listen(&listener, BACKLOG)?;
                 listener.set_nonblocking(true)?;
                 let at = Address::Tcp(listener.local_addr()?);
                 (Listener::Tcp(listener), at)
@@ -519,8 +522,8 @@
             Signal::Stop => self.machine.control(Control::Stop, self.now),
             Signal::Reload => {
                 info!("reload asked for");
-                if let Some(bounds) = self.options.reload.as_mut().and_then(|reload| reload()) {
-                    self.machine.control(Control::Bounds(bounds), self.now);
+                if let Some(reloaded) = self.options.reload.as_mut().and_then(|reload| reload()) {
+                    self.machine.control(Control::Reload(reloaded), self.now);
                 }
             }
         }
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -90,13 +90,22 @@
     Exit,
 }
 
+/// What may change while a process runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reloaded {
+    /// Its bounds.
+    pub bounds: crate::core::Bounds,
+    /// Where the list service is.
+    pub list: Address,
+}
+
 /// What reaches a machine beside its connections.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Control {
     /// Stop in good order.
     Stop,
-    /// New bounds from the settings.
-    Bounds(crate::core::Bounds),
+    /// What the settings say now.
+    Reload(Reloaded),
     /// A line of standard input, where the driver reads it.
     Line(String),
     /// Standard input ended.
--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -6,7 +6,7 @@
 pub use reader::{Block, Problem, SettingsError, Source};
 pub use site::{Rules, SiteFile, read_site};
 
-use crate::core::{Bounds, Config, Policy};
+use crate::core::{Bounds, Config, Policy, Wire};
 use crate::machine::Address;
 use flaxstand_storm::ArrivalRules;
 use std::path::PathBuf;
@@ -66,6 +66,7 @@
                 site: site.site.clone(),
                 bounds,
                 policy: b.choice("policy", &Policy::ALL, Some(Policy::Module)).unwrap_or_default(),
+                wire: Wire::Frames,
             },
             listen,
             state,
@@ -105,6 +106,7 @@
             burst: b.number("arrivals-at-once", 1.0..=1e6, Some(d.arrivals.burst)),
             ..d.arrivals
         },
+        ..d
     };
     if bounds.client_bytes > bounds.client_bytes_most {
         b.problem(format!(
--- a/crates/flaxstand-gateway/src/settings/site.rs
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -164,6 +164,7 @@
         list_silence: wait("list-silence-ms", d.list_silence),
         list_retry: (wait("list-retry-ms", d.list_retry.0), wait("list-retry-most-ms", d.list_retry.1)),
         stop: wait("stop-ms", d.stop),
+        ..d
     };
     b.finish();
     waits
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -4,7 +4,7 @@
 
 use flaxstand::api::{Class, Effect, Plan, Settings};
 use flaxstand_buffer::Batch;
-use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits};
+use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
 use flaxstand_gateway::machine::{Address, Command, ConnId, Machine, Micros};
 use flaxstand_proto::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -75,6 +75,7 @@
         },
         bounds: Bounds::default(),
         policy: Policy::Module,
+        wire: Wire::Frames,
     }
 }
 
--- a/crates/flaxstand-gateway/tests/writeback.rs
+++ b/crates/flaxstand-gateway/tests/writeback.rs
@@ -123,7 +123,7 @@
     let mut d = Desk::new(buffering());
     d.write(1, ORDER, 7, None, b"seat");
     assert_eq!(d.answers(), [], "the disk has not said a word yet");
-    assert_eq!(d.brought(), []);
+    assert_eq!(d.brought(), [0u64; 0]);
     d.store();
     assert_eq!(d.answers(), [Said::Buffered(1)]);
     assert_eq!(d.w.brought, [(1001, None, b"seat".to_vec())]);
--- /dev/null
+++ b/crates/flaxstand-http/src/lib.rs
@@ -0,0 +1,26 @@
+//! HTTP/1.1 as the platform speaks it, without I/O: bytes go in as they come, whole messages come out.
+//!
+//! Messages are small and are held whole; a head or a body beyond its bound is a fault as soon as it shows.
+//! Where framing is in doubt the message is a fault too, never a guess: a second length, a length that is no
+//! plain number, `Transfer-Encoding` in a request, bytes behind a request that can't begin another.
+//!
+//! - [`Requests`], [`Answers`]: readers, one a connection
+//! - [`write_request`], [`write_answer`]: writers
+#![forbid(unsafe_code)]
+
+mod fault;
+mod message;
+mod read;
+mod write;
+
+pub use fault::Fault;
+pub use message::{Answer, Fields, Request};
+pub use read::{Answers, Requests};
+pub use write::{reason, write_answer, write_request};
+
+/// Most bytes of a head, its empty line included.
+pub const HEAD_MOST: usize = 8 * 1024;
+/// Most bytes of a body.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Most fields of a head.
+pub const FIELDS_MOST: usize = 64;
--- /dev/null
+++ b/crates/flaxstand-http/src/write.rs
@@ -0,0 +1,67 @@
+//! Writers.
+
+use std::fmt::Display;
+use std::io::Write as _;
+
+/// The words that go with a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+fn field(out: &mut Vec<u8>, name: &str, value: &dyn Display) {
+    let at = out.len();
+    // Writing to a vector does not fail.
+    let _ = write!(out, "{name}: {value}\r\n");
+    debug_assert!(!out[at..out.len() - 2].contains(&b'\n'), "a field of one line: {name}");
+}
+
+/// Adds a request to `out`. A body is told by its length; none has no length either.
+pub fn write_request(
+    out: &mut Vec<u8>,
+    method: &str,
+    target: &str,
+    fields: &[(&str, &dyn Display)],
+    body: Option<&[u8]>,
+) {
+    let _ = write!(out, "{method} {target} HTTP/1.1\r\n");
+    fields.iter().for_each(|(name, value)| field(out, name, value));
+    if let Some(body) = body {
+        field(out, "Content-Length", &body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body.unwrap_or_default());
+}
+
+/// Adds an answer to `out`. `keeps`: the connection lasts beyond it.
+pub fn write_answer(
+    out: &mut Vec<u8>,
+    status: u16,
+    fields: &[(&str, &dyn Display)],
+    body: &[u8],
+    keeps: bool,
+) {
+    let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason(status));
+    fields.iter().for_each(|(name, value)| field(out, name, value));
+    if !keeps {
+        field(out, "Connection", &"close");
+    }
+    field(out, "Content-Length", &body.len());
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+}
--- a/crates/flaxstand-lab/src/shell.rs
+++ b/crates/flaxstand-lab/src/shell.rs
@@ -209,7 +209,7 @@
             // Whoever started the stand-in is gone when its input ends.
             Control::Stop | Control::InputEnded => self.links.commands.push(Command::Exit),
             Control::Line(line) => self.peer.line(&mut self.links, &line, now),
-            Control::Bounds(_) => {}
+            Control::Reload(_) => {}
         }
     }
 
--- a/crates/flaxstand-lab/src/world.rs
+++ b/crates/flaxstand-lab/src/world.rs
@@ -21,7 +21,7 @@
 use flaxstand_audit::{Book, Record, audit};
 use flaxstand_buffer::faulty::{Faults, Faulty};
 use flaxstand_buffer::{Batch, perform, recover};
-use flaxstand_gateway::core::{Bounds, Config, Core, Counts, Policy};
+use flaxstand_gateway::core::{Bounds, Config, Core, Counts, Policy, Wire};
 use flaxstand_gateway::machine::{Address, Command, ConnId, Control, Machine, Micros, Sink};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -594,6 +594,7 @@
             site: self.day.site.site.clone(),
             bounds: Bounds::default(),
             policy: self.policy,
+            wire: Wire::Frames,
         };
         let saved = std::mem::take(&mut self.hosts[host].disk);
         let saved = (!saved.is_empty()).then_some(saved);
--- /dev/null
+++ b/crates/flaxstand-platform/src/settings.rs
@@ -0,0 +1,225 @@
+//! The settings object, which the simulator's first message and the configuration share: its names and
+//! units, and the module's settings in it.
+
+use flaxstand::api::{Budget, Class, Effect, Plan, RepeatGroup, Settings};
+use serde::Deserialize;
+
+/// The settings as the platform and the bench tell them; keys that nothing here has a use for are left unread.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Params {
+    balancers: u32,
+    classes: Vec<WireClass>,
+    #[serde(default)]
+    grades: Vec<WirePlan>,
+    caps: WireCaps,
+    rules: WireRules,
+    #[serde(default)]
+    family_info: WireFamily,
+    registry_mode: RegistryMode,
+    #[serde(default)]
+    tick_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RegistryMode {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireClass {
+    name: String,
+    aim_ms: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline_ms: f64,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default)]
+    worth: f64,
+    semantics: Semantics,
+    #[serde(default)]
+    group: WireGroup,
+    #[serde(default)]
+    dedup_window_ms: f64,
+    #[serde(default)]
+    in_order: bool,
+}
+
+#[derive(Debug, Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Semantics {
+    Repeatable,
+    ByKey,
+    Once,
+}
+
+#[derive(Debug, Deserialize, Clone, Copy, Default)]
+#[serde(rename_all = "snake_case")]
+enum WireGroup {
+    All,
+    Zone,
+    #[default]
+    Cell,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct WirePlan {
+    name: String,
+    base_rate: f64,
+    floor_rate: f64,
+    ceiling_rate: f64,
+    most_at_once: f64,
+    price: f64,
+}
+
+impl Default for WirePlan {
+    fn default() -> Self {
+        let name = String::new();
+        let (base_rate, floor_rate, ceiling_rate, most_at_once) = Default::default();
+        WirePlan { name, base_rate, floor_rate, ceiling_rate, most_at_once, price: 1.0 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireCaps {
+    max_attempts: u32,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    second_copies: bool,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    may_probe: bool,
+    #[serde(default)]
+    dial_timeout_ms: Option<f64>,
+    #[serde(default)]
+    keepalive_ms: Option<f64>,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireRules {
+    ask_within_ms: f64,
+    cold_from: f64,
+    cold_ms: f64,
+    fall_ms: f64,
+    fall_multiple: f64,
+    extra_floor: Option<f64>,
+    further_ratio: Option<f64>,
+    budget_span_ms: Option<f64>,
+    key_rest_ms: f64,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireFamily {
+    cold_bears: f64,
+    unit_mean: f64,
+    most_units: f64,
+    fair_worth: f64,
+    idle_worth: f64,
+}
+
+impl Params {
+    /// Names of classes, in the module's order.
+    pub fn classes(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(|c| c.name.as_str())
+    }
+
+    /// Names of plans, in the module's order.
+    pub fn plans(&self) -> impl Iterator<Item = &str> {
+        self.grades.iter().map(|g| g.name.as_str())
+    }
+
+    /// Time within which a connection to a target comes up, ms, where it is told.
+    pub fn dial_timeout_ms(&self) -> Option<f64> {
+        self.caps.dial_timeout_ms.filter(|ms| *ms > 0.0)
+    }
+
+    /// Time after which a target closes an idle connection at the latest, ms, where it is told.
+    pub fn keepalive_ms(&self) -> Option<f64> {
+        self.caps.keepalive_ms.filter(|ms| *ms > 0.0)
+    }
+
+    /// The module's settings.
+    ///
+    /// # Errors
+    /// They name no class, or a budget without its span.
+    pub fn settings(&self) -> Result<Settings, String> {
+        if self.classes.is_empty() {
+            return Err("settings name no class".into());
+        }
+        let classes = self.classes.iter().map(|c| Class {
+            aim: c.aim_ms,
+            aim_stretch: c.aim_stretch,
+            deadline: c.deadline_ms,
+            late_value: c.late_value,
+            worth: c.worth,
+            effect: match (c.semantics, c.group) {
+                (Semantics::Repeatable, _) => Effect::Repeatable,
+                (Semantics::Once, _) => Effect::Once,
+                (Semantics::ByKey, group) => Effect::Keyed {
+                    group: match group {
+                        WireGroup::All => RepeatGroup::All,
+                        WireGroup::Zone => RepeatGroup::Zone,
+                        WireGroup::Cell => RepeatGroup::Cell,
+                    },
+                    window: c.dedup_window_ms,
+                },
+            },
+            in_order: c.in_order,
+        });
+        let plan = |g: &WirePlan| Plan {
+            base_rate: g.base_rate,
+            reserve_rate: g.floor_rate,
+            limit_rate: g.ceiling_rate,
+            limit_burst: g.most_at_once,
+            price: g.price,
+        };
+        let mut plans: Vec<Plan> = self.grades.iter().map(plan).collect();
+        if plans.is_empty() {
+            plans.push(plan(&WirePlan::default()));
+        }
+        let rules = &self.rules;
+        let budget = match (rules.extra_floor, rules.further_ratio, rules.budget_span_ms) {
+            (None, None, None) => None,
+            (floor, ratio, Some(span)) => {
+                Some(Budget { floor: floor.unwrap_or(0.0), ratio: ratio.unwrap_or(0.0), span })
+            }
+            _ => return Err("a budget of attempts without its span".into()),
+        };
+        Ok(Settings {
+            initiators: self.balancers.max(1),
+            classes: classes.collect(),
+            plans,
+            list_on_request: matches!(self.registry_mode, RegistryMode::OnRequest),
+            ask_within: rules.ask_within_ms,
+            max_attempts: self.caps.max_attempts,
+            most_out: if self.caps.second_copies { 2 } else { 1 },
+            may_cancel: self.caps.cancel,
+            may_probe: self.caps.may_probe,
+            max_retry_after: if self.caps.retry_after { self.caps.max_retry_after_ms } else { 0.0 },
+            cold_from: rules.cold_from,
+            cold_time: rules.cold_ms,
+            fall_multiple: rules.fall_multiple,
+            fall_time: rules.fall_ms,
+            cold_bears: self.family_info.cold_bears,
+            key_rest: rules.key_rest_ms,
+            budget,
+            unit_mean: self.family_info.unit_mean,
+            unit_most: self.family_info.most_units,
+            share_worth: self.family_info.fair_worth,
+            spare_worth: self.family_info.idle_worth,
+            tick: self.tick_ms,
+        })
+    }
+}
--- a/crates/flaxstand-proto/src/link.rs
+++ b/crates/flaxstand-proto/src/link.rs
@@ -48,7 +48,12 @@
 impl Outbox {
     /// Adds a frame. Returns the place in the stream at which it ends: see [`Outbox::written`].
     pub fn push(&mut self, frame: &Frame<'_>) -> u64 {
-        encode(frame, &mut self.bytes);
+        self.write(|bytes| encode(frame, bytes))
+    }
+
+    /// The same for what is no frame: `add` puts its bytes behind what waits.
+    pub fn write(&mut self, add: impl FnOnce(&mut Vec<u8>)) -> u64 {
+        add(&mut self.bytes);
         self.written + self.len() as u64
     }
 
