--- a/crates/flaxstand-gateway/src/core/door.rs
+++ b/crates/flaxstand-gateway/src/core/door.rs
@@ -153,7 +153,7 @@
                 return;
             }
             let before = door.reader.len();
-            match door.reader.next() {
+            match door.reader.take() {
                 Ok(Some(request)) => {
                     self.partial_bytes -= before - door.reader.len();
                     (door.asked, door.since) = (door.asked + 1, now);
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -158,7 +158,7 @@
         }
         let begins = link.reader.is_empty();
         link.reader.push(bytes);
-        match link.reader.next() {
+        match link.reader.take() {
             Ok(Some(answer)) => self.link_answered(conn, &answer, now),
             Ok(None) if begins => {
                 link.since = now;
--- a/crates/flaxstand-http/src/read.rs
+++ b/crates/flaxstand-http/src/read.rs
@@ -58,7 +58,7 @@
     ///
     /// # Errors
     /// What comes next is none; nothing behind it can be read either.
-    pub fn next(&mut self) -> Result<Option<Request>, Fault> {
+    pub fn take(&mut self) -> Result<Option<Request>, Fault> {
         // What follows a request is looked at first: a length that is too short shows there.
         let Some((request, end)) = request_at(&self.bytes)? else { return Ok(None) };
         if end < self.bytes.len() && !may_begin(&self.bytes[end..]) {
@@ -134,7 +134,7 @@
     ///
     /// # Errors
     /// It is none.
-    pub fn next(&mut self) -> Result<Option<Answer>, Fault> {
+    pub fn take(&mut self) -> Result<Option<Answer>, Fault> {
         loop {
             let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
             let mut head = httparse::Response::new(&mut fields);
--- a/crates/flaxstand-platform/src/answer.rs
+++ b/crates/flaxstand-platform/src/answer.rs
@@ -45,7 +45,7 @@
         let of = |head: &str| {
             let mut reader = Answers::default();
             reader.push(format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n").as_bytes());
-            Answered::of(&reader.next().unwrap().unwrap())
+            Answered::of(&reader.take().unwrap().unwrap())
         };
         assert_eq!(of("200 OK"), Answered::Served);
         assert_eq!(of("503 Full\r\nX-Not-Processed: 1"), Answered::Full);
--- a/crates/flaxstand-platform/src/request.rs
+++ b/crates/flaxstand-platform/src/request.rs
@@ -183,7 +183,7 @@
         let text = format!("{first} HTTP/1.1\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
         let mut reader = Requests::default();
         reader.push(text.as_bytes());
-        reader.next().unwrap().unwrap()
+        reader.take().unwrap().unwrap()
     }
 
     fn read(request: &Request) -> Result<ClientRequest<'_>, BadRequest> {
@@ -249,14 +249,14 @@
             let r = request(&format!("PUT {PATH}"), &fields, "data");
             assert!(matches!(read(&r), Err(BadRequest::Field(name, _)) if name == GOOD[at].0), "{value:?}");
         }
-        for at in 0..GOOD.len() {
+        for one in GOOD {
             let mut fields = GOOD.to_vec();
-            fields.push(GOOD[at]);
+            fields.push(one);
             let twice = request(&format!("PUT {PATH}"), &fields, "data");
-            assert!(read(&twice).is_err(), "{} twice", GOOD[at].0);
-            fields.retain(|f| f.0 != GOOD[at].0);
+            assert!(read(&twice).is_err(), "{} twice", one.0);
+            fields.retain(|f| f.0 != one.0);
             let missing = request(&format!("PUT {PATH}"), &fields, "data");
-            assert!(read(&missing).is_err(), "{} missing", GOOD[at].0);
+            assert!(read(&missing).is_err(), "{} missing", one.0);
         }
         assert_eq!(read(&request(&format!("POST {PATH}"), &GOOD, "")), Err(BadRequest::Method));
         assert_eq!(read(&request(&format!("GET {PATH}"), &GOOD, "data")), Err(BadRequest::Body));
