Module: a request never sent is given up by half of its client's time; gone nodes leave nothing

Ruled out: our own bound on clients (none were turned away).

Now HOLD, half of the client's time, ends what was never sent; what was sent once is held as before. Nodes that left the list are dropped from the module once nothing of them is out. blend() had one caller and is inlined.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,8 @@
 const LOOK: Ms = 10.0;
 /// A held request is ended this long before its client leaves, ms, beyond one look and one tick.
 const END_MARGIN: Ms = 4.0;
+/// Part of its client's time for which a request is held without an attempt.
+const HOLD: f64 = 0.5;
 /// How long a client that was given up is expected back, ms, and the part of its worth that a repeat has.
 const PATIENCE: Ms = 2000.0;
 const REPEAT: f64 = 0.3;
@@ -72,11 +74,6 @@
     }
 }
 
-/// A running mean; `None` until first told.
-fn blend(old: Option<f64>, new: f64, weight: f64) -> Option<f64> {
-    Some(old.map_or(new, |o| o + weight * (new - o)))
-}
-
 /// Mean work of a request, in units: what it counts is its size rounded up to whole units.
 fn work(units: f64) -> f64 {
     (units - 0.5).max(0.5)
@@ -312,8 +309,8 @@
                 self.fails = 0;
                 self.pass(out.sent, now);
                 let pace = ended.lag / work(out.units);
-                let falling = self.unit_time.is_none_or(|t| pace < t);
-                self.unit_time = blend(self.unit_time, pace, if falling { NEWEST } else { NEWEST / 100.0 });
+                let weight = if self.unit_time.is_none_or(|t| pace < t) { NEWEST } else { NEWEST / 100.0 };
+                self.unit_time = Some(self.unit_time.map_or(pace, |t| t + weight * (pace - t)));
                 let queued = ended.lag - self.cost(out.units, usual);
                 self.heard_queue((queued - NOISE * (ended.lag - queued)).max(0.0), now);
                 if queued <= QUEUE_SHARE * usual.aim + NOISE * (ended.lag - queued) {
@@ -407,6 +404,8 @@
 struct Request {
     a: Arrival,
     due: Ms,
+    /// Until when it may be held without an attempt.
+    hold_until: Ms,
     attempts: Vec<Attempt>,
     /// Where it waits: its fixed node, or for a new object the one drawn.
     node: Option<NodeId>,
@@ -605,6 +604,7 @@
         for entry in entries {
             self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry, now)).told(entry, now);
         }
+        self.nodes.retain(|_, n| n.entry.readiness != Readiness::Gone || !n.out.is_empty());
     }
 
     fn arrived(&mut self, a: Arrival, now: Ms) {
@@ -625,11 +625,12 @@
             beyond: Fading::default(),
         });
         volume.writers = volume.writers.max(f64::from(a.writers));
-        let (attempts, node) = (Vec::new(), None);
+        let hold_until = now + HOLD * (a.valid_until - now);
         let given_up = a.key.and_then(|key| self.given_up.remove(&(a.volume, key)));
         let repeats = given_up.is_some_and(|at| now < at + PATIENCE);
-        let (over, streaming) = (false, false);
-        self.requests.insert(a.id, Request { a, due, attempts, node, over, streaming, repeats });
+        let (attempts, node, over, streaming) = (Vec::new(), None, false, false);
+        let r = Request { a, due, hold_until, attempts, node, over, streaming, repeats };
+        self.requests.insert(r.a.id, r);
     }
 
     fn ended(&mut self, ended: &Ended, now: Ms, actions: &mut Vec<Action>) {
@@ -734,13 +735,13 @@
         }
     }
 
-    /// Held requests get their final answer before the client leaves, whatever their node does; at once where
-    /// by then a cold node's part or the volume's limit would still not let them go.
+    /// Held requests get their final answer before the client leaves, one never sent while it can still ask
+    /// again; at once where by then a cold node's part or the volume's limit would still not let them go.
     fn expire(&mut self, now: Ms, actions: &mut Vec<Action>) {
         let margin = LOOK + self.s.tick + END_MARGIN;
         let ending = |r: &Request| {
-            let last = r.a.valid_until - margin;
             let first = r.attempts.is_empty();
+            let last = if first { r.hold_until } else { r.a.valid_until } - margin;
             let cold = |n: &Node| !n.cold_allows(r.a.units, &self.usual, &self.s, last);
             let full = || self.volumes[&r.a.volume].limit_at(&self.s, last) < r.a.units;
             let never = || first && (full() || r.node.and_then(|id| self.nodes.get(&id)).is_some_and(cold));
@@ -835,7 +836,7 @@
     fn release(&mut self, now: Ms, actions: &mut Vec<Action>) {
         let mut held: BTreeMap<NodeId, Vec<RequestId>> = BTreeMap::new();
         for (id, r) in self.requests.iter().filter(|(_, r)| r.held()) {
-            if let Some(node) = r.node {
+            if let Some(node) = r.node.filter(|id| self.nodes.contains_key(id)) {
                 held.entry(node).or_default().push(*id);
             }
         }
