Module: a lost attempt keeps no place under its node's bound

Node::room counted every attempt that is out. What a later answer or a probe overtook for longer than its own work is lost and keeps no place now. The test fails without the change (3 sent in place of 4).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -209,12 +209,13 @@
         self.fails >= TRIP || self.silent(usual, now)
     }
 
-    /// Depth bound and health: room for one more attempt.
+    /// Depth bound and health: room for one more attempt. What is lost keeps no place.
     fn room(&self, usual: &Usual, now: Ms) -> bool {
         if self.fails >= TRIP {
             return self.out.is_empty() && now >= self.next_canary;
         }
-        (self.out.len() as f64) < self.depth.floor() && (!self.silent(usual, now) || self.canary_due(now))
+        let out = self.out.iter().filter(|o| !self.lost(o, usual, now)).count();
+        (out as f64) < self.depth.floor() && (!self.silent(usual, now) || self.canary_due(now))
     }
 
     /// Wait in the node's queue, ms, as last heard: old word fades to what is heard of all nodes.
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -228,3 +228,25 @@
     host.end(10, 0, Outcome::Error, 200.0);
     assert!(refused(&host.take(), 10), "both failed, and no third is allowed");
 }
+
+#[test]
+fn a_lost_attempt_keeps_no_place_under_its_nodes_bound() {
+    let sent_at_once = |answered: bool| {
+        let mut s = copying();
+        s.classes[1].effect = Effect::Once;
+        let mut host = after_a_loss(s);
+        let first = Arrival { class: ClassId(1), ..arrival(10, Some(0), host.now + 3000.0) };
+        overtaken(&mut host, first);
+        host.pass(10.0);
+        if answered {
+            host.end(10, 0, Outcome::Served, 35.0);
+        }
+        host.pass(100.0);
+        host.take();
+        for id in 20..40 {
+            host.arrive(arrival(id, Some(0), host.now + 3000.0));
+        }
+        host.sends().len()
+    };
+    assert_eq!(sent_at_once(false), sent_at_once(true));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -50,7 +50,7 @@
     assert_eq!(host.brain.pace_of(NodeId(0)), None);
     host.list(ListScope::Full, vec![entry(1, Readiness::Serving, None)]);
     host.pass(20.0);
-    assert_eq!(host.sends(), [(2, 0)]);
+    assert_eq!(host.sends(), [(2, 1)]);
 }
 
 #[test]
