Clients that are connected are served until shortly before the kill after SIGTERM

Their logs: each closed its clients' connections 0.5 s after SIGTERM and ended by itself 0.6 to 1.1 s after it; the next start came 3.8 s after it, and its clients' requests had nowhere to go in between.

Waits.stop_grace now lasts until 0.3 s before the earliest kill (longest deadline + 0.7 s); what is taken meanwhile must be answered 0.15 s before it (Core::answer_by), and the process ends 0.1 s before.

--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -20,10 +20,13 @@
 const RESERVE: usize = 24;
 /// Longest that the list service is asked to wait; twice in the time within which it must be asked.
 const WATCH_MOST: f64 = 20_000.0;
-/// For so long after SIGTERM clients are still sent here; a margin added.
-const STOP_GRACE: Micros = Micros(500_000);
-/// From the last answer that is due after that to the end.
-const STOP_MARGIN: Micros = Micros(100_000);
+/// Longest deadline that the platform waits for after SIGTERM, and how much longer it waits before SIGKILL, ms.
+const DEADLINE_MOST: f64 = 3000.0;
+const KILL_AFTER: f64 = 700.0;
+/// Before that the process ends, and the last requests are taken from clients, ms. Until then clients that are
+/// connected go on asking here: they have nowhere else to go before the next start.
+const END_BEFORE: f64 = 100.0;
+const CLOSE_BEFORE: f64 = 300.0;
 
 fn read(path: &Path) -> Result<Configuration, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -48,14 +51,15 @@
         |told: Option<f64>, factor: f64, default| told.map_or(default, |ms| Micros::from_ms(ms * factor));
     let d = Waits::default();
     let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let killed = longest.min(DEADLINE_MOST) + KILL_AFTER;
     let watch = if settings.ask_within > 0.0 { settings.ask_within / 2.0 } else { WATCH_MOST };
     let waits = Waits {
         dial: ms(c.settings.dial_timeout_ms(), 1.0, d.dial),
         // Well before the node closes it: what crosses that on its way is lost.
         idle: ms(c.settings.keepalive_ms(), 0.6, d.idle),
         watch: Micros::from_ms(watch.min(WATCH_MOST)),
-        stop_grace: STOP_GRACE,
-        stop: Micros::from_ms(longest).after(STOP_GRACE).after(STOP_MARGIN),
+        stop_grace: Micros::from_ms(killed - CLOSE_BEFORE),
+        stop: Micros::from_ms(killed - END_BEFORE),
         ..d
     };
     let info = |name: &str| ClassInfo { name: name.into(), stream: false, buffered: false };
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -159,7 +159,8 @@
             client.owed.insert(client_id, id);
         }
         let time_left = Micros(time_left.into()).since(self.config.site.waits.answer);
-        Ok(Some((id, now.after(time_left))))
+        let valid_until = now.after(time_left);
+        Ok(Some((id, self.answer_by.map_or(valid_until, |by| valid_until.min(by)))))
     }
 
     fn take_request(&mut self, id: RequestId, held: Held, s: &Submit<'_>, now: Micros) {
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -130,6 +130,9 @@
     Stopped,
 }
 
+/// Answers leave this long before a stop has lasted long enough.
+const STOP_MARGIN: Micros = Micros(50_000);
+
 /// Counts since the start. All only grow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -202,6 +205,8 @@
     decided_at: Option<Micros>,
     commands: Vec<Command>,
     phase: Phase,
+    /// Once a stop was asked for: when the last answer must have left.
+    answer_by: Option<Micros>,
     counts: Counts,
 }
 
@@ -264,6 +269,7 @@
             decided_at: None,
             commands: Vec::new(),
             phase: Phase::Running,
+            answer_by: None,
             counts: Counts::default(),
         };
         if let Some(saved) = saved {
@@ -497,6 +503,7 @@
             self.timers.insert((now.after(waits.stop_grace), Timer::GraceEnds));
             info!(held = self.requests.len(), grace_ms = waits.stop_grace.ms(), "stopping");
             self.phase = Phase::Leaving;
+            self.answer_by = Some(now.after(waits.stop.since(STOP_MARGIN)));
             if waits.stop_grace == Micros(0) {
                 self.close_doors(now);
             }
