--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -1,5 +1,6 @@
 //! A core on virtual time between scripted peers: what it writes is read frame by frame, what peers say is
-//! handed to it as bytes.
+//! handed to it as bytes. On the platform's wire what it writes is kept as bytes, and the list service's first
+//! call is answered; all else is the test's to say.
 #![allow(dead_code)]
 
 use flaxstand::api::{Class, Effect, Plan, Settings};
@@ -8,6 +9,7 @@
 use flaxstand_gateway::machine::{Address, Command, ConnId, Machine, Micros};
 use flaxstand_proto::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt::Write as _;
 
 pub const READ: u16 = 0;
 pub const ONCE: u16 = 1;
@@ -142,6 +144,11 @@
     /// What the core wrote on each connection.
     pub said: BTreeMap<ConnId, Vec<Said>>,
     inboxes: BTreeMap<ConnId, Inbox>,
+    wire: Wire,
+    /// On the platform: the bytes that the core wrote on each connection.
+    pub heard: BTreeMap<ConnId, String>,
+    /// Connections called, in their order, with the address.
+    pub dialled: Vec<(ConnId, Address)>,
     /// Connections that the core called and that stand, with the address called.
     pub called: BTreeMap<ConnId, Address>,
     pub closed: BTreeSet<ConnId>,
@@ -216,6 +223,7 @@
 
     fn started(config: Config, nodes: u64, saved: Option<&[u8]>, list_up: bool) -> Self {
         let now = ms(1_000_000);
+        let wire = config.wire;
         let core = Core::new(config, saved, now).expect("the saved list is sound");
         let (said, inboxes, called, closed, blocked) = Default::default();
         let dials = (0..nodes).map(|n| (address(n).parse().unwrap(), Dial::Greets(n))).collect();
@@ -225,6 +233,9 @@
             now,
             said,
             inboxes,
+            wire,
+            heard: BTreeMap::new(),
+            dialled: Vec::new(),
             called,
             closed,
             blocked,
@@ -273,6 +284,7 @@
 
     fn dial(&mut self, conn: ConnId, address: Address) {
         self.calls += 1;
+        self.dialled.push((conn, address.clone()));
         let list = address == "127.0.0.1:1".parse().unwrap();
         let dial = match list {
             true if self.list_up => Dial::Greets(0),
@@ -285,6 +297,9 @@
             Dial::Greets(_) | Dial::Deaf => {
                 self.called.insert(conn, address);
                 self.core.connected(conn, self.now);
+                if self.wire == Wire::Platform {
+                    return;
+                }
                 if let Dial::Greets(id) = dial {
                     let role = if list { Role::List } else { Role::Node };
                     let epoch = self.starts.get(&id).copied().unwrap_or(1);
@@ -305,6 +320,15 @@
     }
 
     fn hear(&mut self, conn: ConnId, bytes: &[u8]) {
+        if self.wire == Wire::Platform {
+            let text = String::from_utf8_lossy(bytes);
+            self.heard.entry(conn).or_default().push_str(&text);
+            if text.starts_with("GET /v1/endpoints HTTP") {
+                let list = self.listing(true);
+                self.answer(conn, "200 OK", &list);
+            }
+            return;
+        }
         let mut heard = Vec::new();
         let brought = &mut self.brought;
         let inbox = self.inboxes.entry(conn).or_default();
@@ -325,6 +349,53 @@
         }
     }
 
+    /// The list in the platform's words.
+    pub fn listing(&self, all: bool) -> String {
+        let mut text = format!(r#"{{"rev":{},"all":{all},"targets":["#, self.revision);
+        for (at, (node, state, shard, address)) in self.list.iter().enumerate() {
+            let state = match state {
+                State::Serving => "up",
+                State::Draining => "draining",
+                State::Gone => "removed",
+            };
+            let comma = if at > 0 { "," } else { "" };
+            let _ = write!(
+                text,
+                r#"{comma}{{"uid":"s-{node}","endpoint":"{address}","az":"a","pod_group":{shard},"state":"{state}"}}"#
+            );
+        }
+        text + "]}"
+    }
+
+    /// A peer answers what it was asked over HTTP.
+    pub fn answer(&mut self, conn: ConnId, status: &str, body: &str) {
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.says(conn, text.as_bytes());
+    }
+
+    /// Bytes of a peer.
+    pub fn says(&mut self, conn: ConnId, bytes: &[u8]) {
+        self.core.received(conn, bytes, self.now);
+    }
+
+    /// What the core wrote there.
+    pub fn heard_on(&self, conn: ConnId) -> &str {
+        self.heard.get(&conn).map_or("", |t| t)
+    }
+
+    /// A client's connection on the platform.
+    pub fn http_client(&mut self) -> ConnId {
+        let conn = self.core.accepted(0, self.now).expect("there is room");
+        self.turn();
+        conn
+    }
+
+    /// Connections to a node on which a request is or was, in the order of calling.
+    pub fn links(&self, node: u64) -> Vec<ConnId> {
+        let at: Address = address(node).parse().unwrap();
+        self.dialled.iter().filter(|(_, a)| *a == at).map(|(c, _)| *c).collect()
+    }
+
     pub fn tell_list(&mut self, conn: ConnId) {
         let list = self.list.clone();
         let entries = list.iter().map(|(node, state, shard, address)| entry(*node, *state, *shard, address));
--- /dev/null
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -0,0 +1,464 @@
+//! The core on the platform's wire: clients, targets and discovery speak HTTP by hand, on virtual time.
+
+mod harness;
+
+use flaxstand_gateway::core::{Bounds, Config, Waits, Wire};
+use flaxstand_gateway::machine::{ConnId, Control, Machine, Reloaded};
+use flaxstand_proto::State;
+use harness::{Dial, World, address, config, ms};
+
+const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
+
+fn platform() -> Config {
+    let mut c = config();
+    c.wire = Wire::Platform;
+    c.site.settings.list_on_request = true;
+    c.site.waits = Waits { idle: ms(18_000), watch: ms(5000), stop_grace: ms(1400), stop: ms(1600), ..c.site.waits };
+    c.bounds = Bounds { clients: 8, links: 6, ..c.bounds };
+    c.site.classes[2].stream = false;
+    c
+}
+
+fn world() -> World {
+    World::new(platform(), 2)
+}
+
+fn ask_as(id: &str, class: &str, shard: i64, timeout: &str) -> String {
+    format!(
+        "GET {PATH} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Qos-Policy: plan\r\nX-Timeout: {timeout}\r\nX-Placement: units=1,shard={shard},hosts=1\r\n\r\n"
+    )
+}
+
+fn ask(id: &str) -> String {
+    ask_as(id, "once", 0, "1.000")
+}
+
+/// A client whose request is out at node 0, and the connection that carries it.
+fn asked(w: &mut World, id: &str) -> (ConnId, ConnId) {
+    let client = w.http_client();
+    w.says(client, ask(id).as_bytes());
+    w.run(5);
+    (client, *w.links(0).last().expect("it was sent"))
+}
+
+fn statuses(w: &World, conn: ConnId) -> Vec<u16> {
+    let heads = w.heard_on(conn).split("HTTP/1.1 ").skip(1);
+    heads.map(|h| h[..3].parse().expect("a status")).collect()
+}
+
+#[test]
+fn a_request_passes_unchanged_and_so_does_its_answer() {
+    let mut w = world();
+    let client = w.http_client();
+    let text = format!(
+        "PUT {PATH}?part=2 HTTP/1.1\r\nHost: h\r\nX-Request-ID: r1\r\nX-Priority-Class: once\r\nX-Qos-Policy: plan\r\n\
+         X-Timeout: 0.5\r\nX-Placement: units=1,shard=0,hosts=1\r\nIdempotency-Key: k-7\r\nContent-Length: 4\r\n\r\ndata"
+    );
+    // Whatever the pieces.
+    for byte in text.as_bytes() {
+        w.says(client, &[*byte]);
+    }
+    w.run(5);
+    let link = w.links(0)[0];
+    let passed = w.heard_on(link).to_owned();
+    assert!(passed.starts_with(&format!("PUT {PATH}?part=2 HTTP/1.1\r\n")), "{passed}");
+    for field in ["X-Request-ID: r1\r\n", "Idempotency-Key: k-7\r\n", "Content-Length: 4\r\n", "X-Timeout: 0.4"] {
+        assert!(passed.contains(field), "{field} in {passed}");
+    }
+    assert!(passed.ends_with("\r\n\r\ndata"));
+    for byte in b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Iops-Used: ??\r\nContent-Length: 5\r\n\r\nb\0dy\n" {
+        w.says(link, &[*byte]);
+    }
+    w.run(5);
+    assert!(w.heard_on(client).starts_with("HTTP/1.1 200 OK\r\n"));
+    assert!(w.heard_on(client).ends_with("Content-Length: 5\r\n\r\nb\0dy\n"));
+    assert!(!w.closed.contains(&link) && !w.closed.contains(&client), "both are kept");
+}
+
+#[test]
+fn what_comes_back_is_the_outcome_that_the_platform_means() {
+    // Of a class that must never run twice: another attempt shows that the first has never run.
+    let after = |what: &dyn Fn(&mut World, ConnId)| {
+        let mut w = world();
+        let (client, link) = asked(&mut w, "r1");
+        what(&mut w, link);
+        w.run(500);
+        let sent = w.links(0).iter().map(|l| w.heard_on(*l).matches("GET /api").count()).sum::<usize>();
+        (sent, statuses(&w, client))
+    };
+    let never = |w: &mut World, link| w.says(link, b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(after(&never).0, 2);
+    assert_eq!(after(&|w, link| w.answer(link, "503 Full", "")), (1, vec![500]));
+    assert_eq!(after(&|w, link| w.answer(link, "500 No", "")), (1, vec![500]));
+    assert_eq!(after(&|w, link| w.core.closed(link, "reset", w.now)), (1, vec![500]));
+    assert_eq!(after(&|_, _| {}), (1, vec![]), "nothing came yet");
+    let mut w = world();
+    w.dials.insert(address(0).parse().unwrap(), Dial::Refused);
+    let client = w.http_client();
+    w.says(client, ask("r1").as_bytes());
+    w.run(300);
+    assert!(w.links(0).len() > 1, "a connection refused: it has never run, and is tried again");
+    w.run(1000);
+    assert_eq!(statuses(&w, client), [503]);
+}
+
+#[test]
+fn spoilt_answers_end_their_attempt_and_their_connection_and_show_nowhere() {
+    let spoilt = [
+        "\u{1}\u{2}noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx",
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nxxxx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nxxxx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nxxxx",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nxxxx\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nxxxx",
+        "HTTP/1.1 200 OK\r\nX-Server-Load: in",
+        "HTTP/9.9 xx\r\n\r\n",
+    ];
+    for text in spoilt {
+        let mut w = world();
+        let (client, link) = asked(&mut w, "r1");
+        w.says(link, text.as_bytes());
+        w.run(300);
+        assert_eq!(statuses(&w, client), [500], "{text:?}");
+        assert!(!w.heard_on(client).contains("xxxx"), "{text:?}");
+        assert!(w.closed.contains(&link), "{text:?}");
+        assert_eq!(w.core.held(), 0);
+    }
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    w.says(link, format!("HTTP/1.1 200 OK\r\n{}", "X: y\r\n".repeat(3000)).as_bytes());
+    w.run(5);
+    assert_eq!(statuses(&w, client), [500], "a head that never ends is cut off at its bound");
+}
+
+#[test]
+fn a_good_answer_with_bytes_behind_it_is_served_and_its_connection_not_used_again() {
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    w.says(link, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    w.run(5);
+    assert_eq!(statuses(&w, client), [200]);
+    assert!(w.closed.contains(&link));
+    let (client, link) = asked(&mut w, "r2");
+    w.answer(link, "200 OK", "ok");
+    w.run(5);
+    assert_eq!(statuses(&w, client), [200]);
+    w.says(link, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    assert!({ w.turn(); w.closed.contains(&link) }, "bytes on an idle connection close it");
+}
+
+#[test]
+fn what_can_not_be_served_gets_an_error_and_reaches_no_node() {
+    let good = ask("r1");
+    let bad = [
+        (good.replace("X-Request-ID: r1\r\n", ""), 400, true),
+        (good.replace("once", "nobody"), 400, true),
+        (good.replace("X-Timeout: 1.000", "X-Timeout: soon"), 400, true),
+        (good.replace("hosts=1", "hosts=99"), 400, true),
+        (good.replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"), 405, true),
+        (good.replace(PATH, "/elsewhere"), 404, true),
+        (good.replace("\r\n\r\n", "\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 501, false),
+        (good.replace("\r\n\r\n", "\r\nContent-Length: -1\r\n\r\n"), 400, false),
+        (good.replace("\r\n\r\n", "\r\nContent-Length: 99999999999999999999\r\n\r\n"), 413, false),
+        (good.replace("GET", "PUT").replace("\r\n\r\n", "\r\nContent-Length: 62914560\r\n\r\nxx"), 413, false),
+        (good.replace("GET", "PUT").replace("\r\n\r\n", "\r\nContent-Length: 2\r\n\r\ntoo long"), 400, false),
+        (good.replace("GET", "PUT"), 411, false),
+        ("\u{3}\u{4}noise\r\n\r\n".into(), 400, false),
+        (format!("GET / HTTP/1.1\r\n{}", "X: y\r\n".repeat(3000)), 431, false),
+    ];
+    for (text, status, kept) in bad {
+        let mut w = world();
+        let client = w.http_client();
+        w.says(client, text.as_bytes());
+        w.run(5);
+        assert_eq!(statuses(&w, client), [status], "{text:?}");
+        assert_eq!((w.core.held(), w.links(0).len()), (0, 0), "{text:?}");
+        w.run(600);
+        assert_eq!(!w.closed.contains(&client), kept, "{text:?}");
+        assert_eq!(w.core.footprint().partial_bytes, 0);
+    }
+}
+
+#[test]
+fn an_id_that_is_open_is_refused_and_free_again_after() {
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    let other = w.http_client();
+    w.says(other, ask("r1").as_bytes());
+    w.run(5);
+    assert_eq!(statuses(&w, other), [409]);
+    w.answer(link, "200 OK", "ok");
+    w.run(5);
+    w.says(other, ask("r1").as_bytes());
+    w.run(5);
+    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.core.held(), 1, "it is served this time");
+}
+
+#[test]
+fn requests_behind_one_another_wait_their_turn() {
+    let mut w = world();
+    let client = w.http_client();
+    w.says(client, (ask("r1") + &ask("r2") + &ask("r3")).as_bytes());
+    for done in 1..=3 {
+        w.run(5);
+        assert_eq!(w.core.held(), 1, "one at a time");
+        let link = *w.links(0).last().unwrap();
+        w.answer(link, "200 OK", "ok");
+        w.run(5);
+        assert_eq!(statuses(&w, client).len(), done);
+    }
+    assert_eq!(w.links(0).len(), 1, "one connection served them all");
+}
+
+#[test]
+fn connections_that_do_not_come_to_a_request_are_closed() {
+    let mut w = world();
+    let (silent, half, slow) = (w.http_client(), w.http_client(), w.http_client());
+    w.says(half, b"PUT /api/x HTTP/1.1\r\nContent-Le");
+    for _ in 0..19 {
+        w.says(slow, b"G");
+        w.run(100);
+    }
+    assert!(![silent, half].iter().any(|c| w.closed.contains(c)));
+    w.run(700);
+    assert!([silent, half, slow].iter().all(|c| w.closed.contains(c)));
+    assert_eq!(statuses(&w, half), [408]);
+    assert_eq!(w.core.clients(), 0);
+    // One that has asked may hold its connection, and ask again.
+    let (client, link) = asked(&mut w, "r1");
+    w.answer(link, "200 OK", "ok");
+    w.run(20_000);
+    assert!(!w.closed.contains(&client));
+    w.says(client, b"GET /ready HTTP/1.1\r\n\r\n");
+    w.run(5);
+    assert_eq!(statuses(&w, client), [200, 200]);
+}
+
+#[test]
+fn a_crowd_of_silent_connections_gives_way_to_clients_that_ask() {
+    let mut w = world();
+    let (busy, _) = asked(&mut w, "r1");
+    let silent: Vec<ConnId> = (0..7).map(|_| w.http_client()).collect();
+    assert!(w.core.accepted(0, w.now).is_err(), "as many as may be, and none of them waits for long");
+    w.run(300);
+    let (other, _) = asked(&mut w, "r2");
+    assert_eq!(silent.iter().filter(|c| w.closed.contains(c)).count(), 1);
+    assert!(![busy, other].iter().any(|c| w.closed.contains(c)));
+}
+
+#[test]
+fn a_client_that_leaves_is_told_to_the_module_and_its_attempt_runs_to_its_end() {
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    w.core.closed(client, "gone", w.now);
+    w.run(5);
+    assert_eq!(w.core.held(), 1);
+    w.answer(link, "200 OK", "ok");
+    w.run(5);
+    assert_eq!((w.core.held(), w.core.counts().abandoned), (0, 1));
+    assert!(!w.closed.contains(&link));
+}
+
+#[test]
+fn giving_up_closes_that_attempts_connection_alone() {
+    let mut w = world();
+    let (first, out) = asked(&mut w, "r1");
+    let (second, other) = asked(&mut w, "r2");
+    assert_ne!(out, other);
+    w.run(500);
+    w.answer(other, "200 OK", "ok");
+    w.run(500);
+    assert_eq!((statuses(&w, first), statuses(&w, second)), (vec![500], vec![200]));
+    assert!(w.closed.contains(&out) && !w.closed.contains(&other));
+}
+
+#[test]
+fn an_attempt_given_up_before_it_left_has_never_run_and_never_does() {
+    let mut w = world();
+    w.dials.insert(address(0).parse().unwrap(), Dial::Lost);
+    let client = w.http_client();
+    w.says(client, ask("r1").as_bytes());
+    w.run(240);
+    assert_eq!(w.links(0).len(), 1, "still being called");
+    w.run(1000);
+    assert_eq!(statuses(&w, client), [503]);
+    assert!(w.links(0).iter().all(|l| w.heard_on(*l).is_empty()));
+    // Written in part: what is left must not follow when the connection is closed.
+    let mut w = world();
+    let (_, link) = asked(&mut w, "r0");
+    w.answer(link, "200 OK", "ok");
+    w.run(5);
+    w.blocked.insert(link);
+    let client = w.http_client();
+    w.says(client, ask("r1").as_bytes());
+    w.run(1100);
+    assert_eq!(statuses(&w, client).len(), 1);
+    assert_eq!(w.heard_on(link).matches("GET /api").count(), 1, "only the first");
+}
+
+#[test]
+fn connections_are_used_newest_first_closed_when_idle_and_bounded() {
+    let mut w = world();
+    let pairs: Vec<_> = (0..3).map(|n| asked(&mut w, &format!("r{n}"))).collect();
+    for (_, link) in &pairs {
+        w.answer(*link, "200 OK", "ok");
+    }
+    w.run(5);
+    let newest = pairs[2].1;
+    for n in 0..15 {
+        let client = pairs[0].0;
+        w.says(client, ask(&format!("s{n}")).as_bytes());
+        w.run(1000);
+        w.answer(newest, "200 OK", "ok");
+        w.run(500);
+    }
+    assert_eq!(w.heard_on(newest).matches("GET /api").count(), 16);
+    assert!(w.closed.contains(&pairs[0].1) && w.closed.contains(&pairs[1].1), "idle for 20 s");
+    assert!(!w.closed.contains(&newest));
+}
+
+#[test]
+fn a_node_that_drains_while_it_is_called_is_not_sent_to() {
+    let mut w = world();
+    w.dials.insert(address(0).parse().unwrap(), Dial::Lost);
+    let client = w.http_client();
+    w.says(client, ask("r1").as_bytes());
+    w.run(100);
+    let list = w.list_conn();
+    w.list[0].1 = State::Draining;
+    w.revision = 2;
+    let changes = w.listing(false);
+    w.answer(list, "200 OK", &changes);
+    w.run(5);
+    let link = w.links(0)[0];
+    w.core.connected(link, w.now);
+    w.run(5);
+    assert_eq!(w.heard_on(link), "");
+}
+
+#[test]
+fn the_list_is_watched_and_a_watch_that_fails_is_taken_up_again() {
+    let mut w = world();
+    let list = w.list_conn();
+    let calls = |w: &World, conn| w.heard_on(conn).matches("GET ").count();
+    assert!(w.heard_on(list).contains("GET /v1/endpoints?since=1&timeout_ms=5000 HTTP/1.1\r\n"));
+    w.list.truncate(1);
+    w.revision = 2;
+    let all = w.listing(true);
+    w.answer(list, "200 OK", &all);
+    w.run(5);
+    assert!(w.heard_on(list).contains("since=2&"), "the next call follows at once");
+    assert_eq!(calls(&w, list), 3);
+    // It fails: the module asks again, ever more rarely, for the whole list or what is newer.
+    w.answer(list, "503 Down", "");
+    w.run(5);
+    assert!(w.closed.contains(&list));
+    w.run(1000);
+    let again = w.list_conn();
+    assert!(w.heard_on(again).contains("since=2&"));
+    // Silence for longer than it may wait is a failure too.
+    w.run(6100);
+    assert!(w.closed.contains(&again));
+    w.run(1000);
+    assert_ne!(w.list_conn(), again);
+    // What can't be read is not taken.
+    let conn = w.list_conn();
+    w.answer(conn, "200 OK", "{\"rev\":3,");
+    w.run(1000);
+    assert!(w.closed.contains(&conn));
+    let client = w.http_client();
+    w.says(client, ask("r1").as_bytes());
+    w.run(5);
+    assert_eq!(w.links(0).len(), 1, "the list held stays in use");
+}
+
+#[test]
+fn a_reload_moves_to_the_new_list_service_and_disturbs_nothing_else() {
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    let (old, new) = (w.list_conn(), "127.0.0.1:2".parse().unwrap());
+    w.dials.insert("127.0.0.1:2".parse().unwrap(), Dial::Greets(0));
+    let bounds = platform().bounds;
+    w.core.control(Control::Reload(Reloaded { bounds, list: new }), w.now);
+    w.run(5);
+    assert!(w.closed.contains(&old));
+    let (conn, at) = w.dialled.last().cloned().unwrap();
+    assert_eq!(at.to_string(), "127.0.0.1:2");
+    assert!(w.heard_on(conn).starts_with("GET /v1/endpoints HTTP/1.1\r\n"), "all of it, once");
+    assert!(w.heard_on(conn).contains("since=1&"));
+    w.answer(link, "200 OK", "ok");
+    w.run(5);
+    assert_eq!(statuses(&w, client), [200]);
+    w.core.control(Control::Reload(Reloaded { bounds, list: "127.0.0.1:2".parse().unwrap() }), w.now);
+    w.run(5);
+    assert!(!w.closed.contains(&conn), "the same address: nothing changes");
+}
+
+#[test]
+fn after_a_stop_connected_clients_are_served_until_shortly_before_the_end() {
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    w.core.control(Control::Stop, w.now);
+    w.run(200);
+    let late = w.http_client();
+    w.says(late, b"GET /ready HTTP/1.1\r\n\r\n");
+    w.run(5);
+    assert_eq!(statuses(&w, late), [503]);
+    w.answer(link, "200 OK", "ok");
+    w.run(900);
+    w.says(client, ask("r2").as_bytes());
+    w.run(5);
+    assert_eq!(w.heard_on(link).matches("GET /api").count(), 2, "still served");
+    w.run(300);
+    assert!(w.closed.contains(&late), "it waits for nothing");
+    assert!(!w.closed.contains(&client) && !w.exited);
+    assert_eq!(statuses(&w, client), [200]);
+    w.run(150);
+    assert_eq!(statuses(&w, client), [200, 500], "answered before the end, though its second is not over");
+    assert!(w.heard_on(client).contains("Connection: close"));
+    w.run(50);
+    assert!(w.exited);
+}
+
+#[test]
+fn nothing_grows_over_thousands_of_replacements_and_requests() {
+    let mut w = world();
+    let mut at_half = None;
+    for n in 0..2000u64 {
+        // A new target takes the place of one of the two.
+        let slot = (n % 2) as usize;
+        let node = 10 + n;
+        w.list[slot] = (node, State::Serving, slot as u32, address(node));
+        w.dials.insert(address(node).parse().unwrap(), Dial::Greets(node));
+        w.revision += 1;
+        let (list, all) = (w.list_conn(), w.listing(true));
+        w.answer(list, "200 OK", &all);
+        w.run(5);
+        let client = w.http_client();
+        w.says(client, ask_as(&format!("r{n}"), "read", slot as i64, "1.0").as_bytes());
+        w.run(5);
+        let link = *w.links(node).last().expect("it was sent");
+        match n % 5 {
+            0 => w.says(link, b"noise"),
+            1 => {}
+            _ => w.answer(link, "200 OK", "ok"),
+        }
+        w.run(50);
+        if n % 3 != 0 {
+            w.core.closed(client, "closed by peer", w.now);
+        }
+        w.dialled.clear();
+        w.heard.clear();
+        w.run(1500);
+        if n == 1000 {
+            at_half = Some(w.core.footprint());
+        }
+    }
+    let (half, end) = (at_half.unwrap(), w.core.footprint());
+    assert!(end.nodes < 60 && end.conns < 40 && end.timers < 200, "{end:?}");
+    assert!(end.nodes <= half.nodes + 2 && end.conns <= half.conns + 4, "{half:?} {end:?}");
+    assert_eq!((end.ids, end.partial_bytes), (w.core.held(), 0));
+}
--- /dev/null
+++ b/crates/flaxstand-http/tests/codec.rs
@@ -0,0 +1,103 @@
+//! Messages split at every place, spoilt in every way that was thought of, and at random.
+
+use flaxstand_http::{Answers, Fault, HEAD_MOST, Request, Requests, write_answer, write_request};
+use proptest::prelude::*;
+
+fn request(bytes: &[u8]) -> Result<Option<Request>, Fault> {
+    let mut reader = Requests::default();
+    reader.push(bytes);
+    reader.take()
+}
+
+#[test]
+fn a_message_is_the_same_however_it_is_cut() {
+    let mut bytes = Vec::new();
+    write_request(&mut bytes, "PUT", "/a?b", &[("Host", &"h"), ("X-A", &1)], Some(b"body"));
+    let whole = request(&bytes).unwrap().unwrap();
+    assert_eq!((whole.fields.one("x-a"), &whole.body[..], whole.keeps), (Some("1"), &b"body"[..], true));
+    let mut answer = Vec::new();
+    write_answer(&mut answer, 200, &[("Retry-After", &0.5)], b"body", true);
+    for cut in 1..bytes.len() {
+        let mut reader = Requests::default();
+        reader.push(&bytes[..cut]);
+        assert_eq!(reader.take(), Ok(None), "cut at {cut}");
+        reader.push(&bytes[cut..]);
+        assert_eq!(reader.take().unwrap().as_ref(), Some(&whole));
+        assert!(reader.is_empty());
+    }
+    for cut in 1..answer.len() {
+        let mut reader = Answers::default();
+        reader.push(&answer[..cut]);
+        assert_eq!(reader.take(), Ok(None), "cut at {cut}");
+        reader.push(&answer[cut..]);
+        let read = reader.take().unwrap().unwrap();
+        assert_eq!((read.status, &read.body[..], read.keeps), (200, &b"body"[..], true));
+    }
+}
+
+#[test]
+fn framing_in_doubt_is_a_fault() {
+    let put = |fields: &str, body: &str| request(format!("PUT / HTTP/1.1\r\n{fields}\r\n{body}").as_bytes());
+    assert_eq!(put("", ""), Err(Fault::NoLength));
+    for length in ["", "-1", "+1", "1,1", "1 1", "0x1", "1.0"] {
+        assert_eq!(put(&format!("Content-Length: {length}\r\n"), "x"), Err(Fault::Length), "{length:?}");
+    }
+    assert_eq!(put("Content-Length: 1\r\nContent-Length: 1\r\n", "x"), Err(Fault::Length));
+    assert_eq!(put("Content-Length: 65537\r\n", ""), Err(Fault::BodyTooLong));
+    assert_eq!(put("Content-Length: 340282366920938463463374607431768211456\r\n", ""), Err(Fault::BodyTooLong));
+    assert_eq!(put("Transfer-Encoding: chunked\r\nContent-Length: 1\r\n", "x"), Err(Fault::Encoding));
+    assert_eq!(put("Transfer-Encoding: identity\r\n", "x"), Err(Fault::Encoding));
+    assert_eq!(put("Content-Length: 1\r\n", "xtail"), Err(Fault::Behind));
+    assert!(matches!(put("Content-Length : 1\r\n", "x"), Err(Fault::Head(_))));
+    assert!(matches!(put("Content-Length: 000000000000000000000000000001\r\n", "x"), Ok(Some(_))));
+    assert!(matches!(put("Content-Length: 1\r\n", "xGET /next HT"), Ok(Some(_))));
+    assert_eq!(request(&vec![b'G'; HEAD_MOST + 1]), Err(Fault::HeadTooLong));
+    assert!(!request(b"GET / HTTP/1.0\r\n\r\n").unwrap().unwrap().keeps);
+    assert!(!request(b"GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n").unwrap().unwrap().keeps);
+}
+
+#[test]
+fn answers_end_where_they_say_or_are_faults() {
+    let answer = |text: &str| {
+        let mut reader = Answers::default();
+        reader.push(text.as_bytes());
+        reader.take()
+    };
+    let body = |text: &str| answer(text).unwrap().map(|a| (String::from_utf8(a.body).unwrap(), a.keeps));
+    let chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(body(&format!("{chunks}2\r\nab\r\n3;x=y\r\ncde\r\n0\r\n\r\n")), Some(("abcde".into(), true)));
+    assert_eq!(body(&format!("{chunks}2\r\nab\r\n0\r\n")), None);
+    assert_eq!(answer(&format!("{chunks}2\r\nabc\r\n")), Err(Fault::Chunk));
+    assert_eq!(answer(&format!("{chunks}fffffffffffffffff\r\n")), Err(Fault::Chunk));
+    assert_eq!(answer(&format!("{chunks}10001\r\n")), Err(Fault::BodyTooLong));
+    assert_eq!(answer("HTTP/1.1 200 OK\r\n\r\n"), Err(Fault::NoLength));
+    assert_eq!(answer("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n"), Err(Fault::BodyTooLong));
+    assert_eq!(body("HTTP/1.1 103 E\r\n\r\nHTTP/1.1 100 C\r\n\r\nHTTP/1.1 204 N\r\n\r\n"), Some((String::new(), true)));
+    assert!(answer("HTTP/1.1 101 Switching\r\n\r\n").is_err());
+    assert_eq!(body("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nabc"), Some(("a".into(), false)), "bytes behind it");
+    assert_eq!(body("HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\na"), Some(("a".into(), false)));
+}
+
+proptest! {
+    #[test]
+    fn garbage_is_read_to_a_fault_or_waits_within_its_bound(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..100),
+        ahead in prop::sample::select(vec!["", "PUT / HTTP/1.1\r\nContent-Length: 70\r\n\r\n", "HTTP/1.1 200 OK\r\n"]),
+    ) {
+        let (mut requests, mut answers) = (Requests::default(), Answers::default());
+        requests.push(ahead.as_bytes());
+        answers.push(ahead.as_bytes());
+        let (mut asked, mut answered) = (true, true);
+        for piece in &pieces {
+            if asked {
+                requests.push(piece);
+                while asked && matches!(requests.take().inspect_err(|_| asked = false), Ok(Some(_))) {}
+                prop_assert!(!asked || requests.len() <= HEAD_MOST);
+            }
+            if answered {
+                answers.push(piece);
+                answered = answers.take().is_ok();
+            }
+        }
+    }
+}
