Answers of targets may have 1 MiB; a body may come slowly as long as it goes on

The log of spoilt answers: 1056 of 1088 'the body is longer than is taken', with good heads of Content-Length 131000 to 400000. Answers::take held them to the requests' BODY_MOST.

ANSWER_MOST is 1 MiB, what is on its way in from all nodes has a bound of its own (a quarter of the memory), and a body has 250 ms to go on, no longer to be whole.

--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -36,11 +36,13 @@
 /// What is held follows from what the process may use: each connection holds one request of bounded size.
 fn bounds(limits: Limits) -> Bounds {
     let sockets = usize::try_from(limits.sockets).unwrap_or(usize::MAX);
+    let memory = usize::try_from(limits.memory_mb << 20).unwrap_or(usize::MAX);
     let clients = sockets / 2;
     Bounds {
         clients,
         links: sockets - clients - RESERVE,
-        partial_bytes: usize::try_from(limits.memory_mb << 20).unwrap_or(usize::MAX) / 8,
+        partial_bytes: memory / 8,
+        answer_bytes: memory / 4,
         ..Bounds::default()
     }
 }
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -56,6 +56,9 @@
     /// Bytes of requests that are not yet whole, over all clients that speak HTTP. The one whose bytes pass it
     /// is told so and closed.
     pub partial_bytes: usize,
+    /// Bytes of answers that are not yet whole, over all nodes that speak HTTP. The one whose bytes pass it is
+    /// taken for spoilt.
+    pub answer_bytes: usize,
     /// Nodes listed, those lately gone included. One more is left out, with a warning.
     pub nodes: usize,
     /// Volumes that were ever used in the process' life. A request of one more is refused.
@@ -75,6 +78,7 @@
             node_bytes: 8 << 20,
             links: 1024,
             partial_bytes: 32 << 20,
+            answer_bytes: 64 << 20,
             nodes: 4096,
             volumes: 1 << 20,
             arrivals: ArrivalRules::default(),
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -177,7 +177,7 @@
     pub nodes: usize,
     /// Timers.
     pub timers: usize,
-    /// Bytes of requests that are not yet whole.
+    /// Bytes of requests and answers that are not yet whole.
     pub partial_bytes: usize,
 }
 
@@ -206,6 +206,8 @@
     open_ids: BTreeSet<String>,
     /// Bytes of requests that are not yet whole.
     partial_bytes: usize,
+    /// Bytes of nodes' answers that are not yet whole.
+    answer_bytes: usize,
     /// Names of zones, in the order of the module's.
     zones: Vec<String>,
     /// Names of classes, in the order of the module's.
@@ -276,6 +278,7 @@
             links: 0,
             open_ids: BTreeSet::new(),
             partial_bytes: 0,
+            answer_bytes: 0,
             zones: Vec::new(),
             class_names,
             volumes: BTreeSet::new(),
@@ -311,7 +314,7 @@
             ids: self.open_ids.len(),
             nodes: self.nodes.len(),
             timers: self.timers.len(),
-            partial_bytes: self.partial_bytes,
+            partial_bytes: self.partial_bytes + self.answer_bytes,
         }
     }
 
@@ -372,7 +375,10 @@
 
     /// Closes a connection from here that nothing hangs on any more.
     fn drop_quietly(&mut self, conn: ConnId) {
-        if self.conns.remove(&conn).is_some() {
+        if let Some(gone) = self.conns.remove(&conn) {
+            if let Inlet::Link(link) = gone.inlet {
+                self.answer_bytes -= link.held();
+            }
             self.commands.push(Command::Close { conn, last: Vec::new() });
         }
     }
@@ -388,6 +394,9 @@
     /// A connection is no more.
     fn lost(&mut self, conn: ConnId, cause: &str, by_us: bool, now: Micros) {
         let Some(gone) = self.conns.remove(&conn) else { return };
+        if let Inlet::Link(link) = &gone.inlet {
+            self.answer_bytes -= link.held();
+        }
         if by_us {
             // What is given up must not leave after all: with its last bytes it would run.
             let pending = if let Inlet::Link(_) = gone.inlet { &[] } else { gone.outbox.pending() };
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -10,8 +10,9 @@
 use std::fmt::Display;
 use tracing::{debug, info};
 
-/// An answer that has begun and is not whole after this is spoilt: targets send theirs in one go.
-const ANSWER_WHOLE: Micros = Micros(250_000);
+/// A head of an answer that is not whole so long after it began, or a body of which nothing more came for so
+/// long, is spoilt.
+const ANSWER_STALLS: Micros = Micros(250_000);
 /// How often idle connections are looked through.
 const SWEEP: Micros = Micros(1_000_000);
 /// A node that is gone is remembered for so long: lists may flap.
@@ -30,7 +31,7 @@
 pub(super) struct Link {
     reader: Answers,
     carries: Option<Carried>,
-    /// When its answer began, or when it fell idle.
+    /// When its answer began, or in a body when it last went on; or when it fell idle.
     since: Micros,
 }
 
@@ -39,6 +40,11 @@
         Link { reader: Answers::default(), carries: Some(carries), since: now }
     }
 
+    /// Bytes held.
+    pub(super) fn held(&self) -> usize {
+        self.reader.len()
+    }
+
     pub(super) fn of_list(now: Micros) -> Self {
         Link::new(Carried::ListCall, now)
     }
@@ -159,12 +165,21 @@
             return self.lost(conn, "bytes that nobody asked for", true, now);
         }
         let begins = link.reader.is_empty();
+        let before = link.reader.len();
         link.reader.push(bytes);
-        match link.reader.take() {
+        let read = link.reader.take();
+        if begins || link.reader.in_body() {
+            link.since = now;
+        }
+        let after = link.reader.len();
+        self.answer_bytes = self.answer_bytes - before + after;
+        match read {
             Ok(Some(answer)) => self.link_answered(conn, &answer, now),
+            Ok(None) if self.answer_bytes > self.config.bounds.answer_bytes => {
+                self.spoilt(conn, &"too much is on its way in from nodes", now);
+            }
             Ok(None) if begins => {
-                link.since = now;
-                self.timers.insert((now.after(ANSWER_WHOLE), Timer::Quiet(conn)));
+                self.timers.insert((now.after(ANSWER_STALLS), Timer::Quiet(conn)));
             }
             Ok(None) => {}
             Err(fault) => self.spoilt(conn, &fault, now),
@@ -173,9 +188,10 @@
 
     /// What came is no answer; what was asked may have run.
     fn spoilt(&mut self, conn: ConnId, why: &dyn Display, now: Micros) {
-        debug!(conn = conn.0, %why, "a spoilt answer");
         self.counts.protocol_faults += 1;
-        let carried = self.link(conn).and_then(|link| link.carries.take());
+        let Some(link) = self.link(conn) else { return };
+        let carried = link.carries.take();
+        debug!(conn = conn.0, %why, begins = link.reader.beginning(), ?carried, "a spoilt answer");
         let at = match self.conns.get(&conn).map(|c| &c.peer) {
             Some(Peer::Node(at)) => Some(*at),
             _ => None,
@@ -294,9 +310,13 @@
     pub(super) fn quiet(&mut self, conn: ConnId, now: Micros) {
         match self.conns.get_mut(&conn) {
             Some(Conn { inlet: Inlet::Link(link), .. }) => {
-                let over = !link.reader.is_empty() && now.since(link.since) >= ANSWER_WHOLE;
-                if over && link.carries.is_some() {
-                    self.spoilt(conn, &"it does not end", now);
+                let due = link.since.after(ANSWER_STALLS);
+                match link.carries.is_some() && !link.reader.is_empty() {
+                    true if due <= now => self.spoilt(conn, &"it does not end", now),
+                    true => {
+                        self.timers.insert((due, Timer::Quiet(conn)));
+                    }
+                    false => {}
                 }
             }
             Some(_) => self.door_quiet(conn, now),
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -263,7 +263,7 @@
         let Some(at) = held.flights.iter().position(|f| f.attempt == attempt) else { return };
         let flight = held.flights.swap_remove(at);
         let lag = now.since(flight.sent).ms();
-        debug!(request = id.0, attempt = attempt.0, lag_ms = lag, "served");
+        debug!(request = id.0, attempt = attempt.0, lag_ms = lag, bytes = payload.len(), "served");
         if held.owner.is_some() {
             let gathered = std::mem::take(&mut held.gathered.1);
             let laid_over = held.merge.map(|_| [&gathered[..], payload].concat());
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -140,6 +140,29 @@
     assert_eq!(statuses(&w, client), [500], "a head that never ends is cut off at its bound");
 }
 
+#[test]
+fn a_large_answer_is_served_however_slowly_its_body_comes_as_long_as_it_does() {
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r1");
+    let body = "x".repeat(400_000);
+    w.says(link, format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes());
+    for part in body.as_bytes().chunks(100_000) {
+        w.run(200);
+        w.says(link, part);
+    }
+    w.run(5);
+    assert_eq!(statuses(&w, client), [200]);
+    assert!(w.heard_on(client).ends_with(&body));
+    assert_eq!(w.core.footprint().partial_bytes, 0);
+    // One that stops short is given up long before its client leaves.
+    let mut w = world();
+    let (client, link) = asked(&mut w, "r2");
+    w.says(link, b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\nxx");
+    w.run(260);
+    assert_eq!(statuses(&w, client), [500]);
+    assert_eq!(w.core.footprint().partial_bytes, 0);
+}
+
 #[test]
 fn a_good_answer_with_bytes_behind_it_is_served_and_its_connection_not_used_again() {
     let mut w = world();
--- a/crates/flaxstand-http/src/lib.rs
+++ b/crates/flaxstand-http/src/lib.rs
@@ -20,7 +20,9 @@
 
 /// Most bytes of a head, its empty line included.
 pub const HEAD_MOST: usize = 8 * 1024;
-/// Most bytes of a body.
+/// Most bytes of a request's body.
 pub const BODY_MOST: usize = 64 * 1024;
+/// Most bytes of an answer's body: targets were seen to send six times what a request may bring.
+pub const ANSWER_MOST: usize = 1024 * 1024;
 /// Most fields of a head.
 pub const FIELDS_MOST: usize = 64;
--- a/crates/flaxstand-http/src/read.rs
+++ b/crates/flaxstand-http/src/read.rs
@@ -1,6 +1,6 @@
 //! Readers: what came of a connection and is not yet a whole message.
 
-use crate::{Answer, BODY_MOST, FIELDS_MOST, Fault, Fields, HEAD_MOST, Request};
+use crate::{ANSWER_MOST, Answer, BODY_MOST, FIELDS_MOST, Fault, Fields, HEAD_MOST, Request};
 
 /// How a message's body ends.
 #[derive(Clone, Copy, Debug)]
@@ -10,14 +10,14 @@
 }
 
 /// The one plain number of `Content-Length`; none: there is no such field.
-fn length(fields: &Fields) -> Result<Option<usize>, Fault> {
+fn length(fields: &Fields, most: usize) -> Result<Option<usize>, Fault> {
     let mut all = fields.all("content-length");
     let Some(value) = all.next() else { return Ok(None) };
     if all.next().is_some() || value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
         return Err(Fault::Length);
     }
     let digits = value.iter().skip_while(|b| **b == b'0');
-    let most = BODY_MOST as u64 + 1;
+    let most = most as u64 + 1;
     let number = digits.fold(0u64, |n, b| n.saturating_mul(10).saturating_add(u64::from(b - b'0')).min(most));
     if number == most { Err(Fault::BodyTooLong) } else { Ok(Some(number as usize)) }
 }
@@ -94,7 +94,7 @@
         return Err(Fault::Encoding);
     }
     let method = head.method.unwrap_or_default();
-    let length = match length(&fields)? {
+    let length = match length(&fields, BODY_MOST)? {
         Some(length) => length,
         // Only a method that has no body by its meaning may leave the length out.
         None if matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") => 0,
@@ -116,6 +116,7 @@
 #[derive(Debug, Default)]
 pub struct Answers {
     bytes: Vec<u8>,
+    in_body: bool,
 }
 
 impl Answers {
@@ -124,6 +125,21 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// How what came since the last answer begins, for a log.
+    pub fn beginning(&self) -> String {
+        self.bytes.iter().take(160).flat_map(|b| b.escape_ascii()).map(char::from).collect()
+    }
+
+    /// Bytes held that are not yet read as an answer.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether the answer's head is here, and what comes is its body.
+    pub fn in_body(&self) -> bool {
+        self.in_body
+    }
+
     /// Whether nothing has come since the last answer.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
@@ -153,15 +169,18 @@
             }
             let fields = Fields::new(head.headers);
             let keeps = lasts(head.version, &fields);
-            let Some((body, end)) = self.body(body_at, status, &fields)? else { return Ok(None) };
+            let Some((body, end)) = self.body(body_at, status, &fields)? else {
+                self.in_body = true;
+                return Ok(None);
+            };
             let keeps = keeps && end == self.bytes.len();
-            self.bytes = Vec::new();
+            *self = Answers::default();
             return Ok(Some(Answer { status, fields, body, keeps }));
         }
     }
 
     fn body(&self, at: usize, status: u16, fields: &Fields) -> Result<Option<(Vec<u8>, usize)>, Fault> {
-        let framing = match (length(fields)?, fields.has("transfer-encoding")) {
+        let framing = match (length(fields, ANSWER_MOST)?, fields.has("transfer-encoding")) {
             // Two ways to say where it ends: one of them is wrong.
             (Some(_), true) => return Err(Fault::Encoding),
             (Some(length), false) => Framing::Length(length),
@@ -200,7 +219,7 @@
                 httparse::Status::Partial => Err(Fault::HeadTooLong),
             };
         }
-        if size > (BODY_MOST - body.len()) as u64 {
+        if size > (ANSWER_MOST - body.len()) as u64 {
             return Err(Fault::BodyTooLong);
         }
         let end = at + size as usize;
