--- a/crates/flaxstand-cli/tests/program.rs
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -5,10 +5,12 @@
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 struct Folder(PathBuf);
 
@@ -554,3 +556,106 @@
     assert_eq!(daemon.ended().0, Some(0));
     assert!(buffer("status", &["--json", &log]).1.contains("\"writes\":2"));
 }
+
+/// A peer on loopback that speaks HTTP: `answer` has the body for the first line and the body of each request, or
+/// none where it says nothing.
+fn peer(answer: impl Fn(&str, &str) -> Option<String> + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, answer) = (stream.unwrap(), Arc::clone(&answer));
+            std::thread::spawn(move || {
+                while let Some((head, body)) = message(&mut stream) {
+                    let Some(said) = answer(head.lines().next().unwrap_or_default(), &body) else { continue };
+                    let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{said}", said.len());
+                }
+            });
+        }
+    });
+    at
+}
+
+/// The next message of a connection: its head, and the body that its length tells.
+fn message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let (mut head, mut byte) = (String::new(), [0]);
+    while !head.ends_with("\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(char::from(byte[0]));
+    }
+    let length =
+        head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |n| n.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, text(&body)))
+}
+
+fn on_platform(file: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxstand"));
+    command.args(["run", "--platform"]).env("RELAY_CONFIG", file).stdin(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+#[test]
+fn an_initiator_on_the_platform_serves_over_a_reload_and_ends_at_a_signal() {
+    let target = peer(|first, body| Some(format!("{first} had {body}")));
+    let entry = format!(
+        r#"{{"uid":"s-1","endpoint":"{target}","az":"a","pod_group":0,"state":"up","capacity_hint":1.0,"boot_ms":0}}"#
+    );
+    let listing = format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#);
+    // A list is told at once, a watch is left to wait.
+    let told = listing.clone();
+    let discovery = peer(move |first, _| (!first.contains("since=")).then(|| told.clone()));
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let configuration = |listen: &str| {
+        format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":128}},"known":{{"rev":0,"all":true,"targets":[]}},
+            "settings":{{"balancers":1,"registryMode":"on_request","tickMs":2.0,
+            "classes":[{{"name":"checkout","aimMs":200.0,"deadlineMs":500.0,"worth":1.0,"semantics":"repeatable"}}],
+            "grades":[{{"name":"gold","price":1.0}}],
+            "caps":{{"maxAttempts":2,"dialTimeoutMs":250.0,"keepaliveMs":30000.0}},
+            "rules":{{"askWithinMs":10000.0}},"familyInfo":{{"unitMean":1.0,"mostUnits":8}}}}}}"#
+        )
+    };
+    let folder = Folder::new("platform");
+    let file = folder.write("config.json", &configuration("nowhere"));
+    let bad = on_platform(&file).output().unwrap();
+    assert_eq!(bad.status.code(), Some(3));
+    assert!(text(&bad.stderr).contains("config.json") && text(&bad.stderr).contains("socket address"));
+    let file = folder.write("config.json", &configuration(&free.to_string()));
+    let daemon = Daemon(on_platform(&file).spawn().unwrap());
+    let started = Instant::now();
+    let mut client = loop {
+        match TcpStream::connect(free) {
+            Ok(client) => break client,
+            Err(e) => assert!(started.elapsed() < Duration::from_secs(10), "not listening: {e}"),
+        }
+    };
+    let mut ask = |what: &str| {
+        client.write_all(what.as_bytes()).unwrap();
+        message(&mut client).expect("an answer")
+    };
+    while !ask("GET /ready HTTP/1.1\r\n\r\n").0.starts_with("HTTP/1.1 200") {
+        assert!(started.elapsed() < Duration::from_secs(10), "never ready");
+    }
+    let put = |id: &str| {
+        format!(
+            "PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Priority-Class: checkout\r\n\
+             X-Qos-Policy: gold\r\nX-Timeout: 0.480\r\nX-Placement: units=2,shard=0,hosts=1\r\nContent-Length: 4\r\n\r\ndata"
+        )
+    };
+    let served = "PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1 had data";
+    assert_eq!(ask(&put("1")).1, served);
+    // A file that makes no sense changes nothing.
+    folder.write("config.json", "{");
+    daemon.signal(Signal::HUP);
+    assert_eq!(ask(&put("2")).1, served);
+    daemon.signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(ask("GET /ready HTTP/1.1\r\n\r\n").0.starts_with("HTTP/1.1 503"));
+    assert_eq!(ask(&put("3")).1, served, "who is connected is served on");
+    let mut daemon = daemon;
+    assert!(daemon.0.wait().unwrap().success());
+}
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -56,8 +56,8 @@
     /// Bytes of requests that are not yet whole, over all clients that speak HTTP. The one whose bytes pass it
     /// is told so and closed.
     pub partial_bytes: usize,
-    /// Bytes of answers that are not yet whole, over all nodes that speak HTTP. The one whose bytes pass it is
-    /// taken for spoilt.
+    /// Bytes of answers that are not yet whole, over all nodes that speak HTTP: the one whose bytes pass it is
+    /// taken for spoilt. Again as many may wait for clients to read them; a large one beyond that fails.
     pub answer_bytes: usize,
     /// Nodes listed, those lately gone included. One more is left out, with a warning.
     pub nodes: usize,
--- a/crates/flaxstand-gateway/src/core/door.rs
+++ b/crates/flaxstand-gateway/src/core/door.rs
@@ -9,7 +9,7 @@
 use super::{Conn, Core, Inlet, Peer, Phase, Stage, Timer};
 use crate::machine::{Command, ConnId, Micros};
 use flaxstand::api::Readiness;
-use flaxstand_http::{Request, Requests, write_answer};
+use flaxstand_http::{BODY_MOST, Request, Requests, write_answer};
 use flaxstand_platform::{ClientRequest, READY, Terms};
 use flaxstand_proto::{Frame, Submit};
 use std::fmt::Display;
@@ -238,6 +238,14 @@
             return;
         }
         match frame {
+            Frame::Served { payload, .. } if !self.has_room(payload.len()) => {
+                debug!(
+                    conn = conn.0,
+                    bytes = payload.len(),
+                    "clients do not read their answers: no room for one"
+                );
+                self.say(conn, 500, &[], b"no room for the answer\n", now);
+            }
             Frame::Served { payload, .. } => self.say(conn, 200, &[], payload, now),
             Frame::Refused { wait: 0, .. } => self.say(conn, 503, &[], b"refused\n", now),
             Frame::Refused { wait, .. } => {
@@ -248,6 +256,14 @@
         }
     }
 
+    /// Guards the memory against clients that read large answers slowly, or not at all: what waits for all of them
+    /// has a bound. An answer beyond it fails.
+    fn has_room(&self, bytes: usize) -> bool {
+        let waits = |c: &Conn| if let Inlet::Door(_) = c.inlet { c.outbox.len() } else { 0 };
+        bytes <= BODY_MOST
+            || bytes + self.conns.values().map(waits).sum::<usize>() <= self.config.bounds.answer_bytes
+    }
+
     /// Answers the request that a client has open.
     fn say(&mut self, conn: ConnId, status: u16, fields: &[(&str, &dyn Display)], body: &[u8], now: Micros) {
         let stays = self.phase != Phase::Stopping;
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -163,6 +163,25 @@
     assert_eq!(w.core.footprint().partial_bytes, 0);
 }
 
+#[test]
+fn large_answers_that_clients_do_not_read_have_a_bound() {
+    let mut c = platform();
+    c.bounds.answer_bytes = 1_000_000;
+    let mut w = World::new(c, 2);
+    let answered: Vec<ConnId> = (0..4)
+        .map(|n| {
+            let (client, link) = asked(&mut w, &format!("r{n}"));
+            w.blocked.insert(client);
+            w.answer(link, "200 OK", &"x".repeat(400_000));
+            w.run(5);
+            client
+        })
+        .collect();
+    let waits = |conn: &ConnId| w.core.outgoing(*conn).len();
+    assert!(answered[..2].iter().all(|c| waits(c) > 400_000));
+    assert!(answered[2..].iter().all(|c| w.core.outgoing(*c).starts_with(b"HTTP/1.1 500")));
+}
+
 #[test]
 fn a_good_answer_with_bytes_behind_it_is_served_and_its_connection_not_used_again() {
     let mut w = world();
