Tidy the platform's wire: one piece each for flights, breaks, carried ends, lingering, held bytes

Read once more. Finding an attempt, what a broken connection proves of it, and noting where it was handed stood in frames' nodes.rs and in pool.rs; the end of what a link carries in four places; lingering in two; the bytes a connection held in three; the daemon's last words in two. Each is one piece now. Answered was Outcome again. Carried probes name their node.

There is one, from the start.

--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -93,10 +93,7 @@
         println!("ready {}", at.join(" "));
         let _ = std::io::stdout().flush();
     }
-    let core = driver.run().map_err(system("the driver failed"))?;
-    if core.counts().overdue > 0 {
-        error!(overdue = core.counts().overdue, "the module left requests without an answer: report this");
-    }
+    let core = run_to_end(driver)?;
     match core.buffer_status(clock()) {
         Some(s) if !serves && s.writes > 0 => Err(Failure::System(format!(
             "{} writes are still buffered, {} of them parked",
@@ -110,6 +107,15 @@
     }
 }
 
+/// Runs an initiator until it is done.
+pub fn run_to_end(driver: Driver<Core>) -> Result<Core, Failure> {
+    let core = driver.run().map_err(system("the driver failed"))?;
+    if core.counts().overdue > 0 {
+        error!(overdue = core.counts().overdue, "the module left requests without an answer: report this");
+    }
+    Ok(core)
+}
+
 /// What the system would not do.
 pub fn system(what: &str) -> impl FnOnce(std::io::Error) -> Failure + use<> {
     let what = what.to_owned();
--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -4,7 +4,7 @@
 //! more than the module does, is off: write-back, storm damping, pacing of clients that come, the saved list.
 
 use crate::Failure;
-use crate::daemon::system;
+use crate::daemon::{run_to_end, system};
 use flaxstand::api::ListScope;
 use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
@@ -99,11 +99,7 @@
     let listen = Address::Tcp(configuration.listen);
     let at = driver.listen(&listen).map_err(system(&format!("cannot listen at {listen}")))?;
     info!(initiator = configuration.name, listen = %at, discovery = %configuration.discovery, "running");
-    let core = driver.run().map_err(system("the driver failed"))?;
-    if core.counts().overdue > 0 {
-        error!(overdue = core.counts().overdue, "the module left requests without an answer: report this");
-    }
-    Ok(())
+    run_to_end(driver).map(drop)
 }
 
 /// Reads what may change anew. A file with problems changes nothing.
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -59,7 +59,8 @@
     /// Bytes of answers that are not yet whole, over all nodes that speak HTTP: the one whose bytes pass it is
     /// taken for spoilt. Again as many may wait for clients to read them; a large one beyond that fails.
     pub answer_bytes: usize,
-    /// Nodes listed, those lately gone included. One more is left out, with a warning.
+    /// Nodes: on frames those ever listed in the process' life, on the platform those listed or lately gone. One
+    /// more is left out, with a warning.
     pub nodes: usize,
     /// Volumes that were ever used in the process' life. A request of one more is refused.
     pub volumes: usize,
--- a/crates/flaxstand-gateway/src/core/door.rs
+++ b/crates/flaxstand-gateway/src/core/door.rs
@@ -282,13 +282,18 @@
     fn turn_away(&mut self, conn: ConnId, status: u16, text: &str, now: Micros) {
         debug!(conn = conn.0, status, text, "closing a connection for what its peer sent");
         self.counts.protocol_faults += 1;
+        self.linger(conn, now);
+        self.put(conn, |bytes| write_answer(bytes, status, &[], format!("{text}\n").as_bytes(), false));
+    }
+
+    /// Nothing more is read of a client; what still comes is dropped for a while.
+    fn linger(&mut self, conn: ConnId, now: Micros) {
         let Some(door) = self.door(conn) else { return };
         let held = door.held();
         door.reader = Requests::default();
         (door.flow, door.since) = (Flow::Lingering(LINGER_BYTES), now);
         self.partial_bytes -= held;
         self.timers.insert((now.after(LINGER), Timer::Quiet(conn)));
-        self.put(conn, |bytes| write_answer(bytes, status, &[], format!("{text}\n").as_bytes(), false));
     }
 
     /// Something was written, or added: the next request can be read once all is written.
@@ -305,13 +310,7 @@
         match door.flow {
             Flow::Open => self.read_door(conn, now),
             // What it sent behind its last request is not read; a close now could take the answer with it.
-            Flow::LastAnswer => {
-                let held = door.held();
-                door.reader = Requests::default();
-                (door.flow, door.since) = (Flow::Lingering(LINGER_BYTES), now);
-                self.partial_bytes -= held;
-                self.timers.insert((now.after(LINGER), Timer::Quiet(conn)));
-            }
+            Flow::LastAnswer => self.linger(conn, now),
             Flow::Lingering(_) => {}
         }
         if full {
@@ -342,13 +341,13 @@
 
     /// Nothing new is taken: connections without a request are closed, the others after their answer.
     pub(super) fn part_with_clients(&mut self, now: Micros) {
-        let mut free = Vec::new();
-        for (conn, c) in &mut self.conns {
-            let (Peer::Client(client), Inlet::Door(door)) = (&c.peer, &mut c.inlet) else { continue };
-            if client.owed.is_empty() && c.outbox.is_empty() && door.reader.is_empty() {
-                free.push(*conn);
+        let free = |c: &Conn| match (&c.peer, &c.inlet) {
+            (Peer::Client(client), Inlet::Door(door)) => {
+                client.owed.is_empty() && c.outbox.is_empty() && door.reader.is_empty()
             }
-        }
+            _ => false,
+        };
+        let free: Vec<ConnId> = self.conns.iter().filter(|(_, c)| free(c)).map(|(conn, _)| *conn).collect();
         free.into_iter().for_each(|conn| self.lost(conn, "stopping", true, now));
     }
 }
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -212,9 +212,7 @@
 
     pub(super) fn take_told(&mut self, scope: ListScope, revision: u64, told: Vec<Told>, now: Micros) {
         if scope != ListScope::Changes {
-            for node in self.nodes.values_mut().filter(|n| n.readiness != Readiness::Gone) {
-                (node.readiness, node.gone_at) = (Readiness::Gone, now);
-            }
+            self.nodes.values_mut().for_each(|n| n.is_now(Readiness::Gone, now));
         }
         let told: Vec<NodeEntry> = told.into_iter().filter_map(|e| self.take_entry(e, now)).collect();
         info!(?scope, revision, entries = told.len(), "node list");
@@ -256,12 +254,9 @@
             node.incarnation = e.incarnation;
             node.booted_at = e.booted_at;
         }
-        if e.readiness == Readiness::Gone && node.readiness != Readiness::Gone {
-            node.gone_at = now;
-        }
+        node.is_now(e.readiness, now);
         let moved = node.address != address;
-        (node.readiness, node.shard, node.zone, node.size) = (e.readiness, e.shard, e.zone, e.size);
-        node.address = address;
+        (node.shard, node.zone, node.size, node.address) = (e.shard, e.zone, e.size, address);
         // Told with the entry that tells it and not kept: it holds for that start of the node alone.
         let entry = NodeEntry { pace: e.pace, ..node.entry(id) };
         info!(node = %e.name, state = ?e.readiness, shard = e.shard, address = e.address, "listed");
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -295,6 +295,9 @@
         if let Some(saved) = saved {
             core.take_saved_list(saved, now)?;
         }
+        if core.on_platform() {
+            core.timers.insert((now, Timer::Sweep));
+        }
         if !core.config.site.settings.list_on_request {
             core.timers.insert((now, Timer::ListCall));
         }
@@ -375,14 +378,22 @@
 
     /// Closes a connection from here that nothing hangs on any more.
     fn drop_quietly(&mut self, conn: ConnId) {
-        if let Some(gone) = self.conns.remove(&conn) {
-            if let Inlet::Link(link) = gone.inlet {
-                self.answer_bytes -= link.held();
-            }
+        if self.take_conn(conn).is_some() {
             self.commands.push(Command::Close { conn, last: Vec::new() });
         }
     }
 
+    /// Takes a connection out; what it held of a message is held no more.
+    fn take_conn(&mut self, conn: ConnId) -> Option<Conn> {
+        let gone = self.conns.remove(&conn)?;
+        match &gone.inlet {
+            Inlet::Door(door) => self.partial_bytes -= door.held(),
+            Inlet::Link(link) => self.answer_bytes -= link.held(),
+            Inlet::Frames(_) => {}
+        }
+        Some(gone)
+    }
+
     /// Closes a connection from here and settles what hung on it.
     fn hang_up(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
         if self.speaks_frames(conn) {
@@ -393,26 +404,17 @@
 
     /// A connection is no more.
     fn lost(&mut self, conn: ConnId, cause: &str, by_us: bool, now: Micros) {
-        let Some(gone) = self.conns.remove(&conn) else { return };
-        if let Inlet::Link(link) = &gone.inlet {
-            self.answer_bytes -= link.held();
-        }
+        let Some(gone) = self.take_conn(conn) else { return };
         if by_us {
             // What is given up must not leave after all: with its last bytes it would run.
             let pending = if let Inlet::Link(_) = gone.inlet { &[] } else { gone.outbox.pending() };
             self.commands.push(Command::Close { conn, last: pending.to_vec() });
         }
         match (gone.peer, gone.inlet) {
-            (Peer::Client(client), inlet) => {
-                if let Inlet::Door(door) = inlet {
-                    self.partial_bytes -= door.held();
-                }
-                self.client_lost(conn, &client, cause, now);
-            }
+            (Peer::Client(client), _) => self.client_lost(conn, &client, cause, now),
             (Peer::Node(node), Inlet::Link(link)) => {
                 self.link_lost(conn, node, &link, gone.outbox.written(), cause, now);
             }
-            (Peer::List, Inlet::Link(_)) => self.list_lost(gone.stage, cause, now),
             (Peer::Node(node), _) => {
                 self.node_lost(conn, node, gone.stage, gone.outbox.written(), cause, now)
             }
@@ -527,7 +529,7 @@
             Timer::Probe(node, token) => {
                 self.probed(node, token, Outcome::TimedOut);
                 if self.on_platform() {
-                    self.hang_up_probe(token, now);
+                    self.hang_up_probe(node, token, now);
                 }
             }
             Timer::ListCall => self.call_list(now),
@@ -687,7 +689,7 @@
         self.look_at_weather(now);
         self.settle_buffer(now);
         self.tell(now);
-        if std::mem::take(&mut self.list.unsaved) && !self.on_platform() {
+        if std::mem::take(&mut self.list.unsaved) {
             self.commands.push(Command::Save(self.saved_list(now)));
         }
         let woken = self.wake_at.is_some_and(|at| at <= now);
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -59,6 +59,14 @@
 }
 
 impl NodePeer {
+    /// The list speaks of it.
+    pub(super) fn is_now(&mut self, readiness: Readiness, now: Micros) {
+        if readiness == Readiness::Gone && self.readiness != Readiness::Gone {
+            self.gone_at = now;
+        }
+        self.readiness = readiness;
+    }
+
     pub(super) fn new(name: NodeName, address: Address) -> Self {
         NodePeer {
             name,
@@ -101,11 +109,11 @@
     pub(super) fn send_attempt(&mut self, id: RequestId, attempt: AttemptNo, at: NodeId, now: Micros) {
         let Some(node) = self.node(at) else { return };
         node.out.insert((id, attempt));
+        let conn = node.conn;
         if self.on_platform() {
             return self.carry(at, Carried::Attempt(id, attempt), now);
         }
-        let Some(node) = self.node(at) else { return };
-        let open = match node.conn {
+        let open = match conn {
             Some(conn) => self.is_open(conn).then_some(conn),
             None => {
                 self.dial(at, now);
@@ -130,11 +138,11 @@
         self.timers.insert((ends, Timer::Probe(at, token)));
         let Some(node) = self.node(at) else { return };
         node.probe = Some((token, ends));
+        let conn = node.conn;
         if self.on_platform() {
-            return self.carry(at, Carried::Probe(token), now);
+            return self.carry(at, Carried::Probe(at, token), now);
         }
-        let Some(node) = self.node(at) else { return };
-        if let Some(conn) = node.conn.filter(|conn| self.is_open(*conn)) {
+        if let Some(conn) = conn.filter(|conn| self.is_open(*conn)) {
             self.push(conn, &Frame::Probe { token });
         }
     }
@@ -188,10 +196,8 @@
         self.counts.attempts += 1;
         if let Some(held) = self.requests.get_mut(&id) {
             held.payload = payload;
-            if let Some(flight) = held.flights.iter_mut().find(|f| f.attempt == attempt) {
-                flight.handed = Some((conn, ends));
-            }
         }
+        self.note_handed(id, attempt, conn, ends);
     }
 
     pub(super) fn node_greeted(
@@ -261,17 +267,14 @@
             info!(node = %node.name, cause, out = out.len(), ?stage, "connection to a node lost");
         }
         for (id, attempt) in out {
-            let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
-            let left = flight.and_then(|f| f.handed).is_some_and(|(c, ends)| c == conn && ends <= written);
-            self.end_attempt(id, attempt, if left { Outcome::Reset } else { Outcome::ConnectFailed }, now);
+            self.broken_off(id, attempt, conn, written, now);
         }
     }
 
     /// Whether this word of an attempt comes from where it was sent; else nobody waits for it any more.
     fn flies(&mut self, conn: ConnId, request: u64, attempt: u32) -> Option<(RequestId, AttemptNo)> {
         let (id, attempt) = (RequestId(request), AttemptNo(attempt));
-        let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
-        if flight.and_then(|f| f.handed).is_some_and(|(c, _)| c == conn) {
+        if self.flight(id, attempt).and_then(|f| f.handed).is_some_and(|(c, _)| c == conn) {
             return Some((id, attempt));
         }
         self.counts.late_outcomes += 1;
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -2,11 +2,12 @@
 //! list service's. An answer is held whole before anything of it goes on; a connection whose answer is
 //! spoilt, or brings more than belongs to it, is not used again. Giving up an attempt closes its connection.
 
+use super::nodes::NodePeer;
 use super::{Conn, Core, Inlet, Peer, Stage, Timer};
 use crate::machine::{Command, ConnId, Micros};
 use flaxstand::api::{AttemptNo, NodeId, Outcome, Readiness, RequestId};
 use flaxstand_http::{Answer, Answers, write_request};
-use flaxstand_platform::{Answered, HEALTH, field};
+use flaxstand_platform::{HEALTH, field, outcome_of};
 use std::fmt::Display;
 use tracing::{debug, info};
 
@@ -22,7 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Carried {
     Attempt(RequestId, AttemptNo),
-    Probe(u64),
+    Probe(NodeId, u64),
     ListCall,
 }
 
@@ -70,15 +71,7 @@
         let address = node.address.clone();
         if self.links >= self.config.bounds.links && !self.close_longest_idle(now) {
             debug!(links = self.links, "no connection to be had");
-            match what {
-                Carried::Attempt(id, attempt) => self.end_attempt(id, attempt, Outcome::Moot, now),
-                Carried::Probe(token) => self.probed(at, token, Outcome::Moot),
-                Carried::ListCall => {}
-            }
-            return;
-        }
-        if self.links == 0 {
-            self.timers.insert((now.after(SWEEP), Timer::Sweep));
+            return self.end_carried(what, Outcome::Moot, now);
         }
         self.links += 1;
         let conn = self.new_conn(Peer::Node(at), Stage::Dialing, Inlet::Link(Link::new(what, now)));
@@ -89,28 +82,23 @@
         }
     }
 
-    fn note_handed(&mut self, id: RequestId, attempt: AttemptNo, conn: ConnId, ends: u64) {
-        let flight =
-            self.requests.get_mut(&id).and_then(|r| r.flights.iter_mut().find(|f| f.attempt == attempt));
-        if let Some(flight) = flight {
-            flight.handed = Some((conn, ends));
+    /// What a connection carried has ended without being served.
+    fn end_carried(&mut self, what: Carried, outcome: Outcome, now: Micros) {
+        match what {
+            Carried::Attempt(id, attempt) => self.end_attempt(id, attempt, outcome, now),
+            Carried::Probe(at, token) => self.probed(at, token, outcome),
+            // Its connection's end is word enough.
+            Carried::ListCall => {}
         }
     }
 
     /// A new connection stands.
     pub(super) fn link_stands(&mut self, conn: ConnId, now: Micros) {
-        let dial = self.config.site.waits.dial;
-        let Some(c) = self.conns.get(&conn) else { return };
-        let since = if let Inlet::Link(link) = &c.inlet { link.since } else { now };
-        self.timers.remove(&(since.after(dial), Timer::Dial(conn)));
-        let (peer, carried) = match (&c.peer, &c.inlet) {
-            (Peer::Node(at), Inlet::Link(link)) => (Some(*at), link.carries),
-            _ => (None, None),
-        };
-        if let (Some(at), Some(Carried::Attempt(id, attempt))) = (peer, carried) {
+        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.conns.get(&conn) else { return };
+        if let (Peer::Node(at), Some(Carried::Attempt(id, attempt))) = (peer, link.carries) {
             // The node began to drain while it was called: guards the rule on drains. Or the request was answered
             // meanwhile, or its client left: its payload is gone, and what would be sent is none of a client's.
-            let drains = self.nodes.get(&at).is_none_or(|n| n.readiness != Readiness::Serving);
+            let drains = self.nodes.get(at).is_none_or(|n| n.readiness != Readiness::Serving);
             if drains || !self.is_owed(id) {
                 self.free(conn, now);
                 return self.end_attempt(id, attempt, Outcome::Moot, now);
@@ -147,7 +135,7 @@
                 }
                 self.note_handed(id, attempt, conn, ends);
             }
-            Some(Carried::Probe(_)) => {
+            Some(Carried::Probe(..)) => {
                 self.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
             }
             Some(Carried::ListCall) => {
@@ -192,40 +180,29 @@
         let Some(link) = self.link(conn) else { return };
         let carried = link.carries.take();
         debug!(conn = conn.0, %why, begins = link.reader.beginning(), ?carried, "a spoilt answer");
-        let at = match self.conns.get(&conn).map(|c| &c.peer) {
-            Some(Peer::Node(at)) => Some(*at),
-            _ => None,
-        };
         self.lost(conn, "a spoilt answer", true, now);
-        match (carried, at) {
-            (Some(Carried::Attempt(id, attempt)), _) => self.end_attempt(id, attempt, Outcome::Error, now),
-            (Some(Carried::Probe(token)), Some(at)) => self.probed(at, token, Outcome::Error),
-            _ => {}
+        if let Some(carried) = carried {
+            self.end_carried(carried, Outcome::Error, now);
         }
     }
 
     fn link_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
-        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.conns.get_mut(&conn) else { return };
-        let (at, carried) = (if let Peer::Node(at) = peer { Some(*at) } else { None }, link.carries.take());
-        if carried == Some(Carried::ListCall) {
+        let Some(carried) = self.link(conn).and_then(|link| link.carries.take()) else { return };
+        if carried == Carried::ListCall {
             return self.list_answered(conn, answer, now);
         }
-        let Some(at) = at else { return };
         // Freed first: what the answer leads to may use it again.
         if answer.keeps {
             self.free(conn, now)
         } else {
             self.lost(conn, "it is not kept", true, now)
         }
-        let answered = Answered::of(answer);
-        match carried {
-            Some(Carried::Attempt(id, attempt)) if answered == Answered::Served => {
-                let shard = self.nodes.get(&at).map_or(0, |n| n.shard);
-                self.served(id, attempt, shard, &answer.body, now);
+        match (carried, outcome_of(answer)) {
+            (Carried::Attempt(id, attempt), Outcome::Served) => {
+                // Which shard it is from, no client on this wire is told.
+                self.served(id, attempt, 0, &answer.body, now);
             }
-            Some(Carried::Attempt(id, attempt)) => self.end_attempt(id, attempt, answered.outcome(), now),
-            Some(Carried::Probe(token)) => self.probed(at, token, answered.outcome()),
-            _ => {}
+            (carried, outcome) => self.end_carried(carried, outcome, now),
         }
     }
 
@@ -267,16 +244,11 @@
         }
         match link.carries {
             Some(Carried::Attempt(id, attempt)) => {
-                let flight =
-                    self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
-                let left =
-                    flight.and_then(|f| f.handed).is_some_and(|(c, ends)| c == conn && ends <= written);
-                debug!(request = id.0, cause, left, "an attempt's connection is lost");
-                let outcome = if left { Outcome::Reset } else { Outcome::ConnectFailed };
-                self.end_attempt(id, attempt, outcome, now);
+                debug!(request = id.0, cause, "an attempt's connection is lost");
+                self.broken_off(id, attempt, conn, written, now);
             }
-            Some(Carried::Probe(token)) => self.probed(at, token, Outcome::ConnectFailed),
-            _ => {}
+            Some(carried) => self.end_carried(carried, Outcome::ConnectFailed, now),
+            None => {}
         }
     }
 
@@ -298,9 +270,9 @@
     }
 
     /// A probe is not waited for any longer.
-    pub(super) fn hang_up_probe(&mut self, token: u64, now: Micros) {
-        let carries =
-            |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries == Some(Carried::Probe(token)));
+    pub(super) fn hang_up_probe(&mut self, at: NodeId, token: u64, now: Micros) {
+        let probe = Some(Carried::Probe(at, token));
+        let carries = |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries == probe);
         if let Some(conn) = self.conns.iter().find(|(_, c)| carries(c)).map(|(conn, _)| *conn) {
             self.lost(conn, "a probe took too long", true, now);
         }
@@ -325,7 +297,7 @@
     }
 
     fn close_longest_idle(&mut self, now: Micros) -> bool {
-        let first = |n: &super::nodes::NodePeer| n.idle.first().copied();
+        let first = |n: &NodePeer| n.idle.first().copied();
         let since = |conn: &ConnId| match self.conns.get(conn).map(|c| &c.inlet) {
             Some(Inlet::Link(link)) => link.since,
             _ => now,
@@ -343,7 +315,7 @@
         let old = |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries.is_none() && now.since(l.since) >= idle);
         let old: Vec<ConnId> = self.conns.iter().filter(|(_, c)| old(c)).map(|(conn, _)| *conn).collect();
         old.into_iter().for_each(|conn| self.lost(conn, "idle", true, now));
-        let forgotten = |n: &super::nodes::NodePeer| {
+        let forgotten = |n: &NodePeer| {
             n.readiness == Readiness::Gone && n.out.is_empty() && now.since(n.gone_at) >= REMEMBERED
         };
         let gone: Vec<NodeId> = self.nodes.iter().filter(|(_, n)| forgotten(n)).map(|(id, _)| *id).collect();
@@ -354,9 +326,7 @@
                 self.node_ids.remove(&node.name);
             }
         }
-        if self.links > 0 || self.nodes.values().any(|n| n.readiness == Readiness::Gone) {
-            self.timers.insert((now.after(SWEEP), Timer::Sweep));
-        }
+        self.timers.insert((now.after(SWEEP), Timer::Sweep));
     }
 
     /// Closes a node's idle connections: its address is no longer what they lead to.
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -205,6 +205,34 @@
         self.requests.get(&id).is_some_and(|r| matches!(r.owner, Some(Owner::Client(..))))
     }
 
+    /// An attempt that is out, or waits for its node's connection.
+    pub(super) fn flight(&self, id: RequestId, attempt: AttemptNo) -> Option<&Flight> {
+        self.requests.get(&id)?.flights.iter().find(|f| f.attempt == attempt)
+    }
+
+    /// An attempt is in a connection's outbox, and ends there.
+    pub(super) fn note_handed(&mut self, id: RequestId, attempt: AttemptNo, conn: ConnId, ends: u64) {
+        let flights = self.requests.get_mut(&id).map(|r| &mut r.flights);
+        if let Some(flight) = flights.and_then(|f| f.iter_mut().find(|f| f.attempt == attempt)) {
+            flight.handed = Some((conn, ends));
+        }
+    }
+
+    /// An attempt's connection is no more, after so many bytes were written: if its last was not among them it
+    /// can't have run, else it may have.
+    pub(super) fn broken_off(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptNo,
+        conn: ConnId,
+        written: u64,
+        now: Micros,
+    ) {
+        let handed = self.flight(id, attempt).and_then(|f| f.handed);
+        let left = handed.is_some_and(|(c, ends)| c == conn && ends <= written);
+        self.end_attempt(id, attempt, if left { Outcome::Reset } else { Outcome::ConnectFailed }, now);
+    }
+
     /// Whether anybody waits for it.
     pub(super) fn is_owed(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|r| r.owner.is_some())
@@ -311,8 +339,7 @@
 
     /// An attempt is not waited for any longer, and its node told; one never handed over has not run.
     pub(super) fn call_off(&mut self, id: RequestId, attempt: AttemptNo, outcome: Outcome, now: Micros) {
-        let flight = self.requests.get(&id).and_then(|r| r.flights.iter().find(|f| f.attempt == attempt));
-        let Some(handed) = flight.map(|f| f.handed) else { return };
+        let Some(handed) = self.flight(id, attempt).map(|f| f.handed) else { return };
         if let Some((conn, ends)) = handed.filter(|_| self.on_platform()) {
             return self.hang_up_attempt(conn, ends, (id, attempt), outcome, now);
         }
--- a/crates/flaxstand-gateway/src/core/watch.rs
+++ b/crates/flaxstand-gateway/src/core/watch.rs
@@ -17,12 +17,13 @@
 const ZONES_MOST: usize = 64;
 
 impl Core {
-    /// What to ask next, and until when it must be answered.
-    pub(super) fn next_list_call(&mut self) -> String {
+    /// What to ask next.
+    pub(super) fn next_list_call(&self) -> String {
         let wait = self.config.site.waits.watch;
         list_call(self.list.revision.map(|revision| (revision, wait.0 / 1000)))
     }
 
+    /// It was asked: from now on its answer is waited for.
     pub(super) fn list_call_written(&mut self, now: Micros) {
         let wait = self.config.site.waits.watch.after(OVERDUE);
         self.timers.retain(|(_, timer)| *timer != Timer::ListSilence);
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -399,6 +399,18 @@
     assert!(!w.closed.contains(&newest));
 }
 
+#[test]
+fn idle_connections_are_looked_through_by_one_timer_however_often_the_last_is_closed() {
+    let mut w = world();
+    for n in 0..40 {
+        let (_, link) = asked(&mut w, &format!("r{n}"));
+        w.says(link, b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+        w.run(300);
+    }
+    w.run(3000);
+    assert!(w.core.footprint().timers <= 2, "{:?}: the list's, and one that sweeps", w.core.footprint());
+}
+
 #[test]
 fn a_node_that_drains_while_it_is_called_is_not_sent_to() {
     let mut w = world();
--- a/crates/flaxstand-platform/src/lib.rs
+++ b/crates/flaxstand-platform/src/lib.rs
@@ -2,7 +2,7 @@
 //! lists, what an initiator is told at its start. No I/O, no decisions; it knows no core.
 //!
 //! - [`ClientRequest`]: a client's request, checked
-//! - [`Answered`]: what a target's answer says of an attempt
+//! - [`outcome_of`]: what a target's answer says of an attempt
 //! - [`Listing`]: the list of targets, whole or changes
 //! - [`Configuration`], [`Params`]: the configuration and the settings in it
 #![forbid(unsafe_code)]
@@ -13,7 +13,7 @@
 mod request;
 mod settings;
 
-pub use answer::Answered;
+pub use answer::outcome_of;
 pub use configuration::{Configuration, ConfigurationError, Limits};
 pub use discovery::{Listing, Target, TargetState, list_call};
 pub use request::{BadRequest, ClientRequest, Terms};
