The storage trait, the folder and the faulty disk in a package that two logs can share

flaxstand-store holds what flaxstand-buffer had: segments by number, batches of calls, the folder on files and the disk that loses what was not synced. The agreed log is to write through the same.

--- a/crates/flaxstand-buffer/src/buffer.rs
+++ b/crates/flaxstand-buffer/src/buffer.rs
@@ -1,13 +1,14 @@
 //! The buffer: plain calls in, [`Action`]s out. The core calls it for every write (and every read that names
 //! a place), tells it how tries and batches ended, and does what it says.
 
-use crate::log::{Batch, Kind, Log, LogCounts};
+use crate::log::{Kind, Log, LogCounts};
 use crate::order::{Entry, Found, Freed, Item, Next, Order, Run, Stage};
 use crate::pressure::{Admission, Space, admit};
 use crate::record::{Place, Record, Seq, Wall, Write};
 use crate::recover::{Live, Recovered};
 use crate::writeout::{Ended, Level, RepeatBudget, WriteOut};
 use flaxstand_proto::Micros;
+use flaxstand_store::Batch;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{info, warn};
 
--- a/crates/flaxstand-buffer/src/lib.rs
+++ b/crates/flaxstand-buffer/src/lib.rs
@@ -1,6 +1,6 @@
 //! The write-back buffer: a write is acknowledged when it is durable on this host, and goes out to its node
-//! later. `docs/write-back.md` states what is promised. Nothing here but [`folder`] touches a file, and
-//! nothing reads a clock: the initiator's core owns a [`Buffer`], its driver carries out the [`Batch`]es.
+//! later. `docs/write-back.md` states what is promised. Nothing here touches a file or
+//! reads a clock: the initiator's core owns a [`Buffer`], its driver carries out the batches (`flaxstand-store`).
 //!
 //! - [`buffer`]: ties the parts together; what the core calls
 //! - [`order`]: what may go to a node now: places, barriers, rests
@@ -9,12 +9,9 @@
 //! - [`image`]: writes laid over each other and over a node's data
 //! - [`log`]: batches, segments, what may be removed; [`record`]: their bytes; [`recover`]: reading them back
 //! - [`offline`]: what operators do with a log that no process uses
-//! - [`storage`]: what a log needs of a disk; [`folder`]: on files; [`faulty`]: with faults, for tests
 #![forbid(unsafe_code)]
 
 pub mod buffer;
-pub mod faulty;
-pub mod folder;
 pub mod image;
 pub mod log;
 pub mod offline;
@@ -22,14 +19,10 @@
 pub mod pressure;
 pub mod record;
 pub mod recover;
-pub mod storage;
 pub mod writeout;
 
 pub use buffer::{Action, Buffer, Config, Expired, Offer, ReadBack, Rules, Status, Ticket, TryEnd, TryId};
 pub use flaxstand_proto::Micros;
-pub use folder::Folder;
-pub use log::Batch;
 pub use offline::Verdict;
 pub use record::{Place, Seq, Write};
 pub use recover::{Live, RecoverError, Recovered, recover, salvage};
-pub use storage::{Storage, perform};
--- a/crates/flaxstand-buffer/src/log.rs
+++ b/crates/flaxstand-buffer/src/log.rs
@@ -7,6 +7,7 @@
 
 use crate::record::{BATCH_HEAD, HEADER, Header, Record, Seq, VERSION, encode_batch};
 use flaxstand_proto::Micros;
+use flaxstand_store::{Batch, StoreOp};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A segment is closed once it is as long as this, bytes.
@@ -16,28 +17,6 @@
 /// First and longest wait before a failed batch is tried again.
 const AGAIN: (Micros, Micros) = (Micros(10_000), Micros(1_000_000));
 
-/// One call of the storage.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StoreOp {
-    /// See [`crate::Storage::create`].
-    Create(u64),
-    /// See [`crate::Storage::append`].
-    Append(u64, Vec<u8>),
-    /// See [`crate::Storage::sync`].
-    Sync(u64),
-    /// See [`crate::Storage::sync_folder`].
-    SyncFolder,
-    /// See [`crate::Storage::remove`].
-    Remove(u64),
-}
-
-/// What the storage is to do next, in order, up to the first failure.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Batch {
-    /// The calls.
-    pub ops: Vec<StoreOp>,
-}
-
 #[derive(Debug, Default)]
 struct Segment {
     len: u64,
--- a/crates/flaxstand-buffer/src/offline.rs
+++ b/crates/flaxstand-buffer/src/offline.rs
@@ -1,10 +1,9 @@
 //! What operators do with the log of an initiator that is stopped.
 
-use crate::log::Batch;
 use crate::record::{Record, Seq};
 use crate::recover::{Live, RecoverError, recover};
-use crate::storage::{Storage, perform};
 use flaxstand_proto::Micros;
+use flaxstand_store::{Batch, Storage, perform};
 
 /// What an operator decides of a parked write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/flaxstand-buffer/tests/promises/main.rs
+++ b/crates/flaxstand-buffer/tests/promises/main.rs
@@ -3,8 +3,8 @@
 mod model;
 mod rig;
 
-use flaxstand_buffer::faulty::Faults;
 use flaxstand_buffer::{Micros, Place};
+use flaxstand_store::faulty::Faults;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
--- a/crates/flaxstand-buffer/tests/promises/rig.rs
+++ b/crates/flaxstand-buffer/tests/promises/rig.rs
@@ -3,13 +3,13 @@
 
 use crate::model::{Data, Promises, Told, cells};
 use flaxstand_buffer::buffer::Buffering;
-use flaxstand_buffer::faulty::{Faults, Faulty};
 use flaxstand_buffer::image::lay;
-use flaxstand_buffer::log::StoreOp;
 use flaxstand_buffer::offline;
 use flaxstand_buffer::record::Wall;
 use flaxstand_buffer::writeout::RepeatBudget;
 use flaxstand_buffer::*;
+use flaxstand_store::faulty::{Faults, Faulty};
+use flaxstand_store::{Batch, Storage as _, StoreOp, perform};
 use std::collections::BTreeMap;
 
 pub const REPEATABLE: u16 = 0;
--- a/crates/flaxstand-cli/src/daemon.rs
+++ b/crates/flaxstand-cli/src/daemon.rs
@@ -2,11 +2,12 @@
 
 use crate::Failure;
 use crate::kit::{read, told};
-use flaxstand_buffer::{Folder, Recovered, Storage, recover};
+use flaxstand_buffer::{Recovered, recover};
 use flaxstand_gateway::core::Core;
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
 use flaxstand_gateway::machine::{Control, Machine as _, Micros, Reloaded};
 use flaxstand_gateway::settings::{Daemon, read_daemon};
+use flaxstand_store::{Folder, Storage};
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -4,7 +4,7 @@
 //! part of each connection, so that none starves the others), let the machine settle, do what it wants.
 
 use crate::machine::{Address, Command, ConnId, Control, Machine, Micros, Reloaded, Sink};
-use flaxstand_buffer::{Batch, Storage, perform};
+use flaxstand_store::{Batch, Storage, perform};
 use rustix::event::{Timespec, epoll};
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::{Errno, read, write};
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -81,7 +81,7 @@
     /// Add these bytes to one of the machine's files. A stand-in's records, written before its answers.
     Append(Sink, Vec<u8>),
     /// Carry this batch out on the machine's log; `stored` follows. One at a time.
-    Store(flaxstand_buffer::Batch),
+    Store(flaxstand_store::Batch),
     /// Take no more connections.
     StopListening,
     /// Write a line to standard output.
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -4,10 +4,10 @@
 #![allow(dead_code)]
 
 use flaxstand::api::{Class, Effect, Plan, Settings};
-use flaxstand_buffer::Batch;
 use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
 use flaxstand_gateway::machine::{Address, Command, ConnId, Machine, Micros};
 use flaxstand_proto::*;
+use flaxstand_store::Batch;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write as _;
 
--- a/crates/flaxstand-gateway/tests/writeback.rs
+++ b/crates/flaxstand-gateway/tests/writeback.rs
@@ -2,11 +2,12 @@
 
 mod harness;
 
-use flaxstand_buffer::faulty::{Faults, Faulty};
-use flaxstand_buffer::{Rules, Storage as _, perform, recover};
+use flaxstand_buffer::{Rules, recover};
 use flaxstand_gateway::core::{Config, Core, WriteBack};
 use flaxstand_gateway::machine::{ConnId, Control, Machine as _, Micros};
 use flaxstand_proto::*;
+use flaxstand_store::faulty::{Faults, Faulty};
+use flaxstand_store::{Storage as _, perform};
 use harness::*;
 
 const ORDER: u16 = 0;
--- /dev/null
+++ b/crates/flaxstand-store/src/lib.rs
@@ -0,0 +1,12 @@
+//! What a durable log needs of a disk. The write-back log and the agreed log both write through it.
+//!
+//! - [`storage`]: segments by number, and batches of calls on them; [`folder`]: on files; [`faulty`]: a disk
+//!   with faults, for tests and for rehearsals on virtual time
+#![forbid(unsafe_code)]
+
+pub mod faulty;
+pub mod folder;
+pub mod storage;
+
+pub use folder::Folder;
+pub use storage::{Batch, Storage, StoreOp, perform};
--- a/crates/flaxstand-buffer/src/storage.rs
+++ b/crates/flaxstand-store/src/storage.rs
@@ -1,6 +1,5 @@
-//! What the log needs of a disk, and how a batch of it is carried out.
+//! What a log needs of a disk, and how a batch of it is carried out.
 
-use crate::log::{Batch, StoreOp};
 use std::io;
 
 /// Segments by number. What was appended is durable once `sync` returned well, what was created or removed
@@ -25,6 +24,28 @@
     fn set_aside(&mut self, segment: u64) -> io::Result<()>;
 }
 
+/// One call of the storage.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreOp {
+    /// See [`Storage::create`].
+    Create(u64),
+    /// See [`Storage::append`].
+    Append(u64, Vec<u8>),
+    /// See [`Storage::sync`].
+    Sync(u64),
+    /// See [`Storage::sync_folder`].
+    SyncFolder,
+    /// See [`Storage::remove`].
+    Remove(u64),
+}
+
+/// What the storage is to do next, in order, up to the first failure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The calls.
+    pub ops: Vec<StoreOp>,
+}
+
 /// Carries a batch out, in order, up to the first failure.
 ///
 /// # Errors
