--- a/crates/flaxstand-cli/tests/program.rs
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -597,6 +597,38 @@
     command
 }
 
+/// The platform refuses Unix sockets, io_uring and further processes, and a thread beyond the driver's has nothing to
+/// do there: what needs a disk, and with it the log's thread, is off.
+fn holds_what_the_platform_allows(process: u32) {
+    let own = |what: &str| PathBuf::from(format!("/proc/{process}/{what}"));
+    let unix = std::fs::read_to_string(own("net/unix")).unwrap();
+    let unix: Vec<&str> = unix.lines().skip(1).filter_map(|l| l.split_whitespace().nth(6)).collect();
+    let mut sockets = 0;
+    for descriptor in std::fs::read_dir(own("fd")).unwrap() {
+        let leads = std::fs::read_link(descriptor.unwrap().path()).unwrap();
+        let leads = leads.to_str().unwrap();
+        assert!(!leads.contains("io_uring"), "{leads}");
+        // Its log, if the pipe of this test is one, and standard input are not its own.
+        let regular = leads.starts_with('/') && !leads.starts_with("/dev/");
+        assert!(!regular, "a file stays open: {leads}");
+        if let Some(inode) = leads.strip_prefix("socket:[").and_then(|l| l.strip_suffix(']')) {
+            assert!(!unix.contains(&inode), "a Unix socket, inode {inode}");
+            sockets += 1;
+        }
+    }
+    assert!(sockets >= 3, "a listener, this client and discovery at least: {sockets}");
+    let threads: Vec<String> = std::fs::read_dir(own("task"))
+        .unwrap()
+        .map(|t| std::fs::read_to_string(t.unwrap().path().join("comm")).unwrap().trim().to_owned())
+        .collect();
+    assert_eq!(threads, ["flaxstand"], "one thread");
+    let children = std::fs::read_to_string(own(&format!("task/{process}/children"))).unwrap_or_default();
+    assert_eq!(children.trim(), "", "no further process");
+    // An ELF file that the system's loader completes: the platform's library could not be loaded into another.
+    let maps = std::fs::read_to_string(own("maps")).unwrap();
+    assert!(maps.contains("libc.so") || maps.contains("libc-"), "linked dynamically against the C library");
+}
+
 #[test]
 fn an_initiator_on_the_platform_serves_over_a_reload_and_ends_at_a_signal() {
     let target = peer(|first, body| Some(format!("{first} had {body}")));
@@ -648,6 +680,7 @@
     };
     let served = "PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1 had data";
     assert_eq!(ask(&put("1")).1, served);
+    holds_what_the_platform_allows(daemon.0.id());
     // A file that makes no sense changes nothing.
     folder.write("config.json", "{");
     daemon.signal(Signal::HUP);
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -11,7 +11,7 @@
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{self, Write as _};
+use std::io::{self, PipeReader, PipeWriter, Write as _};
 use std::net::TcpListener;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
@@ -106,19 +106,25 @@
     pub reload: Option<Reload>,
 }
 
+/// A pipe whose end here is never waited for. Not a pair of Unix sockets: the platform knows none.
+fn bell() -> io::Result<(PipeReader, PipeWriter)> {
+    let (ours, theirs) = io::pipe()?;
+    rustix::io::ioctl_fionbio(&ours, true)?;
+    Ok((ours, theirs))
+}
+
 /// The thread that carries batches out.
 struct Disk {
     batches: Sender<Batch>,
     done: Receiver<io::Result<()>>,
     /// Readable when a batch is done.
-    bell: UnixStream,
+    bell: PipeReader,
 }
 
 impl Disk {
     /// The thread ends with this.
     fn start(mut storage: Box<dyn Storage>) -> io::Result<Disk> {
-        let (bell, ring) = UnixStream::pair()?;
-        bell.set_nonblocking(true)?;
+        let (bell, ring) = bell()?;
         let (batches, todo) = channel::<Batch>();
         let (tell, done) = channel();
         std::thread::Builder::new().name("log".into()).spawn(move || {
@@ -140,7 +146,7 @@
     sockets: BTreeMap<ConnId, Socket>,
     /// Given up for a moment when descriptors run out, to take a client and tell it goodbye.
     spare: Option<OwnedFd>,
-    signals: Vec<(UnixStream, Signal)>,
+    signals: Vec<(PipeReader, Signal)>,
     disk: Option<Disk>,
     input: Vec<u8>,
     options: Options,
@@ -167,8 +173,7 @@
             (signal_hook::consts::SIGINT, Signal::Stop),
             (signal_hook::consts::SIGHUP, Signal::Reload),
         ] {
-            let (ours, theirs) = UnixStream::pair()?;
-            ours.set_nonblocking(true)?;
+            let (ours, theirs) = bell()?;
             signal_hook::low_level::pipe::register(number, theirs)?;
             let data = epoll::EventData::new_u64(SIGNAL | signals.len() as u64);
             epoll::add(&epoll, &ours, data, epoll::EventFlags::IN)?;
