The agreed log: keepers elect a leader and keep one durable log, on virtual time

A keeper whose disk is lost draws a new incarnation and has no vote. One on an old copy of its folder is found out: each letter tells its sender's life and how many promises it has written down, whoever acts on it notes both, and a life that begins with less is told so.

Not attached to the program yet.

--- /dev/null
+++ b/crates/flaxstand-agree/src/identity.rs
@@ -0,0 +1,157 @@
+//! Who a keeper is after a start.
+//!
+//! - **The first electorate.** The first keeper by the settings founds the agreement once *all* others have told
+//!   it, in answer to this very life, that they belong to none. A founder that lost its disk hears from somebody
+//!   that there is an agreement, and asks to be taken in like any other.
+//! - **A lost disk.** A keeper whose folder is empty or damaged draws a new incarnation. No electorate knows it, so
+//!   it has no vote; the leader takes it in, by two changes of the electorate, once the one of that name before it
+//!   has been silent for long.
+//! - **An old copy.** Each start is a life, durable before anything is said, and each letter tells how many promises
+//!   (terms, votes, entries) its sender has written down. Whoever acts on a letter has noted both, durably. A life
+//!   that begins with fewer promises than were heard of is that of an old copy. After a start a keeper neither votes nor confirms until so many others have said that they saw no later life
+//!   of it that every majority it may have been part of has one of them: both others of three, three of four; or
+//!   until as many others say that they lost their disks as may at a time. Whoever hears of a later life renounces
+//!   itself and comes back as new. The price: of three keepers, one that starts while another is silent has no
+//!   vote until that one is back, or another machine was started under its name.
+
+use crate::journal::State;
+use crate::keeper::{Keeper, Planted, Role};
+use crate::letter::{Body, Letter, Life, Member, Seen};
+use crate::log::Snapshot;
+use flaxstand_proto::Micros;
+use rand_core::RngCore;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{info, warn};
+
+impl Keeper {
+    /// One that is new calls: the founder to found, the others to be taken in.
+    pub(crate) fn call_as_new(&mut self, now: Micros) {
+        if self.config.names.first() != Some(&self.config.name) || self.founded_elsewhere {
+            return self.call_all(&Body::Newcomer);
+        }
+        let named: BTreeSet<&str> = self.fresh.iter().map(|m| m.name.as_str()).collect();
+        let all = self.config.names.iter().all(|n| *n == self.config.name || named.contains(n.as_str()));
+        if all { self.found(now) } else { self.call_all(&Body::AskFresh) }
+    }
+
+    fn found(&mut self, now: Micros) {
+        let mut electorate: Vec<Member> = std::mem::take(&mut self.fresh).into_iter().collect();
+        electorate.push(self.state.me.clone());
+        electorate.sort();
+        info!(?electorate, "founding the agreement");
+        self.state.cluster = self.rng.next_u64() | 1;
+        self.state.written += 1;
+        self.state.term = 1;
+        let state = self.config.begins_with.clone();
+        self.state.log.snapshot = Snapshot { index: 1, term: 1, electorate, state };
+        self.committed = 1;
+        self.tell_state();
+        self.journal.renew(1);
+        self.put_off_election(now);
+    }
+
+    pub(crate) fn asked_fresh(&mut self, founder: &Member) {
+        let body = if self.state.cluster == 0 { Body::Fresh } else { Body::Formed };
+        self.tell(founder, body);
+    }
+
+    /// The last word of a name counts: it may have been started anew meanwhile.
+    pub(crate) fn heard_fresh(&mut self, from: Member) {
+        if self.state.cluster == 0 {
+            self.fresh.retain(|m| m.name != from.name);
+            self.fresh.insert(from);
+        }
+    }
+
+    pub(crate) fn heard_formed(&mut self) {
+        if self.state.cluster == 0 && !self.founded_elsewhere {
+            info!("there is an agreement already: asking to be taken in");
+            self.founded_elsewhere = true;
+        }
+    }
+
+    /// After a start: the others are asked before anything is promised.
+    pub(crate) fn ask_after_later_lives(&mut self) {
+        // Also where the folder knows of no vote: a later life may have had one.
+        if self.config.names.len() > 1 && self.config.planted != Planted::OldCopyVotes {
+            self.unsure = Some(BTreeMap::new());
+        }
+    }
+
+    /// One more says that no later life was seen, or that it lost its own disk.
+    pub(crate) fn life_seen(&mut self, from: Member, member: bool) {
+        let electorate = self.electorate();
+        let Some(asked) = &mut self.unsure else { return };
+        asked.insert(from.name, member);
+        let voters = if electorate.is_empty() { self.config.names.len() } else { electorate.len() };
+        let minority = (voters - 1) / 2;
+        let word = asked.values().filter(|member| **member).count();
+        // One that is new has nothing to say of lives, but that the member of its name is lost.
+        let is_lost =
+            |(name, member): &(&String, &bool)| !**member && electorate.iter().any(|e| e.name == **name);
+        let lost = asked.iter().filter(is_lost).count();
+        // Every majority with this keeper in it has one of those asked; or as many lost their disks as ever may at
+        // a time, so that this is not one of them.
+        if word >= voters - voters / 2 || lost > 0 && lost >= minority {
+            info!(life = self.state.life.count, "no later life was seen: taking part");
+            self.unsure = None;
+        }
+    }
+
+    /// Whether the letter comes from its sender's newest life. An older one, or one that begins with less than was
+    /// heard of it before, is told so, and its letter dropped.
+    pub(crate) fn newest_life(&mut self, letter: &Letter) -> bool {
+        let heard = Seen { life: letter.life, written: letter.written };
+        match self.state.seen.get(&letter.from) {
+            // What comes late in one life says less.
+            Some(newest) if letter.life == newest.life && heard.written <= newest.written => true,
+            Some(newest) if letter.life.superseded_by(*newest) => {
+                let newest = *newest;
+                self.tell(&letter.from, Body::Superseded(newest));
+                false
+            }
+            _ => {
+                self.note_seen(letter.from.clone(), heard);
+                true
+            }
+        }
+    }
+
+    /// Guards against an old copy of the folder: what this keeper promised beyond it, it does not know.
+    pub(crate) fn superseded(&mut self, newest: Seen) {
+        // A letter of an earlier life that came late is answered so too.
+        if self.state.life.superseded_by(newest) {
+            warn!(own = ?self.state.life, ?newest, "more was heard of this keeper than it knows");
+            self.renounce("its folder is an old copy");
+        }
+    }
+
+    /// Comes back as another, that promised nothing yet.
+    pub(crate) fn renounce(&mut self, why: &str) {
+        warn!(why, "coming back as a new keeper");
+        let me = Member { name: self.config.name.clone(), incarnation: self.rng.next_u64() };
+        let life = Life { count: 1, nonce: self.rng.next_u64(), began: 0 };
+        self.state = State::fresh(me, life);
+        self.role = Role::Follower;
+        (self.leader, self.leader_heard, self.unsure) = (None, None, None);
+        self.founded_elsewhere = true;
+        self.drop_all_held();
+        self.journal.renew(0);
+    }
+
+    /// Of a leader: whether a sender's name belongs to another incarnation, as all agreed. Guards against a folder
+    /// put back from before its keeper was replaced: it would ask for votes for ever.
+    pub(crate) fn replaced(&self, from: &Member) -> bool {
+        let (since, electorate) = self.state.log.electorate();
+        self.leads()
+            && since <= self.committed
+            && electorate.iter().any(|m| m.name == from.name && m.incarnation != from.incarnation)
+    }
+
+    /// One that is new wants to be taken in.
+    pub(crate) fn newcomer(&mut self, from: Member, now: Micros) {
+        if let Role::Leader(leading) = &mut self.role {
+            leading.learner(from, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-agree/src/keeper.rs
@@ -0,0 +1,487 @@
+//! One keeper: letters, moments and word of the disk in; letters, batches and what is agreed on out.
+
+use crate::journal::{Journal, Record, State};
+use crate::leading::Leading;
+use crate::letter::{Body, Letter, Life, Member, Seen};
+use crate::log::{Entry, What};
+use flaxstand_proto::Micros;
+use flaxstand_store::Batch;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use thiserror::Error;
+use tracing::{debug, info, warn};
+
+/// Most bytes of a change.
+pub const CHANGE_MOST: usize = 128 << 10;
+/// Most bytes of what the owner makes of all changes.
+pub const STATE_MOST: usize = 768 << 10;
+/// Most bytes of entries in one letter, where one entry alone is not larger.
+pub const LETTER_MOST: usize = 256 << 10;
+/// Most entries that are not agreed on yet. A change beyond them has to wait.
+pub const OPEN_MOST: u64 = 16;
+/// Letters that wait for the disk, most. The oldest is dropped then: all that matters is said again.
+const HELD_MOST: usize = 256;
+/// Lives of others that are remembered, most; beyond that those that are not in the electorate go.
+const SEEN_MOST: usize = 64;
+
+/// Faults that tests plant to see that they would be caught. Never set in service.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Planted {
+    /// None.
+    #[default]
+    None,
+    /// An entry of an earlier term counts as committed by the number of its holders.
+    EarlierTermCommitted,
+    /// Letters do not wait for the disk.
+    ToldBeforeDurable,
+    /// Votes are not written down.
+    VoteNotWritten,
+    /// After a start nobody is asked whether a later life was seen.
+    OldCopyVotes,
+    /// A vote is given to a candidate whose log is older.
+    OlderLogElected,
+    /// A leader that hears no majority stays.
+    LeaderStaysAlone,
+    /// An entry that does not fit what is here is taken all the same.
+    GapTaken,
+}
+
+/// What a keeper is told of itself and the others.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Names of all keepers. The first of them founds the agreement when all are new.
+    pub names: Vec<String>,
+    /// A keeper that hears no leader for this long, and up to twice as long by lot, wants to be elected.
+    pub election: Micros,
+    /// How often a leader speaks; a quarter of `election` or less.
+    pub heartbeat: Micros,
+    /// Seed of its random numbers; another one at each start.
+    pub seed: u64,
+    /// What a new agreement begins with.
+    pub begins_with: Vec<u8>,
+    /// A planted fault.
+    #[doc(hidden)]
+    pub planted: Planted,
+}
+
+/// What is agreed on, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Agreed {
+    /// The change at this index.
+    Change(u64, Vec<u8>),
+    /// What the owner made of all changes up to this index, in place of what it has.
+    State(u64, Vec<u8>),
+}
+
+/// Why a change was not taken.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum ProposeError {
+    /// Only the leader takes changes.
+    #[error("not the leader; {}", leader.as_ref().map_or("none is known".to_owned(), |l| format!("{l} is")))]
+    NotLeader {
+        /// Its name, where one is known.
+        leader: Option<String>,
+    },
+    /// Too much is not agreed on yet.
+    #[error("{OPEN_MOST} changes are not agreed on yet: try again later")]
+    Busy,
+    /// It is too large.
+    #[error("a change of {0} bytes, at most {CHANGE_MOST} are taken")]
+    TooLarge(usize),
+}
+
+/// What a keeper is at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It belongs to no agreement yet, or lost its disk, and asks to be taken in.
+    New,
+    /// It waits for the others' word that its folder is no old copy. It neither votes nor confirms.
+    Unsure,
+    /// It is in no electorate.
+    Learner,
+    /// It follows.
+    Follower,
+    /// It wants to be elected.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// A keeper's state, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// What it is.
+    pub standing: Standing,
+    /// Who it is.
+    pub me: Member,
+    /// How often it started.
+    pub life: u64,
+    /// Its term.
+    pub term: u64,
+    /// The leader, where one is known.
+    pub leader: Option<String>,
+    /// All up to there is agreed on.
+    pub committed: u64,
+    /// The last entry here.
+    pub last: u64,
+    /// Who votes.
+    pub electorate: Vec<Member>,
+    /// Of a leader: members that it has not heard for an election's time.
+    pub silent: Vec<String>,
+    /// Its disk does not take what has to be durable.
+    pub disk_fails: bool,
+}
+
+#[derive(Debug)]
+pub(crate) enum Role {
+    Follower,
+    Candidate { pre: bool, granted: BTreeSet<Member> },
+    Leader(Leading),
+}
+
+/// A keeper.
+#[derive(Debug)]
+pub struct Keeper {
+    pub(crate) config: Config,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) state: State,
+    pub(crate) journal: Journal,
+    pub(crate) role: Role,
+    pub(crate) committed: u64,
+    /// Up to there the owner was told.
+    told: u64,
+    pub(crate) leader: Option<Member>,
+    pub(crate) leader_heard: Option<Micros>,
+    pub(crate) election_at: Micros,
+    /// Others that said since the start that no later life was seen, and whether they are members; none: it is sure.
+    pub(crate) unsure: Option<BTreeMap<String, bool>>,
+    /// Of a founder: others that are new too.
+    pub(crate) fresh: BTreeSet<Member>,
+    /// A new founder heard that there is an agreement already.
+    pub(crate) founded_elsewhere: bool,
+    pub(crate) call_at: Micros,
+    held: VecDeque<(u64, Letter)>,
+    agreed: VecDeque<Agreed>,
+}
+
+impl Keeper {
+    /// A keeper that starts, with what its folder held and the segments in it.
+    pub fn start(config: Config, found: Option<State>, segments: Vec<u64>, now: Micros) -> Keeper {
+        let mut rng = Pcg64Mcg::seed_from_u64(config.seed);
+        let nonce = rng.next_u64();
+        // One that belongs to no agreement promised nothing under its incarnation, and may be an old copy.
+        let mut state = found.filter(|s| s.cluster != 0).unwrap_or_else(|| {
+            let me = Member { name: config.name.clone(), incarnation: rng.next_u64() };
+            State::fresh(me, Life::default())
+        });
+        state.life = Life { count: state.life.count + 1, nonce, began: state.written };
+        let mut journal = Journal::new(segments);
+        journal.renew(state.log.last());
+        let committed = state.log.snapshot.index;
+        let mut keeper = Keeper {
+            rng,
+            journal,
+            role: Role::Follower,
+            committed,
+            told: committed,
+            leader: None,
+            leader_heard: None,
+            election_at: now,
+            unsure: None,
+            fresh: BTreeSet::new(),
+            founded_elsewhere: false,
+            call_at: now,
+            held: VecDeque::new(),
+            agreed: VecDeque::new(),
+            config,
+            state,
+        };
+        if keeper.state.cluster != 0 {
+            keeper.agreed.push_back(Agreed::State(committed, keeper.state.log.snapshot.state.clone()));
+            keeper.ask_after_later_lives();
+        }
+        keeper.put_off_election(now);
+        keeper
+    }
+
+    /// A letter came.
+    pub fn receive(&mut self, letter: Letter, now: Micros) {
+        let known = letter.from.name != self.config.name && self.config.names.contains(&letter.from.name);
+        let to_me = letter.to == self.config.name
+            && letter.incarnation.is_none_or(|i| i == self.state.me.incarnation);
+        if !known || !to_me || !self.same_agreement(&letter) || !self.newest_life(&letter) {
+            debug!(?letter, known, to_me, "a letter is left unread");
+            return;
+        }
+        let Letter { from, term, body, life, .. } = letter;
+        match body {
+            Body::AskFresh => self.asked_fresh(&from),
+            Body::Fresh => self.heard_fresh(from),
+            Body::Formed => self.heard_formed(),
+            Body::Newcomer => self.newcomer(from, now),
+            Body::AskLife => self.tell(&from, Body::LifeSeen(life, self.is_member())),
+            Body::LifeSeen(asked, member) if asked == self.state.life => self.life_seen(from, member),
+            Body::LifeSeen(..) => {}
+            Body::Superseded(seen) => self.superseded(seen),
+            Body::Replaced if self.is_member() => self.renounce("another has its place in the electorate"),
+            Body::Replaced => {}
+            Body::PreVote(_) | Body::Vote(_) if self.replaced(&from) => self.tell(&from, Body::Replaced),
+            Body::PreVote(newest) => self.asked_pre_vote(&from, term, newest, now),
+            Body::PreVoted(asked, granted) => self.pre_voted(from, term, asked, granted, now),
+            Body::Vote(newest) => self.asked_vote(&from, term, newest, now),
+            Body::Voted(granted) => self.voted(from, term, granted, now),
+            Body::Append { prev, entries, commit } => {
+                self.appended(&from, term, prev, entries, commit, now);
+            }
+            Body::Install(snapshot) => self.install(&from, term, snapshot, now),
+            Body::Held(upto) => self.held_by(&from, term, upto, true, now),
+            Body::Missing(surely) => self.held_by(&from, term, surely, false, now),
+        }
+    }
+
+    /// A letter may belong to this agreement; one that is new enters the agreement that calls it by its
+    /// incarnation.
+    fn same_agreement(&mut self, letter: &Letter) -> bool {
+        if letter.cluster == 0 || letter.cluster == self.state.cluster {
+            return true;
+        }
+        let calls =
+            matches!(letter.body, Body::Append { .. } | Body::Install(_) | Body::PreVote(_) | Body::Vote(_));
+        if self.state.cluster == 0 {
+            if calls && letter.incarnation == Some(self.state.me.incarnation) {
+                info!(cluster = letter.cluster, from = letter.from.name, "entering the agreement");
+                self.state.cluster = letter.cluster;
+                self.state.written += 1;
+                self.fresh.clear();
+                self.journal.renew(self.state.log.last());
+            }
+            return true;
+        }
+        warn!(
+            theirs = letter.cluster,
+            ours = self.state.cluster,
+            from = letter.from.name,
+            "another agreement"
+        );
+        false
+    }
+
+    /// Word of the time.
+    pub fn tick(&mut self, now: Micros) {
+        self.settle_commit();
+        if let Role::Leader(_) = self.role {
+            return self.lead(now);
+        }
+        if now >= self.call_at {
+            self.call_at = now.after(self.config.heartbeat);
+            if self.state.cluster == 0 {
+                self.call_as_new(now);
+            } else {
+                if self.unsure.is_some() {
+                    self.call_all(&Body::AskLife);
+                } else if !self.is_member() {
+                    self.call_all(&Body::Newcomer);
+                }
+            }
+        }
+        if now >= self.election_at && self.may_stand() {
+            self.stand(true, now);
+        }
+    }
+
+    /// When `tick` is to be called at the latest.
+    pub fn wake(&self) -> Micros {
+        let next = match &self.role {
+            Role::Leader(leading) => leading.speak_at,
+            _ if self.may_stand() => self.election_at.min(self.call_at),
+            _ => self.call_at,
+        };
+        self.journal.wake().map_or(next, |at| at.min(next))
+    }
+
+    /// A change that all are to agree on. Returns its term and index: it is agreed on once [`Agreed::Change`] of
+    /// that index carries it, and lost if that index carries another.
+    ///
+    /// # Errors
+    /// It was not taken, and never will be by this call.
+    pub fn propose(&mut self, change: Vec<u8>, now: Micros) -> Result<(u64, u64), ProposeError> {
+        let Role::Leader(_) = self.role else {
+            return Err(ProposeError::NotLeader { leader: self.leader.as_ref().map(|l| l.name.clone()) });
+        };
+        if change.len() > CHANGE_MOST {
+            return Err(ProposeError::TooLarge(change.len()));
+        }
+        if self.state.log.last() - self.committed >= OPEN_MOST {
+            return Err(ProposeError::Busy);
+        }
+        let index = self.write(What::Change(change));
+        self.spread(now);
+        Ok((self.state.term, index))
+    }
+
+    /// What to store next. One batch at a time; `stored` follows.
+    pub fn batch(&mut self, now: Micros) -> Option<Batch> {
+        self.journal.batch(&self.state, now)
+    }
+
+    /// How the batch went.
+    pub fn stored(&mut self, well: bool, now: Micros) {
+        self.journal.stored(well, now);
+        if !well {
+            // Said again once the disk takes it: a leader that can't write falls silent and is replaced.
+            warn!(failures = self.journal.failures(), "what has to be durable is not: nothing is told");
+            self.held.clear();
+        }
+        self.settle_commit();
+    }
+
+    /// Letters to send: those that say nothing that is not durable yet.
+    pub fn take_letters(&mut self) -> Vec<Letter> {
+        let all = self.config.planted == Planted::ToldBeforeDurable;
+        let durable = self.journal.durable();
+        let ready = self.held.iter().take_while(|(after, _)| all || *after <= durable).count();
+        self.held.drain(..ready).map(|(_, letter)| letter).collect()
+    }
+
+    /// What was agreed on since the last call, in order.
+    pub fn take_agreed(&mut self) -> Vec<Agreed> {
+        self.settle_commit();
+        while self.told < self.committed {
+            self.told += 1;
+            if let Some(Entry { what: What::Change(bytes), .. }) = self.state.log.entry(self.told) {
+                self.agreed.push_back(Agreed::Change(self.told, bytes.clone()));
+            }
+        }
+        self.agreed.drain(..).collect()
+    }
+
+    /// Entries that the owner was told of and that are still kept one by one.
+    pub fn compactable(&self) -> u64 {
+        self.told - self.state.log.snapshot.index
+    }
+
+    /// Puts `state`, made of all that was told to the owner, in place of those entries.
+    pub fn compact(&mut self, state: Vec<u8>) {
+        assert!(state.len() <= STATE_MOST, "the owner bounds its state");
+        self.state.log.compact(self.told, state);
+        self.journal.renew(self.state.log.last());
+    }
+
+    /// Its state, for operators.
+    pub fn status(&self, now: Micros) -> Status {
+        let standing = match &self.role {
+            Role::Leader(_) => Standing::Leader,
+            _ if self.state.cluster == 0 => Standing::New,
+            _ if self.unsure.is_some() => Standing::Unsure,
+            _ if !self.is_member() => Standing::Learner,
+            Role::Candidate { .. } => Standing::Candidate,
+            Role::Follower => Standing::Follower,
+        };
+        Status {
+            standing,
+            me: self.state.me.clone(),
+            life: self.state.life.count,
+            term: self.state.term,
+            leader: self.leader.as_ref().map(|l| l.name.clone()),
+            committed: self.committed,
+            last: self.state.log.last(),
+            electorate: self.electorate(),
+            silent: self.silent(now),
+            disk_fails: self.journal.failing(),
+        }
+    }
+
+    /// Who it is, its life, and what it must not forget: for tests that look inside.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Whether it leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// All up to there is agreed on.
+    pub fn committed(&self) -> u64 {
+        self.committed
+    }
+
+    pub(crate) fn electorate(&self) -> Vec<Member> {
+        self.state.log.electorate().1.to_vec()
+    }
+
+    pub(crate) fn is_member(&self) -> bool {
+        self.state.log.electorate().1.contains(&self.state.me)
+    }
+
+    /// Queues a letter; it leaves once all that was noted so far is durable.
+    pub(crate) fn tell(&mut self, to: &Member, body: Body) {
+        self.put(to.name.clone(), Some(to.incarnation), body);
+    }
+
+    /// To all keepers by name, whoever they are now.
+    pub(crate) fn call_all(&mut self, body: &Body) {
+        let others: Vec<String> =
+            self.config.names.iter().filter(|n| **n != self.config.name).cloned().collect();
+        others.into_iter().for_each(|name| self.put(name, None, body.clone()));
+    }
+
+    fn put(&mut self, to: String, incarnation: Option<u64>, body: Body) {
+        if self.held.len() >= HELD_MOST {
+            self.held.pop_front();
+        }
+        let s = &self.state;
+        let letter = Letter {
+            cluster: s.cluster,
+            from: s.me.clone(),
+            life: s.life,
+            written: s.written,
+            to,
+            incarnation,
+            term: s.term,
+            body,
+        };
+        self.held.push_back((self.journal.queued(), letter));
+    }
+
+    /// Notes a promise: what may not be forgotten once it was told.
+    pub(crate) fn promise(&mut self, record: Record) {
+        self.state.written += 1;
+        self.journal.note(record);
+    }
+
+    pub(crate) fn note_seen(&mut self, member: Member, newest: Seen) {
+        let seen = &mut self.state.seen;
+        if seen.len() >= SEEN_MOST && !seen.contains_key(&member) {
+            let electorate: BTreeMap<&Member, ()> =
+                self.state.log.electorate().1.iter().map(|m| (m, ())).collect();
+            seen.retain(|m, _| electorate.contains_key(m));
+        }
+        self.state.seen.insert(member.clone(), newest);
+        self.journal.note(Record::Seen(member, newest));
+    }
+
+    /// A random wait before it wants to be elected, from now on.
+    pub(crate) fn put_off_election(&mut self, now: Micros) {
+        let election = self.config.election.0.max(1);
+        self.election_at = now.after(Micros(election + self.rng.next_u64() % election));
+    }
+
+    /// Nothing that was held may leave, and what was agreed on is void: it is another now.
+    pub(crate) fn drop_all_held(&mut self) {
+        self.held.clear();
+        self.agreed.clear();
+        (self.committed, self.told) = (0, 0);
+    }
+
+    /// The owner gets the snapshot in place of what it has.
+    pub(crate) fn tell_state(&mut self) {
+        let snapshot = &self.state.log.snapshot;
+        self.told = snapshot.index;
+        self.agreed.push_back(Agreed::State(snapshot.index, snapshot.state.clone()));
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-agree/src/leading.rs
@@ -0,0 +1,231 @@
+//! What a leader does: spreads entries, counts who holds them, steps down when no majority answers, takes new
+//! keepers in.
+
+use crate::journal::Record;
+use crate::keeper::{Keeper, LETTER_MOST, Planted, Role};
+use crate::letter::{Body, Member};
+use crate::log::{Entry, What};
+use flaxstand_proto::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{info, warn};
+
+/// One of a name is taken for lost, and another incarnation of it may take its place, once it has been silent for
+/// so many elections' times.
+const LOST_AFTER: u64 = 4;
+/// Newcomers that a leader speaks to, most.
+const LEARNERS_MOST: usize = 8;
+
+#[derive(Debug)]
+struct Peer {
+    /// All up to there is durable there.
+    held: u64,
+    /// That counts once so many records are durable here: until then an old copy of its folder would not be known.
+    after: u64,
+    /// What counted last.
+    counted: u64,
+    /// The entry to send next.
+    next: u64,
+    heard: Micros,
+}
+
+impl Peer {
+    fn new(next: u64, now: Micros) -> Peer {
+        Peer { held: 0, after: 0, counted: 0, next, heard: now }
+    }
+}
+
+/// A leader's view of the others.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    peers: BTreeMap<Member, Peer>,
+    pub(crate) speak_at: Micros,
+}
+
+impl Leading {
+    pub(crate) fn new(peers: impl Iterator<Item = Member>, last: u64, now: Micros) -> Leading {
+        let peers = peers.map(|m| (m, Peer::new(last + 1, now))).collect();
+        Leading { peers, speak_at: now }
+    }
+
+    /// One that is in no electorate asks to be taken in.
+    pub(crate) fn learner(&mut self, member: Member, now: Micros) {
+        if let Some(peer) = self.peers.get_mut(&member) {
+            peer.heard = now;
+        } else if self.peers.len() < LEARNERS_MOST {
+            info!(name = member.name, "a new keeper asks to be taken in");
+            self.peers.insert(member, Peer::new(1, now));
+        }
+    }
+}
+
+impl Keeper {
+    /// Writes an entry of this term. Returns its index.
+    pub(crate) fn write(&mut self, what: What) -> u64 {
+        let entry = Entry { term: self.state.term, what };
+        let index = self.state.log.last() + 1;
+        self.state.log.entries.push(entry.clone());
+        self.promise(Record::Entries(index, vec![entry]));
+        index
+    }
+
+    /// Speaks to all, as often as a leader does.
+    pub(crate) fn lead(&mut self, now: Micros) {
+        if !self.hears_majority(now) && self.config.planted != Planted::LeaderStaysAlone {
+            warn!(term = self.state.term, "no majority answers");
+            return self.follow(self.state.term, now);
+        }
+        let Role::Leader(leading) = &self.role else { return };
+        if now >= leading.speak_at {
+            self.tend_electorate(now);
+            self.spread(now);
+        }
+    }
+
+    /// Check-quorum: a leader that a majority has not answered within an election's time may have been replaced.
+    fn hears_majority(&self, now: Micros) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        let lately = |p: &Peer| now.since(p.heard) < self.config.election;
+        let mut heard: BTreeSet<Member> =
+            leading.peers.iter().filter(|(_, p)| lately(p)).map(|(m, _)| m.clone()).collect();
+        heard.insert(self.state.me.clone());
+        self.majority(&heard)
+    }
+
+    /// Of a leader: members that it has not heard for an election's time.
+    pub(crate) fn silent(&self, now: Micros) -> Vec<String> {
+        let Role::Leader(leading) = &self.role else { return Vec::new() };
+        let silent = |m: &&Member| {
+            **m != self.state.me
+                && leading.peers.get(m).is_none_or(|p| now.since(p.heard) >= self.config.election)
+        };
+        self.state.log.electorate().1.iter().filter(silent).map(|m| m.name.clone()).collect()
+    }
+
+    /// Sends everyone what it is missing, or nothing but word that the leader lives.
+    pub(crate) fn spread(&mut self, now: Micros) {
+        let Role::Leader(leading) = &mut self.role else { return };
+        leading.speak_at = now.after(self.config.heartbeat);
+        let peers: Vec<Member> = leading.peers.keys().cloned().collect();
+        peers.iter().for_each(|peer| self.send_next(peer));
+        self.settle_commit();
+    }
+
+    fn send_next(&mut self, to: &Member) {
+        let Role::Leader(leading) = &self.role else { return };
+        let Some(peer) = leading.peers.get(to) else { return };
+        let log = &self.state.log;
+        let before = peer.next - 1;
+        let body = match log.term(before) {
+            Some(term) => {
+                let entries = log.after(before, LETTER_MOST);
+                Body::Append { prev: (before, term), entries, commit: self.committed }
+            }
+            // What it needs is here no more.
+            None => Body::Install(log.snapshot.clone()),
+        };
+        self.tell(to, body);
+    }
+
+    /// One says what it holds: surely all up to there, and if `fits` that was what was sent.
+    pub(crate) fn held_by(&mut self, from: &Member, term: u64, upto: u64, fits: bool, now: Micros) {
+        if term > self.state.term {
+            return self.follow(term, now);
+        }
+        let last = self.state.log.last();
+        let Role::Leader(leading) = &mut self.role else { return };
+        if term < self.state.term {
+            return;
+        }
+        let Some(peer) = leading.peers.get_mut(from) else { return };
+        peer.heard = now;
+        if fits {
+            // What comes late says less than what came before it.
+            let more = upto > peer.held;
+            if more {
+                (peer.held, peer.after) = (upto, self.journal.queued());
+            }
+            peer.next = peer.held + 1;
+            if more && peer.held < last {
+                self.send_next(from);
+            }
+        } else {
+            peer.next = (upto.max(peer.held) + 1).min(last + 1);
+            self.send_next(from);
+        }
+        self.settle_commit();
+    }
+
+    /// Counts who holds what: an entry of this term that a majority has durable is agreed on, and all before it.
+    pub(crate) fn settle_commit(&mut self) {
+        let Role::Leader(leading) = &mut self.role else { return };
+        let own = self.journal.durable_last();
+        let durable = self.journal.durable();
+        leading.peers.values_mut().filter(|p| p.after <= durable).for_each(|p| p.counted = p.held);
+        let electorate = self.state.log.electorate().1;
+        let held = |m: &Member| match leading.peers.get(m) {
+            _ if *m == self.state.me => own,
+            peer => peer.map_or(0, |p| p.counted),
+        };
+        let mut all: Vec<u64> = electorate.iter().map(held).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(upto) = all.get(all.len() / 2).copied() else { return };
+        let of_term = self.state.log.term(upto) == Some(self.state.term);
+        if upto > self.committed && (of_term || self.config.planted == Planted::EarlierTermCommitted) {
+            self.committed = upto;
+            leading.speak_at = Micros(0);
+            if !self.is_member() && self.state.log.electorate().0 <= upto {
+                info!("no longer in the electorate");
+                self.role = Role::Follower;
+                self.leader = None;
+            }
+        }
+    }
+
+    /// Takes new keepers in and lets lost ones go, one change at a time: any two electorates that follow each other
+    /// share a member in every pair of majorities.
+    fn tend_electorate(&mut self, now: Micros) {
+        let Role::Leader(leading) = &mut self.role else { return };
+        let (since, electorate) = self.state.log.electorate();
+        let electorate = electorate.to_vec();
+        let lost_after = Micros(self.config.election.0 * LOST_AFTER);
+        // Newcomers that went away again.
+        leading.peers.retain(|m, p| electorate.contains(m) || now.since(p.heard) < lost_after);
+        for member in &electorate {
+            let next = self.state.log.last() + 1;
+            if *member != self.state.me {
+                leading.peers.entry(member.clone()).or_insert(Peer::new(next, now));
+            }
+        }
+        let settled = since <= self.committed && self.state.log.term(self.committed) == Some(self.state.term);
+        if !settled {
+            return;
+        }
+        let silent = |m: &Member| leading.peers.get(m).is_some_and(|p| now.since(p.heard) >= lost_after);
+        let learners = leading.peers.iter().filter(|(m, _)| !electorate.contains(m));
+        let mut next = None;
+        for (learner, peer) in learners {
+            match electorate.iter().find(|m| m.name == learner.name) {
+                // Not while the old one speaks: two processes under one name are a fault of the operator's.
+                Some(old) if silent(old) => {
+                    let rest: Vec<Member> = electorate.iter().filter(|m| *m != old).cloned().collect();
+                    info!(name = old.name, "a keeper that lost its disk gives up its vote");
+                    next = Some(rest);
+                }
+                None if peer.held >= self.committed => {
+                    let mut more = electorate.clone();
+                    more.push(learner.clone());
+                    more.sort();
+                    info!(name = learner.name, "a new keeper gets a vote");
+                    next = Some(more);
+                }
+                _ => {}
+            }
+            if next.is_some() {
+                break;
+            }
+        }
+        if let Some(next) = next {
+            self.write(What::Electorate(next));
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxstand-agree/tests/keepers/rig.rs
@@ -0,0 +1,375 @@
+//! Keepers on virtual time, each with a disk that does its worst, between links that lose, double, delay and cut.
+//! Everything they tell is checked from outside: who was voted for, who led, what was agreed on.
+
+use flaxstand_agree::{Agreed, Body, Config, Keeper, Letter, Member, Micros, Planted, Recovered, recover};
+use flaxstand_store::faulty::{Faults, Faulty};
+use flaxstand_store::{Batch, Storage as _, perform};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub fn ms(n: u64) -> Micros {
+    Micros(n * 1000)
+}
+
+pub struct Node {
+    pub keeper: Option<Keeper>,
+    pub disk: Faulty,
+    /// The batch that is under way, and when it is done.
+    storing: Option<(Micros, Batch)>,
+    /// A stopped process: it gets nothing done until then.
+    stopped_until: Micros,
+    /// What its owner made of all that was agreed on.
+    pub owner: Vec<u8>,
+    upto: u64,
+    starts: u64,
+}
+
+pub struct World {
+    pub now: Micros,
+    pub nodes: Vec<Node>,
+    pub rng: Pcg64Mcg,
+    planted: Planted,
+    names: Vec<String>,
+    /// On their way: when they come, an order among them, where from, the letter.
+    letters: BTreeMap<(Micros, u64), Letter>,
+    next_letter: u64,
+    /// Directed links that pass nothing.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Of a thousand letters so many are lost, and so many come twice.
+    pub lossy: u32,
+    pub slowest: u64,
+    /// By incarnation and term: whom it was heard to vote for.
+    votes: BTreeMap<(Member, u64), Member>,
+    /// By term: who led.
+    leaders: BTreeMap<u64, Member>,
+    /// By index: what was agreed on.
+    pub agreed: BTreeMap<u64, Vec<u8>>,
+    /// What was seen that must not be.
+    pub broken: Vec<String>,
+    pub proposed: u64,
+    /// Members whose promises are gone: their disk was lost, or put back.
+    pub lost: BTreeSet<Member>,
+}
+
+/// What an owner makes of a change: state and change, folded.
+fn fold(state: &[u8], index: u64, change: &[u8]) -> Vec<u8> {
+    let mut sum = u64::from_le_bytes(state.try_into().expect("eight bytes"));
+    for byte in index.to_le_bytes().iter().chain(change) {
+        sum = (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    sum.to_le_bytes().to_vec()
+}
+
+impl World {
+    pub fn new(count: usize, seed: u64, planted: Planted) -> World {
+        let names: Vec<String> = (0..count).map(|i| format!("k{i}")).collect();
+        let nodes = (0..count)
+            .map(|i| Node {
+                keeper: None,
+                disk: Faulty::new(seed ^ (i as u64) << 40),
+                storing: None,
+                stopped_until: Micros(0),
+                owner: vec![0; 8],
+                upto: 0,
+                starts: 0,
+            })
+            .collect();
+        let mut world = World {
+            now: ms(1),
+            nodes,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            planted,
+            names,
+            letters: BTreeMap::new(),
+            next_letter: 0,
+            cut: BTreeSet::new(),
+            lossy: 0,
+            slowest: 5,
+            votes: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            agreed: BTreeMap::new(),
+            broken: Vec::new(),
+            proposed: 0,
+            lost: BTreeSet::new(),
+        };
+        (0..count).for_each(|i| world.start(i));
+        world
+    }
+
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.rng.next_u64() % n.max(1)
+    }
+
+    pub fn start(&mut self, at: usize) {
+        let seed = self.rng.next_u64();
+        let node = &mut self.nodes[at];
+        node.starts += 1;
+        let found = match recover(&mut node.disk).expect("in memory") {
+            Recovered::State(state) => Some(*state),
+            Recovered::Nothing => None,
+            Recovered::Damaged(_) => None,
+        };
+        let segments = node.disk.segments().expect("in memory");
+        let config = Config {
+            name: self.names[at].clone(),
+            names: self.names.clone(),
+            election: ms(150),
+            heartbeat: ms(30),
+            seed,
+            begins_with: vec![0; 8],
+            planted: self.planted,
+        };
+        node.storing = None;
+        node.keeper = Some(Keeper::start(config, found, segments, self.now));
+    }
+
+    /// The process dies; with `power`, so does the machine, and what was not synced is gone in part.
+    pub fn kill(&mut self, at: usize, power: bool) {
+        let node = &mut self.nodes[at];
+        // A batch under way got so far as it got.
+        if let Some((_, batch)) = node.storing.take() {
+            let dies = self.rng.next_u64() % 6;
+            node.disk.set(Faults { dies_at: Some(dies), ..Faults::default() });
+            let _ = perform(&mut node.disk, &batch);
+        }
+        if power {
+            node.disk.lose_power()
+        } else {
+            node.disk.lose_process()
+        }
+        node.keeper = None;
+    }
+
+    pub fn wipe(&mut self, at: usize) {
+        self.forgets(at);
+        self.kill(at, true);
+        self.nodes[at].disk = Faulty::new(self.rng.next_u64());
+    }
+
+    /// Its folder is put back to what it was.
+    pub fn put_back(&mut self, at: usize, old: Faulty) {
+        self.forgets(at);
+        self.kill(at, true);
+        self.nodes[at].disk = old;
+    }
+
+    fn forgets(&mut self, at: usize) {
+        self.lost.extend(self.nodes[at].keeper.as_ref().map(|k| k.state().me.clone()));
+    }
+
+    pub fn pause(&mut self, at: usize, wait: Micros) {
+        self.nodes[at].stopped_until = self.now.after(wait);
+    }
+
+    pub fn disk_fails(&mut self, at: usize, full_at: Option<u64>, sync_fails_at: Option<u64>) {
+        self.nodes[at].disk.set(Faults { full_at, sync_fails_at, dies_at: None });
+    }
+
+    /// Proposes a change at every keeper that thinks it leads.
+    pub fn propose(&mut self) {
+        self.proposed += 1;
+        let change = self.proposed.to_le_bytes().to_vec();
+        for node in self.nodes.iter_mut().filter(|n| n.stopped_until <= self.now) {
+            if let Some(keeper) = &mut node.keeper {
+                let _ = keeper.propose(change.clone(), self.now);
+            }
+        }
+    }
+
+    pub fn cut_both(&mut self, a: usize, b: usize) {
+        self.cut.extend([(a, b), (b, a)]);
+    }
+
+    pub fn isolate(&mut self, at: usize) {
+        (0..self.nodes.len()).filter(|o| *o != at).for_each(|o| self.cut_both(at, o));
+    }
+
+    fn index(&self, name: &str) -> usize {
+        self.names.iter().position(|n| n == name).expect("a keeper's name")
+    }
+
+    fn post(&mut self, letter: Letter) {
+        self.look(&letter);
+        let link = (self.index(&letter.from.name), self.index(&letter.to));
+        if self.cut.contains(&link) || self.below(1000) < u64::from(self.lossy) {
+            return;
+        }
+        let copies = 1 + u64::from(self.below(1000) < u64::from(self.lossy));
+        for _ in 0..copies {
+            let wait = 200 + self.below(self.slowest * 1000);
+            self.next_letter += 1;
+            self.letters.insert((self.now.after(Micros(wait)), self.next_letter), letter.clone());
+        }
+    }
+
+    /// What a letter shows.
+    fn look(&mut self, letter: &Letter) {
+        match &letter.body {
+            Body::Voted(true) => {
+                let to = Member { name: letter.to.clone(), incarnation: letter.incarnation.unwrap_or(0) };
+                let key = (letter.from.clone(), letter.term);
+                match self.votes.insert(key, to.clone()) {
+                    Some(before) if before != to => {
+                        self.broken.push(format!("{:?} voted twice in term {}", letter.from, letter.term));
+                    }
+                    _ => {}
+                }
+            }
+            Body::Append { .. } | Body::Install(_) => {
+                match self.leaders.insert(letter.term, letter.from.clone()) {
+                    Some(before) if before != letter.from => {
+                        self.broken.push(format!("two leaders in term {}", letter.term));
+                    }
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// All that is due now at one keeper.
+    fn turn(&mut self, at: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let Some(keeper) = &mut node.keeper else { return };
+        if node.stopped_until > now {
+            return;
+        }
+        if let Some((_, batch)) = node.storing.take_if(|(done, _)| *done <= now) {
+            let well = perform(&mut node.disk, &batch).is_ok();
+            keeper.stored(well, now);
+        }
+        if keeper.wake() <= now {
+            keeper.tick(now);
+        }
+        if node.storing.is_none()
+            && let Some(batch) = keeper.batch(now)
+        {
+            let takes = 100 + self.rng.next_u64() % 3000;
+            node.storing = Some((now.after(Micros(takes)), batch));
+        }
+        for told in keeper.take_agreed() {
+            match told {
+                Agreed::State(index, state) => (node.upto, node.owner) = (index, state),
+                Agreed::Change(index, change) => {
+                    if index <= node.upto {
+                        self.broken.push(format!("index {index} told again after {}", node.upto));
+                    }
+                    (node.upto, node.owner) = (index, fold(&node.owner, index, &change));
+                    match self.agreed.insert(index, change.clone()) {
+                        Some(before) if before != change => {
+                            self.broken.push(format!("two changes agreed on at index {index}"));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        if keeper.compactable() > 8 {
+            keeper.compact(node.owner.clone());
+        }
+        let letters = keeper.take_letters();
+        letters.into_iter().for_each(|l| self.post(l));
+    }
+
+    /// Goes on for so long.
+    pub fn run(&mut self, time: Micros) {
+        let end = self.now.after(time);
+        loop {
+            let wakes = self.nodes.iter().filter_map(|n| {
+                let keeper = n.keeper.as_ref()?;
+                let stored = n.storing.as_ref().map_or(keeper.wake(), |(done, _)| (*done).min(keeper.wake()));
+                Some(stored.max(n.stopped_until))
+            });
+            let comes = self.letters.first_key_value().map(|((at, _), _)| *at);
+            let Some(next) = wakes.chain(comes).min() else { break };
+            if next > end {
+                break;
+            }
+            self.now = next.max(Micros(self.now.0 + 1));
+            let mut touched = BTreeSet::new();
+            while let Some(entry) = self.letters.first_entry().filter(|e| e.key().0 <= self.now) {
+                let letter = entry.remove();
+                let at = self.index(&letter.to);
+                touched.insert(at);
+                let node = &mut self.nodes[at];
+                if node.stopped_until > self.now {
+                    // It lies in the socket until the process goes on.
+                    self.next_letter += 1;
+                    let then = Micros(node.stopped_until.0 + 1);
+                    self.letters.insert((then, self.next_letter), letter);
+                } else if let Some(keeper) = &mut node.keeper {
+                    keeper.receive(letter, self.now);
+                }
+            }
+            (0..self.nodes.len()).for_each(|at| self.turn(at));
+            if !self.broken.is_empty() {
+                break;
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    /// All faults end, what is down starts; goes on until a new change is agreed on everywhere, or the bound.
+    pub fn heal(&mut self) -> bool {
+        self.cut.clear();
+        self.lossy = 0;
+        for at in 0..self.nodes.len() {
+            self.nodes[at].disk.set(Faults::default());
+            if self.nodes[at].keeper.is_none() {
+                self.start(at);
+            }
+        }
+        let target = self.agreed.keys().next_back().copied().unwrap_or(0);
+        for _ in 0..150 {
+            self.run(ms(100));
+            self.propose();
+            self.run(ms(100));
+            if !self.broken.is_empty() {
+                return false;
+            }
+            let level = self.nodes.iter().all(|n| n.upto > target && n.owner == self.nodes[0].owner);
+            let settled = self.nodes.iter().flat_map(|n| &n.keeper).all(|k| {
+                k.state().log.electorate().1.len() == self.nodes.len()
+                    && k.state().log.electorate().1.contains(&k.state().me)
+            });
+            if level && settled {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &Node| n.keeper.as_ref().is_some_and(Keeper::leads);
+        let term = |n: &Node| n.keeper.as_ref().map_or(0, |k| k.state().term);
+        (0..self.nodes.len()).filter(|i| leads(&self.nodes[*i])).max_by_key(|i| term(&self.nodes[*i]))
+    }
+
+    /// Goes on until somebody leads whom all that are up follow.
+    pub fn led(&mut self) -> usize {
+        for _ in 0..400 {
+            self.run(ms(20));
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+        }
+        panic!(
+            "nobody leads: {:?}",
+            self.nodes.iter().map(|n| n.keeper.as_ref().map(|k| k.status(self.now))).collect::<Vec<_>>()
+        );
+    }
+
+    /// Whether all are up, and the newest electorate is of full size with none whose promises are gone.
+    pub fn intact(&self) -> bool {
+        let newest =
+            self.nodes.iter().flat_map(|n| &n.keeper).max_by_key(|k| (k.committed(), k.state().term));
+        let agreed = newest.map(|k| (k.state().log.electorate(), k.committed()));
+        let agreed = agreed.filter(|((since, _), committed)| since <= committed);
+        let electorate = agreed.map_or(Vec::new(), |((_, members), _)| members.to_vec());
+        self.nodes.iter().all(|n| n.keeper.is_some())
+            && electorate.len() == self.nodes.len()
+            && !electorate.iter().any(|m| self.lost.contains(m))
+    }
+}
