--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -1,8 +1,9 @@
 //! Clients: their greeting, their submissions, and the bounds that keep one from harming the others.
 
 use super::door::Origin;
+use super::plumbing::{Conn, Inlet, Peer, Stage, Timer};
 use super::requests::{Held, With};
-use super::{Conn, Core, Inlet, Peer, Phase, Stage, Timer};
+use super::{Core, Phase};
 use crate::machine::{Command, ConnId, Micros};
 use flaxstand::api::{Event, RequestId, VolumeId};
 use flaxstand_proto::{
@@ -51,9 +52,12 @@
             return Err(bytes);
         }
         self.clients += 1;
-        let conn =
-            self.new_conn(Peer::Client(Client::default()), Stage::Greeting, Inlet::Frames(Inbox::default()));
-        self.timers.insert((now.after(self.config.site.waits.greeting), Timer::Dial(conn)));
+        let conn = self.plumbing.open(
+            Peer::Client(Client::default()),
+            Stage::Greeting,
+            Inlet::Frames(Inbox::default()),
+        );
+        self.plumbing.at(now.after(self.config.site.waits.greeting), Timer::Dial(conn));
         Ok(conn)
     }
 
@@ -67,9 +71,7 @@
                 format!("versions {oldest} to {newest}, this initiator speaks {VERSION_OLDEST} to {VERSION}");
             return Err((Parting::Version, text));
         }
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.stage = Stage::Open;
-        }
+        self.plumbing.is_at(conn, Stage::Open);
         let welcome = Welcome {
             version: VERSION.min(newest),
             role: Role::Initiator,
@@ -77,7 +79,7 @@
             epoch: self.config.epoch,
             name: &self.config.name.clone(),
         };
-        self.push(conn, &Frame::Welcome(welcome));
+        self.plumbing.push(conn, &Frame::Welcome(welcome));
         debug!(conn = conn.0, client = hello.name, "client connected");
         Ok(())
     }
@@ -125,7 +127,7 @@
         time_left: u32,
         now: Micros,
     ) -> Result<Option<(RequestId, Micros)>, Fault> {
-        let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get(&conn) else { return Ok(None) };
+        let Some(Conn { peer: Peer::Client(client), .. }) = self.plumbing.get(conn) else { return Ok(None) };
         if client.owed.contains_key(&client_id) {
             return Err((Parting::Protocol, format!("number {client_id} is in use")));
         }
@@ -155,7 +157,7 @@
         self.volumes.extend(volume);
         self.next_request += 1;
         let id = RequestId(self.next_request);
-        if let Some(Conn { peer: Peer::Client(client), .. }) = self.conns.get_mut(&conn) {
+        if let Some(Conn { peer: Peer::Client(client), .. }) = self.plumbing.get_mut(conn) {
             client.owed.insert(client_id, id);
         }
         let time_left = Micros(time_left.into()).since(self.config.site.waits.answer);
@@ -167,7 +169,7 @@
         let valid_until = held.valid_until;
         debug!(request = id.0, owner = ?held.owner, class = s.class, shard = s.shard, "taken");
         self.requests.insert(id, held);
-        self.timers.insert((valid_until, Timer::Deadline(id)));
+        self.plumbing.at(valid_until, Timer::Deadline(id));
         let Some(class) = self.gate(id, now) else { return };
         if !self.offer(id, s, now)
             && let Some(held) = self.requests.get(&id)
@@ -179,7 +181,7 @@
     /// Bounds on what waits for a client, after something was added.
     pub(super) fn client_wrote(&mut self, conn: ConnId, now: Micros) {
         let bounds = self.config.bounds;
-        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(c) = self.plumbing.get_mut(conn) else { return };
         if let Inlet::Door(_) = c.inlet {
             return self.door_wrote(conn, now);
         }
@@ -190,7 +192,7 @@
         } else if c.outbox.len() > bounds.client_bytes && !client.paused {
             debug!(conn = conn.0, bytes = c.outbox.len(), "client is not read until it has read");
             client.paused = true;
-            self.commands.push(Command::Flush(conn));
+            self.plumbing.say(Command::Flush(conn));
         } else if client.finished && client.owed.is_empty() && c.outbox.is_empty() {
             self.lost(conn, "client has all it asked for", true, now);
         }
@@ -198,18 +200,18 @@
 
     /// The same, after something was read.
     pub(super) fn client_read(&mut self, conn: ConnId, now: Micros) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(c) = self.plumbing.get_mut(conn) else { return };
         let Peer::Client(client) = &mut c.peer else { return };
         if client.paused && c.outbox.len() <= self.config.bounds.client_bytes / 2 {
             client.paused = false;
-            self.commands.push(Command::Flush(conn));
+            self.plumbing.say(Command::Flush(conn));
         }
         self.client_wrote(conn, now);
     }
 
     /// The peer sends nothing more. A client's answers still go out, if it is owed any.
     pub(super) fn client_finished(&mut self, conn: ConnId) -> bool {
-        let Some(c) = self.conns.get_mut(&conn) else { return false };
+        let Some(c) = self.plumbing.get_mut(conn) else { return false };
         match &mut c.peer {
             Peer::Client(client)
                 if matches!(c.inlet, Inlet::Frames(_)) && !client.owed.is_empty() || !c.outbox.is_empty() =>
--- a/crates/flaxstand-gateway/src/core/door.rs
+++ b/crates/flaxstand-gateway/src/core/door.rs
@@ -6,7 +6,8 @@
 //! reading holds up only itself.
 
 use super::clients::Client;
-use super::{Conn, Core, Inlet, Peer, Phase, Stage, Timer};
+use super::plumbing::{Conn, Inlet, Peer, Stage, Timer};
+use super::{Core, Phase};
 use crate::machine::{Command, ConnId, Micros};
 use flaxstand::api::Readiness;
 use flaxstand_http::{BODY_MOST, Request, Requests, write_answer};
@@ -71,7 +72,7 @@
 
 impl Core {
     fn door(&mut self, conn: ConnId) -> Option<&mut Door> {
-        match self.conns.get_mut(&conn) {
+        match self.plumbing.get_mut(conn) {
             Some(Conn { inlet: Inlet::Door(door), .. }) => Some(door),
             _ => None,
         }
@@ -87,15 +88,15 @@
         }
         self.clients += 1;
         let inlet = Inlet::Door(Door::new(now));
-        let conn = self.new_conn(Peer::Client(Client::default()), Stage::Open, inlet);
-        self.timers.insert((now.after(self.config.site.waits.greeting), Timer::Quiet(conn)));
+        let conn = self.plumbing.open(Peer::Client(Client::default()), Stage::Open, inlet);
+        self.plumbing.at(now.after(self.config.site.waits.greeting), Timer::Quiet(conn));
         Ok(conn)
     }
 
     /// Guards against clients that hold connections for nothing, also by the hundred a second: the one that has
     /// waited longest without a whole request is closed, those that had an error first.
     fn make_room(&mut self, now: Micros) -> bool {
-        let waits = |(id, c): (&ConnId, &Conn)| {
+        let waits = |(id, c): (ConnId, &Conn)| {
             let (Peer::Client(client), Inlet::Door(door)) = (&c.peer, &c.inlet) else { return None };
             let least = match (door.flow, door.asked) {
                 (Flow::Lingering(_), _) => Micros(0),
@@ -105,9 +106,9 @@
             let free = client.owed.is_empty() && c.outbox.is_empty();
             let long = free && now.since(door.since) >= least && (door.asked == 0 || door.reader.is_empty());
             let parted = matches!(door.flow, Flow::Lingering(_));
-            long.then_some((!parted, door.since, *id))
+            long.then_some((!parted, door.since, id))
         };
-        let longest = self.conns.iter().filter_map(waits).min();
+        let longest = self.plumbing.iter().filter_map(waits).min();
         if let Some((.., conn)) = longest {
             self.lost(conn, "its place is needed", true, now);
         }
@@ -125,14 +126,14 @@
                 }
                 door.reader.push(bytes);
                 let full = !door.wants_read();
-                self.partial_bytes += bytes.len();
-                if self.partial_bytes > self.config.bounds.partial_bytes {
+                self.plumbing.partial_bytes += bytes.len();
+                if self.plumbing.partial_bytes > self.config.bounds.partial_bytes {
                     self.turn_away(conn, 503, "too much is on its way in", now);
                 } else {
                     self.read_door(conn, now);
                 }
                 if full {
-                    self.commands.push(Command::Flush(conn));
+                    self.plumbing.say(Command::Flush(conn));
                 }
             }
         }
@@ -142,7 +143,7 @@
     fn read_door(&mut self, conn: ConnId, now: Micros) {
         loop {
             let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), outbox, .. }) =
-                self.conns.get_mut(&conn)
+                self.plumbing.get_mut(conn)
             else {
                 return;
             };
@@ -156,18 +157,19 @@
             let before = door.reader.len();
             match door.reader.take() {
                 Ok(Some(request)) => {
-                    self.partial_bytes -= before - door.reader.len();
+                    let read = before - door.reader.len();
                     (door.asked, door.since) = (door.asked + 1, now);
                     if !request.keeps {
                         door.flow = Flow::LastAnswer;
                     }
+                    self.plumbing.partial_bytes -= read;
                     self.asked(conn, request, now);
                 }
                 Ok(None) => {
                     // The first has its time from when the connection stood.
                     if door.asked > 0 {
                         let due = door.since.after(self.config.site.waits.greeting);
-                        self.timers.insert((due, Timer::Quiet(conn)));
+                        self.plumbing.at(due, Timer::Quiet(conn));
                     }
                     return;
                 }
@@ -234,8 +236,8 @@
 
     /// A request's final answer, in the words of the client's wire.
     pub(super) fn tell_client(&mut self, conn: ConnId, frame: &Frame<'_>, now: Micros) {
-        if self.speaks_frames(conn) {
-            self.push(conn, frame);
+        if self.plumbing.speaks_frames(conn) {
+            self.plumbing.push(conn, frame);
             return;
         }
         match frame {
@@ -262,7 +264,8 @@
     fn has_room(&self, bytes: usize) -> bool {
         let waits = |c: &Conn| if let Inlet::Door(_) = c.inlet { c.outbox.len() } else { 0 };
         bytes <= BODY_MOST
-            || bytes + self.conns.values().map(waits).sum::<usize>() <= self.config.bounds.answer_bytes
+            || bytes + self.plumbing.iter().map(|(_, c)| waits(c)).sum::<usize>()
+                <= self.config.bounds.answer_bytes
     }
 
     /// Answers the request that a client has open.
@@ -274,7 +277,7 @@
         }
         door.since = now;
         let keeps = door.flow == Flow::Open;
-        self.put(conn, |bytes| write_answer(bytes, status, fields, body, keeps));
+        self.plumbing.put(conn, |bytes| write_answer(bytes, status, fields, body, keeps));
     }
 
     /// An error for what can't be read any further. What is still on its way is dropped, so that the client
@@ -283,7 +286,8 @@
         debug!(conn = conn.0, status, text, "closing a connection for what its peer sent");
         self.counts.protocol_faults += 1;
         self.linger(conn, now);
-        self.put(conn, |bytes| write_answer(bytes, status, &[], format!("{text}\n").as_bytes(), false));
+        self.plumbing
+            .put(conn, |bytes| write_answer(bytes, status, &[], format!("{text}\n").as_bytes(), false));
     }
 
     /// Nothing more is read of a client; what still comes is dropped for a while.
@@ -292,14 +296,14 @@
         let held = door.held();
         door.reader = Requests::default();
         (door.flow, door.since) = (Flow::Lingering(LINGER_BYTES), now);
-        self.partial_bytes -= held;
-        self.timers.insert((now.after(LINGER), Timer::Quiet(conn)));
+        self.plumbing.partial_bytes -= held;
+        self.plumbing.at(now.after(LINGER), Timer::Quiet(conn));
     }
 
     /// Something was written, or added: the next request can be read once all is written.
     pub(super) fn door_wrote(&mut self, conn: ConnId, now: Micros) {
         let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), outbox, .. }) =
-            self.conns.get_mut(&conn)
+            self.plumbing.get_mut(conn)
         else {
             return;
         };
@@ -315,7 +319,7 @@
         }
         if full {
             // It may be read again.
-            self.commands.push(Command::Flush(conn));
+            self.plumbing.say(Command::Flush(conn));
         }
     }
 
@@ -323,7 +327,7 @@
     /// requests and silent clients.
     pub(super) fn door_quiet(&mut self, conn: ConnId, now: Micros) {
         let most = self.config.site.waits.greeting;
-        let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), .. }) = self.conns.get(&conn)
+        let Some(Conn { peer: Peer::Client(client), inlet: Inlet::Door(door), .. }) = self.plumbing.get(conn)
         else {
             return;
         };
@@ -347,7 +351,7 @@
             }
             _ => false,
         };
-        let free: Vec<ConnId> = self.conns.iter().filter(|(_, c)| free(c)).map(|(conn, _)| *conn).collect();
+        let free: Vec<ConnId> = self.plumbing.iter().filter(|(_, c)| free(c)).map(|(conn, _)| conn).collect();
         free.into_iter().for_each(|conn| self.lost(conn, "stopping", true, now));
     }
 }
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -3,9 +3,10 @@
 
 use super::clients::Fault;
 use super::nodes::{NodeName, NodePeer};
+use super::plumbing::{Inlet, Peer, Stage, Timer};
 use super::pool::Link;
-use super::{Backoff, Core, Decider, Inlet, Peer, Stage, Timer, Waits, Wire};
-use crate::machine::{Address, Command, ConnId, Micros};
+use super::{Backoff, Core, Decider, Waits, Wire};
+use crate::machine::{Address, ConnId, Micros};
 use flaxstand::api::{Event, ListScope, NodeEntry, NodeId, Readiness};
 use flaxstand_proto::{
     Entry, Extent, Frame, FrameError, Inbox, List, Parting, Role, State, VERSION, VERSION_OLDEST, Welcome,
@@ -103,8 +104,8 @@
     /// The module wants to hear of changes.
     pub(super) fn subscribe(&mut self, now: Micros) {
         match self.list.conn {
-            Some(conn) if self.is_open(conn) && self.speaks_frames(conn) => {
-                self.push(conn, &Frame::Watch);
+            Some(conn) if self.plumbing.is_open(conn) && self.plumbing.speaks_frames(conn) => {
+                self.plumbing.push(conn, &Frame::Watch);
             }
             Some(_) => {}
             None => self.call_list(now),
@@ -117,10 +118,8 @@
                 Wire::Frames => Inlet::Frames(Inbox::default()),
                 Wire::Platform => Inlet::Link(Link::of_list(now)),
             };
-            let conn = self.new_conn(Peer::List, Stage::Dialing, inlet);
-            self.list.conn = Some(conn);
-            self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
-            self.commands.push(Command::Connect { conn, address: self.config.list.clone() });
+            let by = now.after(self.config.site.waits.dial);
+            self.list.conn = Some(self.plumbing.dial(Peer::List, inlet, self.config.list.clone(), by));
         }
     }
 
@@ -129,12 +128,10 @@
             let text = format!("expected a list service, met {:?} of version {}", w.role, w.version);
             return Err((Parting::WrongPeer, text));
         }
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.stage = Stage::Open;
-        }
+        self.plumbing.is_at(conn, Stage::Open);
         (self.list.heard_at, self.list.asked) = (now, false);
-        self.timers.insert((now.after(self.config.site.waits.list_silence), Timer::ListSilence));
-        self.push(conn, &Frame::Watch);
+        self.plumbing.at(now.after(self.config.site.waits.list_silence), Timer::ListSilence);
+        self.plumbing.push(conn, &Frame::Watch);
         Ok(())
     }
 
@@ -142,13 +139,13 @@
     pub(super) fn list_lost(&mut self, stage: Stage, cause: &str, now: Micros) {
         self.list.conn = None;
         warn!(cause, ?stage, "no connection to the list service; the list held stays in use");
-        self.timers.retain(|(_, timer)| *timer != Timer::ListSilence);
+        self.plumbing.cancel_all(Timer::ListSilence);
         if self.config.site.settings.list_on_request {
             // The module asked for it, and asks again when it sees fit.
             self.events.push_back(Event::List(ListScope::Failed, Vec::new()));
         } else {
             let wait = self.list.backoff.failed(&mut self.rng);
-            self.timers.insert((now.after(wait), Timer::ListCall));
+            self.plumbing.at(now.after(wait), Timer::ListCall);
         }
     }
 
@@ -166,13 +163,13 @@
         let silence = self.config.site.waits.list_silence;
         let due = self.list.heard_at.after(silence);
         if now < due {
-            self.timers.insert((due, Timer::ListSilence));
+            self.plumbing.at(due, Timer::ListSilence);
         } else if self.list.asked {
             self.hang_up(conn, Parting::Protocol, "the list service is silent", now);
         } else {
             self.list.asked = true;
-            self.push(conn, &Frame::GetList);
-            self.timers.insert((now.after(silence), Timer::ListSilence));
+            self.plumbing.push(conn, &Frame::GetList);
+            self.plumbing.at(now.after(silence), Timer::ListSilence);
         }
     }
 
@@ -189,7 +186,7 @@
             (Extent::Changes, held) => {
                 info!(?held, since = list.since, "a gap in the list's changes: asking for all of it");
                 self.list.asked = true;
-                self.push(conn, &Frame::GetList);
+                self.plumbing.push(conn, &Frame::GetList);
                 return;
             }
         };
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -2,11 +2,13 @@
 //! It does no I/O and reads no clock. What happens comes in through [`Machine`]; every decision about a
 //! request is the module's, this code only carries events to it and actions from it.
 //!
+//! - [`plumbing`]: connections, moments, commands; [`dispatch`]: what comes on a connection goes to whom
 //! - [`clients`]: who submits, and the bounds on them
 //! - [`requests`]: a request's life from its arrival to its one answer
 //! - [`nodes`]: connections to storage nodes, attempts on them
 //! - [`storms`]: repeats told from first tries, and damped
 //! - [`writeback`]: the write-back buffer's place between clients and the module
+//! - [`figures`]: what is counted and held
 //! - [`list`]: the node list, its breaks, the saved copy
 //!
 //! Peers speak frames, or the platform's HTTP/1.1 ([`Wire`]). A request's life is the same for both; three
@@ -19,10 +21,13 @@
 mod backoff;
 mod clients;
 mod config;
+mod dispatch;
 mod door;
+mod figures;
 mod list;
 mod nodes;
 mod pipe;
+mod plumbing;
 mod pool;
 mod requests;
 mod storms;
@@ -31,88 +36,25 @@
 
 pub use backoff::Backoff;
 pub use config::{Bounds, ClassInfo, Config, Policy, Site, Waits, Wire, WriteBack};
+pub use figures::{Counts, Footprint};
 pub use list::{SavedListError, check_saved_list};
 
 use crate::machine::{Command, ConnId, Control, Machine, Micros};
-use clients::Client;
-use door::Door;
 use flaxstand::api::{Action, Class, Event, NodeId, Outcome, Readiness, RequestId, VolumeId};
 use flaxstand::brain::Brain;
-use flaxstand_proto::{Frame, Hello, Inbox, Outbox, Parting, Role, VERSION, VERSION_OLDEST, encode};
+use flaxstand_proto::Parting;
 use flaxstand_storm::Arrivals;
 use list::ListPeer;
 use nodes::{NodeName, NodePeer};
 use pipe::{Pipe, Placement};
-use pool::Link;
+use plumbing::{Conn, Inlet, Peer, Plumbing, Stage, Timer};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use requests::Held;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use storms::Gate;
 use tracing::{info, warn};
-use writeback::{Back, Mark};
-
-/// Whose connection it is.
-#[derive(Debug)]
-enum Peer {
-    Client(Client),
-    Node(NodeId),
-    List,
-}
-
-/// How far a connection has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// The system is still at it.
-    Dialing,
-    /// It stands; the peer's first frame has not come.
-    Greeting,
-    /// Frames pass.
-    Open,
-}
-
-/// What reads a connection's bytes.
-#[derive(Debug)]
-enum Inlet {
-    Frames(Inbox),
-    /// A client's HTTP.
-    Door(Door),
-    /// HTTP that we ask, of a node or of the list service.
-    Link(Link),
-}
-
-#[derive(Debug)]
-struct Conn {
-    peer: Peer,
-    stage: Stage,
-    inlet: Inlet,
-    outbox: Outbox,
-}
-
-/// What is due at a moment of the core's own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// A request's client is about to give up.
-    Deadline(RequestId),
-    /// A connection should be open by now.
-    Dial(ConnId),
-    /// A connection to a node may have idled long enough.
-    Idle(ConnId),
-    /// A probe of a node has been out for long enough.
-    Probe(NodeId, u64),
-    /// A connection that speaks HTTP may have been at one thing for too long.
-    Quiet(ConnId),
-    /// Look for pooled connections that have idled long enough, and nodes long gone.
-    Sweep,
-    /// The time is over in which a stop changes nothing yet.
-    GraceEnds,
-    /// Call the list service.
-    ListCall,
-    /// Has the list service been silent for too long?
-    ListSilence,
-    /// A stop has lasted long enough.
-    StopEnds,
-}
+use writeback::Back;
 
 enum Decider {
     Module(Box<Brain>),
@@ -133,54 +75,6 @@
 /// Answers leave this long before a stop has lasted long enough.
 const STOP_MARGIN: Micros = Micros(50_000);
 
-/// Counts since the start. All only grow.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Requests taken from clients, refused ones included.
-    pub taken: u64,
-    /// Requests that ended served.
-    pub served: u64,
-    /// Writes acknowledged as buffered.
-    pub buffered: u64,
-    /// Reads answered from the buffer alone; they count as served too.
-    pub read_back: u64,
-    /// Requests that ended refused, by the module.
-    pub refused: u64,
-    /// Requests that ended refused at a bound, by the buffer or while stopping, unseen by the module.
-    pub turned_away: u64,
-    /// Repeats that were refused in a storm, unseen by the module.
-    pub damped: u64,
-    /// Requests that ended failed.
-    pub failed: u64,
-    /// Requests whose client went before its answer.
-    pub abandoned: u64,
-    /// Attempts handed to a node's connection.
-    pub attempts: u64,
-    /// Ends of attempts that nobody waited for any more.
-    pub late_outcomes: u64,
-    /// Connections closed for what their peer sent.
-    pub protocol_faults: u64,
-    /// Requests that the module had not ended at their deadline. More than 0 is a fault of the module.
-    pub overdue: u64,
-}
-
-/// How much is held at a moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Footprint {
-    /// Connections, those being opened included.
-    pub conns: usize,
-    /// Requests.
-    pub requests: usize,
-    /// Ids of clients' requests.
-    pub ids: usize,
-    /// Nodes.
-    pub nodes: usize,
-    /// Timers.
-    pub timers: usize,
-    /// Bytes of requests and answers that are not yet whole.
-    pub partial_bytes: usize,
-}
-
 /// The initiator's core.
 pub struct Core {
     config: Config,
@@ -191,8 +85,7 @@
     gate: Option<Gate>,
     arrivals: Arrivals,
     rng: Pcg64Mcg,
-    conns: BTreeMap<ConnId, Conn>,
-    next_conn: u64,
+    plumbing: Plumbing,
     clients: usize,
     requests: BTreeMap<RequestId, Held>,
     next_request: u64,
@@ -204,17 +97,12 @@
     links: usize,
     /// Ids under which clients of the platform have requests here.
     open_ids: BTreeSet<String>,
-    /// Bytes of requests that are not yet whole.
-    partial_bytes: usize,
-    /// Bytes of nodes' answers that are not yet whole.
-    answer_bytes: usize,
     /// Names of zones, in the order of the module's.
     zones: Vec<String>,
     /// Names of classes, in the order of the module's.
     class_names: Vec<String>,
     volumes: BTreeSet<VolumeId>,
     list: ListPeer,
-    timers: BTreeSet<(Micros, Timer)>,
     /// Events for the module that its own actions caused, or that came since it last decided.
     events: VecDeque<Event>,
     /// When the module asked to be woken.
@@ -222,7 +110,6 @@
     /// Something was told to the module that it has not decided on.
     undecided: bool,
     decided_at: Option<Micros>,
-    commands: Vec<Command>,
     phase: Phase,
     /// Once a stop was asked for: when the last answer must have left.
     answer_by: Option<Micros>,
@@ -266,8 +153,7 @@
             arrivals: Arrivals::new(config.bounds.arrivals, now),
             list,
             config,
-            conns: BTreeMap::new(),
-            next_conn: 0,
+            plumbing: Plumbing::default(),
             clients: 0,
             requests: BTreeMap::new(),
             next_request: 0,
@@ -277,17 +163,13 @@
             next_node: 0,
             links: 0,
             open_ids: BTreeSet::new(),
-            partial_bytes: 0,
-            answer_bytes: 0,
             zones: Vec::new(),
             class_names,
             volumes: BTreeSet::new(),
-            timers: BTreeSet::new(),
             events: VecDeque::new(),
             wake_at: None,
             undecided: true,
             decided_at: None,
-            commands: Vec::new(),
             phase: Phase::Running,
             answer_by: None,
             counts: Counts::default(),
@@ -296,10 +178,10 @@
             core.take_saved_list(saved, now)?;
         }
         if core.on_platform() {
-            core.timers.insert((now, Timer::Sweep));
+            core.plumbing.at(now, Timer::Sweep);
         }
         if !core.config.site.settings.list_on_request {
-            core.timers.insert((now, Timer::ListCall));
+            core.plumbing.at(now, Timer::ListCall);
         }
         Ok(core)
     }
@@ -312,12 +194,12 @@
     /// How much is held now.
     pub fn footprint(&self) -> Footprint {
         Footprint {
-            conns: self.conns.len(),
+            conns: self.plumbing.len(),
             requests: self.requests.len(),
             ids: self.open_ids.len(),
             nodes: self.nodes.len(),
-            timers: self.timers.len(),
-            partial_bytes: self.partial_bytes + self.answer_bytes,
+            timers: self.plumbing.timers(),
+            partial_bytes: self.plumbing.partial_bytes + self.plumbing.answer_bytes,
         }
     }
 
@@ -331,162 +213,10 @@
         self.clients
     }
 
-    fn new_conn(&mut self, peer: Peer, stage: Stage, inlet: Inlet) -> ConnId {
-        self.next_conn += 1;
-        let id = ConnId(self.next_conn);
-        self.conns.insert(id, Conn { peer, stage, inlet, outbox: Outbox::default() });
-        id
-    }
-
-    /// Whether frames may pass on it.
-    fn is_open(&self, conn: ConnId) -> bool {
-        self.conns.get(&conn).is_some_and(|c| c.stage == Stage::Open)
-    }
-
-    /// Puts a frame into a connection's outbox. Returns where it ends in the stream.
-    fn push(&mut self, conn: ConnId, frame: &Frame<'_>) -> u64 {
-        self.put(conn, |bytes| encode(frame, bytes))
-    }
-
-    /// Puts bytes into a connection's outbox. Returns where they end in the stream.
-    fn put(&mut self, conn: ConnId, add: impl FnOnce(&mut Vec<u8>)) -> u64 {
-        let Some(c) = self.conns.get_mut(&conn) else { return u64::MAX };
-        if c.outbox.is_empty() {
-            self.commands.push(Command::Flush(conn));
-        }
-        c.outbox.write(add)
-    }
-
-    fn speaks_frames(&self, conn: ConnId) -> bool {
-        self.conns.get(&conn).is_some_and(|c| matches!(c.inlet, Inlet::Frames(_)))
-    }
-
     fn on_platform(&self) -> bool {
         self.config.wire == Wire::Platform
     }
 
-    fn greet(&mut self, conn: ConnId) {
-        let hello = Hello {
-            role: Role::Initiator,
-            versions: (VERSION_OLDEST, VERSION),
-            id: self.config.index.into(),
-            epoch: self.config.epoch,
-            name: &self.config.name.clone(),
-        };
-        self.push(conn, &Frame::Hello(hello));
-    }
-
-    /// Closes a connection from here that nothing hangs on any more.
-    fn drop_quietly(&mut self, conn: ConnId) {
-        if self.take_conn(conn).is_some() {
-            self.commands.push(Command::Close { conn, last: Vec::new() });
-        }
-    }
-
-    /// Takes a connection out; what it held of a message is held no more.
-    fn take_conn(&mut self, conn: ConnId) -> Option<Conn> {
-        let gone = self.conns.remove(&conn)?;
-        match &gone.inlet {
-            Inlet::Door(door) => self.partial_bytes -= door.held(),
-            Inlet::Link(link) => self.answer_bytes -= link.held(),
-            Inlet::Frames(_) => {}
-        }
-        Some(gone)
-    }
-
-    /// Closes a connection from here and settles what hung on it.
-    fn hang_up(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
-        if self.speaks_frames(conn) {
-            self.push(conn, &Frame::Bye { parting, wait: 0, text });
-        }
-        self.lost(conn, text, true, now);
-    }
-
-    /// A connection is no more.
-    fn lost(&mut self, conn: ConnId, cause: &str, by_us: bool, now: Micros) {
-        let Some(gone) = self.take_conn(conn) else { return };
-        if by_us {
-            // What is given up must not leave after all: with its last bytes it would run.
-            let pending = if let Inlet::Link(_) = gone.inlet { &[] } else { gone.outbox.pending() };
-            self.commands.push(Command::Close { conn, last: pending.to_vec() });
-        }
-        match (gone.peer, gone.inlet) {
-            (Peer::Client(client), _) => self.client_lost(conn, &client, cause, now),
-            (Peer::Node(node), Inlet::Link(link)) => {
-                self.link_lost(conn, node, &link, gone.outbox.written(), cause, now);
-            }
-            (Peer::Node(node), _) => {
-                self.node_lost(conn, node, gone.stage, gone.outbox.written(), cause, now)
-            }
-            (Peer::List, _) => self.list_lost(gone.stage, cause, now),
-        }
-    }
-
-    /// A frame came. False: the connection is gone, read no further.
-    fn frame(&mut self, conn: ConnId, frame: Frame<'_>, now: Micros) -> bool {
-        let Some(c) = self.conns.get(&conn) else { return false };
-        let stage = c.stage;
-        let fault = match (&c.peer, frame) {
-            (_, Frame::Bye { parting, text, .. }) => {
-                info!(conn = conn.0, ?parting, text, "peer said goodbye");
-                self.lost(conn, "peer said goodbye", true, now);
-                return false;
-            }
-            (Peer::Client(_), Frame::Hello(h)) if stage == Stage::Greeting => self.client_greeted(conn, &h),
-            (Peer::Client(_), Frame::Submit(s)) if stage == Stage::Open => {
-                self.submitted(conn, &s, None, now)
-            }
-            (Peer::Client(_), Frame::Barrier { id, volume, time_left }) if stage == Stage::Open => {
-                self.submitted_mark(conn, id, Mark::Barrier(volume), time_left, now)
-            }
-            (Peer::Client(_), Frame::Flush { id, volume, time_left }) if stage == Stage::Open => {
-                self.submitted_mark(conn, id, Mark::Flush(volume), time_left, now)
-            }
-            (Peer::Client(_), Frame::AskStatus { id }) if stage == Stage::Open => {
-                self.asked_status(conn, id, now);
-                Ok(())
-            }
-            (Peer::Node(node), Frame::Welcome(w)) if stage == Stage::Greeting => {
-                let node = *node;
-                self.node_greeted(conn, node, &w, now)
-            }
-            (Peer::Node(_), Frame::Done(d)) if stage == Stage::Open => {
-                self.attempt_done(conn, &d, now);
-                Ok(())
-            }
-            (Peer::Node(_), Frame::Chunk { request, attempt, payload }) if stage == Stage::Open => {
-                self.attempt_chunk(conn, request, attempt, payload);
-                Ok(())
-            }
-            (Peer::Node(node), Frame::Probed { token, .. }) if stage == Stage::Open => {
-                let node = *node;
-                self.probed(node, token, Outcome::Served);
-                Ok(())
-            }
-            (Peer::List, Frame::Welcome(w)) if stage == Stage::Greeting => self.list_greeted(conn, &w, now),
-            (Peer::List, Frame::List(l)) if stage == Stage::Open => {
-                self.listed(conn, &l, now);
-                Ok(())
-            }
-            (Peer::List, Frame::ListFailed) if stage == Stage::Open => {
-                self.list_call_failed(now);
-                Ok(())
-            }
-            (_, other) => Err((Parting::Protocol, format!("a frame that has no place here: {other:?}"))),
-        };
-        if let Err((parting, text)) = fault {
-            self.protocol_fault(conn, parting, &text, now);
-        }
-        self.conns.contains_key(&conn)
-    }
-
-    fn protocol_fault(&mut self, conn: ConnId, parting: Parting, text: &str, now: Micros) {
-        let text: String = text.chars().take(200).collect();
-        warn!(conn = conn.0, ?parting, text, "closing a connection for what its peer sent");
-        self.counts.protocol_faults += 1;
-        self.hang_up(conn, parting, &text, now);
-    }
-
     /// Tells the module all that waits to be told, and does what it wants done at once.
     fn tell(&mut self, now: Micros) {
         let mut actions = Vec::new();
@@ -518,7 +248,7 @@
         match timer {
             Timer::Deadline(request) => self.deadline(request, now),
             Timer::Dial(conn) => {
-                if self.conns.get(&conn).is_some_and(|c| c.stage != Stage::Open) {
+                if self.plumbing.get(conn).is_some_and(|c| c.stage != Stage::Open) {
                     self.hang_up(conn, Parting::Protocol, "no greeting in time", now);
                 }
             }
@@ -541,8 +271,8 @@
     fn stop(&mut self, now: Micros) {
         if self.phase == Phase::Running {
             let waits = &self.config.site.waits;
-            self.timers.insert((now.after(waits.stop), Timer::StopEnds));
-            self.timers.insert((now.after(waits.stop_grace), Timer::GraceEnds));
+            self.plumbing.at(now.after(waits.stop), Timer::StopEnds);
+            self.plumbing.at(now.after(waits.stop_grace), Timer::GraceEnds);
             info!(held = self.requests.len(), grace_ms = waits.stop_grace.ms(), "stopping");
             self.phase = Phase::Leaving;
             self.answer_by = Some(now.after(waits.stop.since(STOP_MARGIN)));
@@ -556,7 +286,7 @@
     fn close_doors(&mut self, now: Micros) {
         if self.phase == Phase::Leaving {
             self.phase = Phase::Stopping;
-            self.commands.push(Command::StopListening);
+            self.plumbing.say(Command::StopListening);
             self.drain_buffer(now);
             self.part_with_clients(now);
         }
@@ -564,9 +294,9 @@
 
     /// All that was held has been answered and read by its client, or the stop has lasted long enough.
     fn stopped(&self) -> bool {
-        let owed = |c: &Conn| matches!(c.peer, Peer::Client(_)) && !c.outbox.is_empty();
+        let owed = |(_, c): (ConnId, &Conn)| matches!(c.peer, Peer::Client(_)) && !c.outbox.is_empty();
         self.requests.values().all(|r| r.owner.is_none())
-            && !self.conns.values().any(owed)
+            && !self.plumbing.iter().any(owed)
             && self.buffer_drained()
     }
 
@@ -581,14 +311,14 @@
     fn exit(&mut self, now: Micros) {
         if self.phase != Phase::Stopped {
             self.phase = Phase::Stopped;
-            let conns: Vec<ConnId> = self.conns.keys().copied().collect();
+            let conns: Vec<ConnId> = self.plumbing.iter().map(|(conn, _)| conn).collect();
             conns.into_iter().for_each(|conn| self.hang_up(conn, Parting::Stopping, "stopping", now));
             // What was learnt of the nodes since the list last changed is kept for the next start.
             let listed = self.nodes.values().any(|n| n.readiness != Readiness::Gone);
             if listed && !self.on_platform() {
-                self.commands.push(Command::Save(self.saved_list(now)));
+                self.plumbing.say(Command::Save(self.saved_list(now)));
             }
-            self.commands.push(Command::Exit);
+            self.plumbing.say(Command::Exit);
             let (buffer, repeats) = (self.buffer_status(now), self.repeats_judged());
             info!(counts = ?self.counts, ?buffer, ?repeats, "stopped");
         }
@@ -601,7 +331,7 @@
     }
 
     fn connected(&mut self, conn: ConnId, now: Micros) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(c) = self.plumbing.get_mut(conn) else { return };
         if let Inlet::Frames(_) = c.inlet {
             c.stage = Stage::Greeting;
             self.greet(conn);
@@ -616,7 +346,7 @@
     }
 
     fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(c) = self.plumbing.get_mut(conn) else { return };
         let inbox = match &mut c.inlet {
             Inlet::Frames(inbox) => inbox,
             Inlet::Door(_) => return self.door_received(conn, bytes, now),
@@ -624,7 +354,7 @@
         };
         let mut inbox = std::mem::take(inbox);
         let fed = inbox.feed(bytes, |frame| self.frame(conn, frame, now));
-        if let Some(c) = self.conns.get_mut(&conn) {
+        if let Some(c) = self.plumbing.get_mut(conn) {
             c.inlet = Inlet::Frames(inbox);
             if let Err(e) = fed {
                 self.protocol_fault(conn, Parting::Protocol, &e.to_string(), now);
@@ -641,18 +371,18 @@
     }
 
     fn outgoing(&self, conn: ConnId) -> &[u8] {
-        self.conns.get(&conn).map_or(&[], |c| c.outbox.pending())
+        self.plumbing.get(conn).map_or(&[], |c| c.outbox.pending())
     }
 
     fn wrote(&mut self, conn: ConnId, count: usize, now: Micros) {
-        if let Some(c) = self.conns.get_mut(&conn) {
+        if let Some(c) = self.plumbing.get_mut(conn) {
             c.outbox.wrote(count);
             self.client_read(conn, now);
         }
     }
 
     fn wants_read(&self, conn: ConnId) -> bool {
-        match self.conns.get(&conn).map(|c| (&c.peer, &c.inlet)) {
+        match self.plumbing.get(conn).map(|c| (&c.peer, &c.inlet)) {
             Some((_, Inlet::Door(door))) => door.wants_read(),
             Some((Peer::Client(client), _)) => !client.paused,
             Some(_) => true,
@@ -682,15 +412,14 @@
     }
 
     fn settle(&mut self, now: Micros) -> Option<Micros> {
-        while let Some((at, timer)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
-            self.timers.remove(&(at, timer));
+        while let Some(timer) = self.plumbing.due(now) {
             self.fire(timer, now);
         }
         self.look_at_weather(now);
         self.settle_buffer(now);
         self.tell(now);
         if std::mem::take(&mut self.list.unsaved) {
-            self.commands.push(Command::Save(self.saved_list(now)));
+            self.plumbing.say(Command::Save(self.saved_list(now)));
         }
         let woken = self.wake_at.is_some_and(|at| at <= now);
         // Many requests share one look at all that is held: decisions come at most once a tick.
@@ -707,11 +436,11 @@
         let tick_due = self.decided_at.map_or(now, |at| at.after(tick)).max(Micros(now.0 + 1));
         let undecided = (self.undecided || !self.events.is_empty()).then_some(tick_due);
         let woken = self.wake_at.map(|at| at.max(tick_due));
-        let timer = self.timers.first().map(|(at, _)| *at);
+        let timer = self.plumbing.next_due();
         [undecided, woken, timer, buffer].into_iter().flatten().min()
     }
 
     fn take_commands(&mut self) -> Vec<Command> {
-        std::mem::take(&mut self.commands)
+        self.plumbing.take_commands()
     }
 }
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -1,11 +1,12 @@
 //! Storage nodes: one connection to each, opened by the first attempt, closed when idle or when the node
 //! is gone. What is known of an attempt whose connection broke depends on how much of it had left.
 
+use super::Core;
 use super::clients::Fault;
+use super::plumbing::{Conn, Inlet, Peer, Stage, Timer};
 use super::pool::Carried;
 use super::requests::Owner;
-use super::{Conn, Core, Inlet, Peer, Stage, Timer};
-use crate::machine::{Address, Command, ConnId, Micros};
+use crate::machine::{Address, ConnId, Micros};
 use flaxstand::api::{
     AttemptNo, Event, ListScope, NodeEntry, NodeId, Outcome, Readiness, RequestId, ShardId, ZoneId,
 };
@@ -114,7 +115,7 @@
             return self.carry(at, Carried::Attempt(id, attempt), now);
         }
         let open = match conn {
-            Some(conn) => self.is_open(conn).then_some(conn),
+            Some(conn) => self.plumbing.is_open(conn).then_some(conn),
             None => {
                 self.dial(at, now);
                 None
@@ -135,15 +136,15 @@
         let ends = now.after(self.config.site.waits.dial);
         self.next_probe += 1;
         let token = self.next_probe;
-        self.timers.insert((ends, Timer::Probe(at, token)));
+        self.plumbing.at(ends, Timer::Probe(at, token));
         let Some(node) = self.node(at) else { return };
         node.probe = Some((token, ends));
         let conn = node.conn;
         if self.on_platform() {
             return self.carry(at, Carried::Probe(at, token), now);
         }
-        if let Some(conn) = conn.filter(|conn| self.is_open(*conn)) {
-            self.push(conn, &Frame::Probe { token });
+        if let Some(conn) = conn.filter(|conn| self.plumbing.is_open(*conn)) {
+            self.plumbing.push(conn, &Frame::Probe { token });
         }
     }
 
@@ -151,24 +152,23 @@
     pub(super) fn probed(&mut self, at: NodeId, token: u64, outcome: Outcome) {
         let Some(node) = self.node(at) else { return };
         if let Some((_, ends)) = node.probe.take_if(|(out, _)| *out == token) {
-            self.timers.remove(&(ends, Timer::Probe(at, token)));
+            self.plumbing.cancel(ends, Timer::Probe(at, token));
             self.events.push_back(Event::Probed(at, outcome));
         }
     }
 
     fn dial(&mut self, at: NodeId, now: Micros) {
-        let conn = self.new_conn(Peer::Node(at), Stage::Dialing, Inlet::Frames(Inbox::default()));
-        self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
+        let Some(address) = self.nodes.get(&at).map(|n| n.address.clone()) else { return };
+        let by = now.after(self.config.site.waits.dial);
+        let conn = self.plumbing.dial(Peer::Node(at), Inlet::Frames(Inbox::default()), address, by);
         if let Some(node) = self.node(at) {
             node.conn = Some(conn);
-            let address = node.address.clone();
-            debug!(node = %node.name, %address, conn = conn.0, "calling a node");
-            self.commands.push(Command::Connect { conn, address });
+            debug!(node = %node.name, address = %node.address, conn = conn.0, "calling a node");
         }
     }
 
     fn hand_over(&mut self, id: RequestId, attempt: AttemptNo, conn: ConnId, now: Micros) {
-        let full = self.conns.get(&conn).is_some_and(|c| c.outbox.len() > self.config.bounds.node_bytes);
+        let full = self.plumbing.get(conn).is_some_and(|c| c.outbox.len() > self.config.bounds.node_bytes);
         if full {
             // What waits for this node is at its bound; it never left, so it has not run.
             self.end_attempt(id, attempt, Outcome::Full, now);
@@ -192,7 +192,7 @@
             time_left: u32::try_from(held.valid_until.since(now).0).unwrap_or(u32::MAX),
             payload: &payload,
         });
-        let ends = self.push(conn, &frame);
+        let ends = self.plumbing.push(conn, &frame);
         self.counts.attempts += 1;
         if let Some(held) = self.requests.get_mut(&id) {
             held.payload = payload;
@@ -231,10 +231,8 @@
             let entry = node.entry(at);
             self.events.push_back(Event::List(ListScope::Changes, vec![entry]));
         }
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.stage = Stage::Open;
-        }
-        self.timers.insert((now.after(idle), Timer::Idle(conn)));
+        self.plumbing.is_at(conn, Stage::Open);
+        self.plumbing.at(now.after(idle), Timer::Idle(conn));
         for (id, attempt) in waiting {
             if restarted || !self.is_owed(id) {
                 // Not sent: the module sends it when the node bears it; or nobody waits, and its payload is gone.
@@ -286,7 +284,7 @@
         let Some((id, attempt)) = self.flies(conn, d.request, d.attempt) else { return };
         match d.code {
             Code::Served => {
-                let Some(Conn { peer: Peer::Node(at), .. }) = self.conns.get(&conn) else { return };
+                let Some(Conn { peer: Peer::Node(at), .. }) = self.plumbing.get(conn) else { return };
                 let shard = self.nodes.get(at).map_or(0, |n| n.shard);
                 self.served(id, attempt, shard, d.payload, now);
             }
@@ -310,7 +308,7 @@
             self.events.push_back(Event::AnswerStarted(id));
         }
         if let Some(Owner::Client(client, client_id)) = held.owner {
-            self.push(client, &Frame::Part { id: client_id, payload });
+            self.plumbing.push(client, &Frame::Part { id: client_id, payload });
         }
     }
 
@@ -335,7 +333,7 @@
     }
 
     pub(super) fn idle(&mut self, conn: ConnId, now: Micros) {
-        let Some(Conn { peer: Peer::Node(at), .. }) = self.conns.get(&conn) else { return };
+        let Some(Conn { peer: Peer::Node(at), .. }) = self.plumbing.get(conn) else { return };
         let (at, idle) = (*at, self.config.site.waits.idle);
         let Some(node) = self.node(at) else { return };
         let since = if node.out.is_empty() { node.idle_since } else { now };
@@ -343,7 +341,7 @@
             node.conn = None;
             self.lost(conn, "idle", true, now);
         } else {
-            self.timers.insert((since.after(idle), Timer::Idle(conn)));
+            self.plumbing.at(since.after(idle), Timer::Idle(conn));
         }
     }
 }
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -2,9 +2,10 @@
 //! list service's. An answer is held whole before anything of it goes on; a connection whose answer is
 //! spoilt, or brings more than belongs to it, is not used again. Giving up an attempt closes its connection.
 
+use super::Core;
 use super::nodes::NodePeer;
-use super::{Conn, Core, Inlet, Peer, Stage, Timer};
-use crate::machine::{Command, ConnId, Micros};
+use super::plumbing::{Conn, Inlet, Peer, Timer};
+use crate::machine::{ConnId, Micros};
 use flaxstand::api::{AttemptNo, NodeId, Outcome, Readiness, RequestId};
 use flaxstand_http::{Answer, Answers, write_request};
 use flaxstand_platform::{HEALTH, field, outcome_of};
@@ -53,7 +54,7 @@
 
 impl Core {
     pub(super) fn link(&mut self, conn: ConnId) -> Option<&mut Link> {
-        match self.conns.get_mut(&conn) {
+        match self.plumbing.get_mut(conn) {
             Some(Conn { inlet: Inlet::Link(link), .. }) => Some(link),
             _ => None,
         }
@@ -74,9 +75,8 @@
             return self.end_carried(what, Outcome::Moot, now);
         }
         self.links += 1;
-        let conn = self.new_conn(Peer::Node(at), Stage::Dialing, Inlet::Link(Link::new(what, now)));
-        self.timers.insert((now.after(self.config.site.waits.dial), Timer::Dial(conn)));
-        self.commands.push(Command::Connect { conn, address });
+        let (inlet, by) = (Inlet::Link(Link::new(what, now)), now.after(self.config.site.waits.dial));
+        let conn = self.plumbing.dial(Peer::Node(at), inlet, address, by);
         if let Carried::Attempt(id, attempt) = what {
             self.note_handed(id, attempt, conn, u64::MAX);
         }
@@ -94,7 +94,7 @@
 
     /// A new connection stands.
     pub(super) fn link_stands(&mut self, conn: ConnId, now: Micros) {
-        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.conns.get(&conn) else { return };
+        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.plumbing.get(conn) else { return };
         if let (Peer::Node(at), Some(Carried::Attempt(id, attempt))) = (peer, link.carries) {
             // The node began to drain while it was called: guards the rule on drains. Or the request was answered
             // meanwhile, or its client left: its payload is gone, and what would be sent is none of a client's.
@@ -108,7 +108,7 @@
     }
 
     fn write_carried(&mut self, conn: ConnId, now: Micros) {
-        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.conns.get(&conn) else { return };
+        let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.plumbing.get(conn) else { return };
         let host = match peer {
             Peer::Node(at) => self.nodes.get(at).map(|n| n.address.to_string()).unwrap_or_default(),
             _ => self.config.list.to_string(),
@@ -126,7 +126,7 @@
                     fields.push((field::KEY, key));
                 }
                 let body = held.write.then_some(payload.as_slice());
-                let ends = self.put(conn, |bytes| {
+                let ends = self.plumbing.put(conn, |bytes| {
                     write_request(bytes, origin.method, &origin.target, &fields, body);
                 });
                 self.counts.attempts += 1;
@@ -136,11 +136,11 @@
                 self.note_handed(id, attempt, conn, ends);
             }
             Some(Carried::Probe(..)) => {
-                self.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
+                self.plumbing.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
             }
             Some(Carried::ListCall) => {
                 let call = self.next_list_call();
-                self.put(conn, |bytes| write_request(bytes, "GET", &call, &[host], None));
+                self.plumbing.put(conn, |bytes| write_request(bytes, "GET", &call, &[host], None));
                 self.list_call_written(now);
             }
             None => {}
@@ -160,14 +160,14 @@
             link.since = now;
         }
         let after = link.reader.len();
-        self.answer_bytes = self.answer_bytes - before + after;
+        self.plumbing.answer_bytes = self.plumbing.answer_bytes - before + after;
         match read {
             Ok(Some(answer)) => self.link_answered(conn, &answer, now),
-            Ok(None) if self.answer_bytes > self.config.bounds.answer_bytes => {
+            Ok(None) if self.plumbing.answer_bytes > self.config.bounds.answer_bytes => {
                 self.spoilt(conn, &"too much is on its way in from nodes", now);
             }
             Ok(None) if begins => {
-                self.timers.insert((now.after(ANSWER_STALLS), Timer::Quiet(conn)));
+                self.plumbing.at(now.after(ANSWER_STALLS), Timer::Quiet(conn));
             }
             Ok(None) => {}
             Err(fault) => self.spoilt(conn, &fault, now),
@@ -216,7 +216,7 @@
 
     /// A connection has nothing to carry.
     fn free(&mut self, conn: ConnId, now: Micros) {
-        let Some(Conn { peer: Peer::Node(at), inlet: Inlet::Link(link), .. }) = self.conns.get_mut(&conn)
+        let Some(Conn { peer: Peer::Node(at), inlet: Inlet::Link(link), .. }) = self.plumbing.get_mut(conn)
         else {
             return;
         };
@@ -261,7 +261,7 @@
         outcome: Outcome,
         now: Micros,
     ) {
-        let left = self.conns.get(&conn).is_some_and(|c| c.outbox.written() >= ends);
+        let left = self.plumbing.get(conn).is_some_and(|c| c.outbox.written() >= ends);
         if let Some(link) = self.link(conn) {
             link.carries = None;
         }
@@ -273,20 +273,21 @@
     pub(super) fn hang_up_probe(&mut self, at: NodeId, token: u64, now: Micros) {
         let probe = Some(Carried::Probe(at, token));
         let carries = |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries == probe);
-        if let Some(conn) = self.conns.iter().find(|(_, c)| carries(c)).map(|(conn, _)| *conn) {
+        let found = self.plumbing.iter().find(|(_, c)| carries(c)).map(|(conn, _)| conn);
+        if let Some(conn) = found {
             self.lost(conn, "a probe took too long", true, now);
         }
     }
 
     /// Looks whether a connection was at one thing for too long.
     pub(super) fn quiet(&mut self, conn: ConnId, now: Micros) {
-        match self.conns.get_mut(&conn) {
+        match self.plumbing.get_mut(conn) {
             Some(Conn { inlet: Inlet::Link(link), .. }) => {
                 let due = link.since.after(ANSWER_STALLS);
                 match link.carries.is_some() && !link.reader.is_empty() {
                     true if due <= now => self.spoilt(conn, &"it does not end", now),
                     true => {
-                        self.timers.insert((due, Timer::Quiet(conn)));
+                        self.plumbing.at(due, Timer::Quiet(conn));
                     }
                     false => {}
                 }
@@ -298,7 +299,7 @@
 
     fn close_longest_idle(&mut self, now: Micros) -> bool {
         let first = |n: &NodePeer| n.idle.first().copied();
-        let since = |conn: &ConnId| match self.conns.get(conn).map(|c| &c.inlet) {
+        let since = |conn: &ConnId| match self.plumbing.get(*conn).map(|c| &c.inlet) {
             Some(Inlet::Link(link)) => link.since,
             _ => now,
         };
@@ -313,7 +314,7 @@
     pub(super) fn sweep(&mut self, now: Micros) {
         let idle = self.config.site.waits.idle;
         let old = |c: &Conn| matches!(&c.inlet, Inlet::Link(l) if l.carries.is_none() && now.since(l.since) >= idle);
-        let old: Vec<ConnId> = self.conns.iter().filter(|(_, c)| old(c)).map(|(conn, _)| *conn).collect();
+        let old: Vec<ConnId> = self.plumbing.iter().filter(|(_, c)| old(c)).map(|(conn, _)| conn).collect();
         old.into_iter().for_each(|conn| self.lost(conn, "idle", true, now));
         let forgotten = |n: &NodePeer| {
             n.readiness == Readiness::Gone && n.out.is_empty() && now.since(n.gone_at) >= REMEMBERED
@@ -326,7 +327,7 @@
                 self.node_ids.remove(&node.name);
             }
         }
-        self.timers.insert((now.after(SWEEP), Timer::Sweep));
+        self.plumbing.at(now.after(SWEEP), Timer::Sweep);
     }
 
     /// Closes a node's idle connections: its address is no longer what they lead to.
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -1,8 +1,9 @@
 //! A request's life: taken, sent at the module's word, answered once, forgotten when its last attempt has
 //! ended.
 
+use super::Core;
 use super::door::Origin;
-use super::{Core, Peer, Timer};
+use super::plumbing::{Peer, Timer};
 use crate::machine::{ConnId, Micros};
 use flaxstand::api::{Action, AttemptNo, Ended, Event, NodeId, Outcome, RequestId};
 use flaxstand_buffer::{Place, TryId, Write};
@@ -319,7 +320,7 @@
         held.verdict = verdict;
         held.payload = Vec::new();
         let Owner::Client(conn, client_id) = owner else { return self.forget(id, now) };
-        if let Some(Peer::Client(client)) = self.conns.get_mut(&conn).map(|c| &mut c.peer) {
+        if let Some(Peer::Client(client)) = self.plumbing.get_mut(conn).map(|c| &mut c.peer) {
             client.owed.remove(&client_id);
         }
         self.tell_client(conn, &frame(client_id), now);
@@ -344,7 +345,7 @@
             return self.hang_up_attempt(conn, ends, (id, attempt), outcome, now);
         }
         if let Some((conn, _)) = handed {
-            self.push(conn, &Frame::Cancel { request: id.0, attempt: attempt.0 });
+            self.plumbing.push(conn, &Frame::Cancel { request: id.0, attempt: attempt.0 });
         }
         self.end_attempt(id, attempt, if handed.is_some() { outcome } else { Outcome::ConnectFailed }, now);
     }
@@ -380,7 +381,7 @@
         if self.requests.get(&id).is_some_and(over)
             && let Some(held) = self.requests.remove(&id)
         {
-            self.timers.remove(&(held.valid_until, Timer::Deadline(id)));
+            self.plumbing.cancel(held.valid_until, Timer::Deadline(id));
             if let Some(origin) = &held.origin {
                 self.open_ids.remove(&origin.id);
             }
--- a/crates/flaxstand-gateway/src/core/watch.rs
+++ b/crates/flaxstand-gateway/src/core/watch.rs
@@ -2,9 +2,10 @@
 //! answer to the last at once. A call that fails, or is silent for longer than it may wait, is told to the
 //! module, which asks again when it sees fit.
 
+use super::Core;
 use super::list::Told;
 use super::nodes::NodeName;
-use super::{Core, Timer};
+use super::plumbing::Timer;
 use crate::machine::{ConnId, Micros};
 use flaxstand::api::{ListScope, Readiness};
 use flaxstand_http::Answer;
@@ -26,8 +27,8 @@
     /// It was asked: from now on its answer is waited for.
     pub(super) fn list_call_written(&mut self, now: Micros) {
         let wait = self.config.site.waits.watch.after(OVERDUE);
-        self.timers.retain(|(_, timer)| *timer != Timer::ListSilence);
-        self.timers.insert((now.after(wait), Timer::ListSilence));
+        self.plumbing.cancel_all(Timer::ListSilence);
+        self.plumbing.at(now.after(wait), Timer::ListSilence);
     }
 
     pub(super) fn list_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
@@ -49,7 +50,7 @@
         } else {
             // It works, and only this connection ends: not a failure that the module should hear of.
             self.list.conn = None;
-            self.drop_quietly(conn);
+            self.plumbing.drop_quietly(conn);
             self.call_list(now);
         }
     }
@@ -103,9 +104,9 @@
     /// The list service is elsewhere now. Guards against a list that goes stale unseen: the old one closes.
     pub(super) fn list_moved(&mut self, now: Micros) {
         if let Some(conn) = self.list.conn.take() {
-            self.drop_quietly(conn);
+            self.plumbing.drop_quietly(conn);
         }
-        self.timers.retain(|(_, timer)| *timer != Timer::ListSilence);
+        self.plumbing.cancel_all(Timer::ListSilence);
         self.list.revision = None;
         self.call_list(now);
     }
--- a/crates/flaxstand-gateway/src/core/writeback.rs
+++ b/crates/flaxstand-gateway/src/core/writeback.rs
@@ -2,10 +2,11 @@
 //! all) is offered to the buffer first; what it sends through, and its own write-outs, are ordinary requests
 //! to the module.
 
+use super::Core;
 use super::clients::Fault;
 use super::config::WriteBack;
+use super::plumbing::Timer;
 use super::requests::{Held, Owner, Verdict, With};
-use super::{Core, Timer};
 use crate::machine::{Command, ConnId, Micros};
 use flaxstand::api::{
     Arrival, Class, ClassId, Effect, Event, Key, PlanId, RequestId, Settings, ShardId, VolumeId,
@@ -174,7 +175,7 @@
             return Ok(());
         };
         self.requests.insert(id, Held::mark((conn, client_id), valid_until));
-        self.timers.insert((valid_until, Timer::Deadline(id)));
+        self.plumbing.at(valid_until, Timer::Deadline(id));
         let Some(back) = &mut self.back else {
             let (wait, refusal, scope) = (0, Refusal::Unbuffered, Scope::All);
             self.counts.turned_away += 1;
@@ -209,7 +210,7 @@
     fn carry_out(&mut self, action: Action, now: Micros) {
         let request = |ticket: Ticket| RequestId(ticket.0);
         match action {
-            Action::Store(batch) => self.commands.push(Command::Store(batch)),
+            Action::Store(batch) => self.plumbing.say(Command::Store(batch)),
             Action::Buffered(ticket) => self.buffered(request(ticket), now),
             Action::Through(ticket) => self.through(request(ticket)),
             Action::Refused { ticket, wait } => self.refused_here(request(ticket), wait, now),
@@ -261,7 +262,7 @@
         let held = Held::write_out(id, write, valid_until);
         self.events.push_back(Event::Arrived(held.arrival(request, class)));
         self.requests.insert(request, held);
-        self.timers.insert((valid_until, Timer::Deadline(request)));
+        self.plumbing.at(valid_until, Timer::Deadline(request));
     }
 
     /// A write-out that waits with the module at too low a worth is taken back, if none of it has left.
@@ -272,7 +273,7 @@
             back.tries.remove(&id);
             back.buffer.try_ended(id, TryEnd::Withdrawn, now);
             if let Some(held) = self.requests.remove(&request) {
-                self.timers.remove(&(held.valid_until, Timer::Deadline(request)));
+                self.plumbing.cancel(held.valid_until, Timer::Deadline(request));
             }
             self.events.push_back(Event::ClientGone(request));
         }
@@ -337,7 +338,7 @@
             None => "{}".to_owned(),
             Some(s) => status_json(&s),
         };
-        self.push(conn, &Frame::Status { id, json: json.as_bytes() });
+        self.plumbing.push(conn, &Frame::Status { id, json: json.as_bytes() });
         self.client_wrote(conn, now);
     }
 
