--- a/crates/flaxstand-agree/src/following.rs
+++ b/crates/flaxstand-agree/src/following.rs
@@ -7,12 +7,19 @@
 use flaxstand_proto::Micros;
 use tracing::info;
 
+/// What a leader is answered.
+pub(crate) enum Heard {
+    /// All up to there is held as it has it.
+    Held(u64),
+    /// What came does not fit; all up to there does.
+    Missing(u64),
+    Nothing,
+}
+
 impl Keeper {
     /// Whether the letter comes from this term's leader, who is followed from now on.
     fn led_by(&mut self, from: &Member, term: u64, now: Micros) -> bool {
         if term < self.state.term {
-            // It learns of the term from the answer's head.
-            self.tell(from, Body::Missing(0));
             return false;
         }
         self.follow(term, now);
@@ -34,9 +41,9 @@
         entries: Vec<Entry>,
         commit: u64,
         now: Micros,
-    ) {
+    ) -> Heard {
         if !self.led_by(from, term, now) {
-            return;
+            return self.unheard(term);
         }
         let (before, before_term) = prev;
         let log = &self.state.log;
@@ -44,7 +51,7 @@
         let fits = in_snapshot || log.term(before) == Some(before_term);
         if !fits && self.config.planted != Planted::GapTaken {
             // All that is agreed on here the leader has as well.
-            return self.tell(from, Body::Missing(self.committed));
+            return Heard::Missing(self.committed);
         }
         let upto = before + entries.len() as u64;
         // What is here already stays: a late letter must not take back what a newer one brought.
@@ -61,12 +68,12 @@
         }
         let surely = upto.max(if in_snapshot { self.committed } else { 0 });
         self.learn_commit(commit.min(surely));
-        self.tell(from, Body::Held(surely));
+        Heard::Held(surely)
     }
 
-    pub(crate) fn install(&mut self, from: &Member, term: u64, snapshot: Snapshot, now: Micros) {
+    pub(crate) fn install(&mut self, from: &Member, term: u64, snapshot: Snapshot, now: Micros) -> Heard {
         if !self.led_by(from, term, now) {
-            return;
+            return self.unheard(term);
         }
         if snapshot.index > self.committed {
             info!(index = snapshot.index, "taking a snapshot in place of entries");
@@ -84,7 +91,21 @@
             self.journal.renew(self.state.log.last());
             self.tell_state();
         }
-        self.tell(from, Body::Held(self.committed));
+        Heard::Held(self.committed)
+    }
+
+    /// A leader of an earlier term learns of the present one from the answer's head; one whose entries can't be
+    /// confirmed yet hears nothing.
+    fn unheard(&self, term: u64) -> Heard {
+        if term < self.state.term { Heard::Missing(0) } else { Heard::Nothing }
+    }
+
+    pub(crate) fn answer_leader(&mut self, to: &Member, heard: Heard, stamp: u64) {
+        match heard {
+            Heard::Held(upto) => self.tell(to, Body::Held(upto, stamp)),
+            Heard::Missing(surely) => self.tell(to, Body::Missing(surely, stamp)),
+            Heard::Nothing => {}
+        }
     }
 
     fn learn_commit(&mut self, upto: u64) {
--- a/crates/flaxstand-agree/src/identity.rs
+++ b/crates/flaxstand-agree/src/identity.rs
@@ -139,13 +139,11 @@
         self.journal.renew(0);
     }
 
-    /// Of a leader: whether a sender's name belongs to another incarnation, as all agreed. Guards against a folder
-    /// put back from before its keeper was replaced: it would ask for votes for ever.
+    /// Of a leader: whether one that wants votes has none itself any more, as all agreed. Guards against a folder put
+    /// back from before its keeper was replaced: it would ask for ever.
     pub(crate) fn replaced(&self, from: &Member) -> bool {
         let (since, electorate) = self.state.log.electorate();
-        self.leads()
-            && since <= self.committed
-            && electorate.iter().any(|m| m.name == from.name && m.incarnation != from.incarnation)
+        self.leads() && since <= self.committed && !electorate.contains(from)
     }
 
     /// One that is new wants to be taken in.
--- a/crates/flaxstand-agree/src/keeper.rs
+++ b/crates/flaxstand-agree/src/keeper.rs
@@ -204,6 +204,8 @@
             keeper.agreed.push_back(Agreed::State(committed, keeper.state.log.snapshot.state.clone()));
             keeper.ask_after_later_lives();
         }
+        // It may have heard a leader just before: nobody is helped to lead until that is long ago.
+        keeper.leader_heard = (keeper.state.cluster != 0).then_some(now);
         keeper.put_off_election(now);
         keeper
     }
@@ -234,12 +236,16 @@
             Body::PreVoted(asked, granted) => self.pre_voted(from, term, asked, granted, now),
             Body::Vote(newest) => self.asked_vote(&from, term, newest, now),
             Body::Voted(granted) => self.voted(from, term, granted, now),
-            Body::Append { prev, entries, commit } => {
-                self.appended(&from, term, prev, entries, commit, now);
+            Body::Append { prev, entries, commit, stamp } => {
+                let answer = self.appended(&from, term, prev, entries, commit, now);
+                self.answer_leader(&from, answer, stamp);
             }
-            Body::Install(snapshot) => self.install(&from, term, snapshot, now),
-            Body::Held(upto) => self.held_by(&from, term, upto, true, now),
-            Body::Missing(surely) => self.held_by(&from, term, surely, false, now),
+            Body::Install(snapshot, stamp) => {
+                let answer = self.install(&from, term, snapshot, now);
+                self.answer_leader(&from, answer, stamp);
+            }
+            Body::Held(upto, stamp) => self.held_by(&from, term, (upto, true), Micros(stamp), now),
+            Body::Missing(surely, stamp) => self.held_by(&from, term, (surely, false), Micros(stamp), now),
         }
     }
 
@@ -250,7 +256,7 @@
             return true;
         }
         let calls =
-            matches!(letter.body, Body::Append { .. } | Body::Install(_) | Body::PreVote(_) | Body::Vote(_));
+            matches!(letter.body, Body::Append { .. } | Body::Install(..) | Body::PreVote(_) | Body::Vote(_));
         if self.state.cluster == 0 {
             if calls && letter.incarnation == Some(self.state.me.incarnation) {
                 info!(cluster = letter.cluster, from = letter.from.name, "entering the agreement");
--- a/crates/flaxstand-agree/src/leading.rs
+++ b/crates/flaxstand-agree/src/leading.rs
@@ -26,11 +26,13 @@
     /// The entry to send next.
     next: u64,
     heard: Micros,
+    /// When the newest of the letters was written that it answered.
+    stamped: Micros,
 }
 
 impl Peer {
     fn new(next: u64, now: Micros) -> Peer {
-        Peer { held: 0, after: 0, counted: 0, next, heard: now }
+        Peer { held: 0, after: 0, counted: 0, next, heard: now, stamped: Micros(0) }
     }
 }
 
@@ -91,6 +93,25 @@
         self.majority(&heard)
     }
 
+    /// Until when nobody else can lead, as far as a majority's answers prove: nobody who heard this leader helps
+    /// another to lead for an election's time, counted from when it heard, which is after the letter was written.
+    /// A tenth is left for clocks. None: it does not lead, or may not yet know all that was agreed on.
+    pub fn leads_until(&self, now: Micros) -> Option<Micros> {
+        let Role::Leader(leading) = &self.role else { return None };
+        if self.state.log.term(self.committed) != Some(self.state.term) {
+            return None;
+        }
+        let electorate = self.state.log.electorate().1;
+        let stamped = |m: &Member| match leading.peers.get(m) {
+            _ if *m == self.state.me => now,
+            peer => peer.map_or(Micros(0), |p| p.stamped),
+        };
+        let mut all: Vec<Micros> = electorate.iter().map(stamped).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        let proven = all.get(all.len() / 2)?;
+        Some(proven.after(Micros(self.config.election.0 * 9 / 10)))
+    }
+
     /// Of a leader: members that it has not heard for an election's time.
     pub(crate) fn silent(&self, now: Micros) -> Vec<String> {
         let Role::Leader(leading) = &self.role else { return Vec::new() };
@@ -106,11 +127,11 @@
         let Role::Leader(leading) = &mut self.role else { return };
         leading.speak_at = now.after(self.config.heartbeat);
         let peers: Vec<Member> = leading.peers.keys().cloned().collect();
-        peers.iter().for_each(|peer| self.send_next(peer));
+        peers.iter().for_each(|peer| self.send_next(peer, now));
         self.settle_commit();
     }
 
-    fn send_next(&mut self, to: &Member) {
+    fn send_next(&mut self, to: &Member, now: Micros) {
         let Role::Leader(leading) = &self.role else { return };
         let Some(peer) = leading.peers.get(to) else { return };
         let log = &self.state.log;
@@ -118,16 +139,23 @@
         let body = match log.term(before) {
             Some(term) => {
                 let entries = log.after(before, LETTER_MOST);
-                Body::Append { prev: (before, term), entries, commit: self.committed }
+                Body::Append { prev: (before, term), entries, commit: self.committed, stamp: now.0 }
             }
             // What it needs is here no more.
-            None => Body::Install(log.snapshot.clone()),
+            None => Body::Install(log.snapshot.clone(), now.0),
         };
         self.tell(to, body);
     }
 
     /// One says what it holds: surely all up to there, and if `fits` that was what was sent.
-    pub(crate) fn held_by(&mut self, from: &Member, term: u64, upto: u64, fits: bool, now: Micros) {
+    pub(crate) fn held_by(
+        &mut self,
+        from: &Member,
+        term: u64,
+        (upto, fits): (u64, bool),
+        stamp: Micros,
+        now: Micros,
+    ) {
         if term > self.state.term {
             return self.follow(term, now);
         }
@@ -138,6 +166,7 @@
         }
         let Some(peer) = leading.peers.get_mut(from) else { return };
         peer.heard = now;
+        peer.stamped = peer.stamped.max(stamp.min(now));
         if fits {
             // What comes late says less than what came before it.
             let more = upto > peer.held;
@@ -146,11 +175,11 @@
             }
             peer.next = peer.held + 1;
             if more && peer.held < last {
-                self.send_next(from);
+                self.send_next(from, now);
             }
         } else {
             peer.next = (upto.max(peer.held) + 1).min(last + 1);
-            self.send_next(from);
+            self.send_next(from, now);
         }
         self.settle_commit();
     }
--- a/crates/flaxstand-agree/src/letter.rs
+++ b/crates/flaxstand-agree/src/letter.rs
@@ -101,11 +101,13 @@
         entries: Vec<Entry>,
         /// All up to there is agreed on.
         commit: u64,
+        /// The leader's clock, microseconds, when it wrote this: the answer carries it back.
+        stamp: u64,
     },
-    /// The leader's snapshot, in place of entries that it has no more.
-    Install(Snapshot),
-    /// All up to there is durable here as the leader has it.
-    Held(u64),
-    /// The entry before was not here; all up to there surely is.
-    Missing(u64),
+    /// The leader's snapshot, in place of entries that it has no more, and the stamp.
+    Install(Snapshot, u64),
+    /// All up to there is durable here as the leader has it; the stamp.
+    Held(u64, u64),
+    /// The entry before was not here; all up to there surely is; the stamp.
+    Missing(u64, u64),
 }
--- a/crates/flaxstand-agree/src/lib.rs
+++ b/crates/flaxstand-agree/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`journal`]: what must be durable before it is told, and reading it back
 #![forbid(unsafe_code)]
 
+pub mod book;
 pub mod election;
 pub mod following;
 pub mod identity;
@@ -21,6 +22,9 @@
 pub mod leading;
 pub mod letter;
 pub mod log;
+pub mod member;
+pub mod rules;
+pub mod warden;
 
 pub use flaxstand_proto::Micros;
 pub use journal::{Journal, Recovered, State, recover};
--- /dev/null
+++ b/crates/flaxstand-agree/src/member.rs
@@ -0,0 +1,182 @@
+//! A member: any initiator, keepers included. It acts on the book's rules as long as it has a lease for the book's
+//! stage, and on the floor otherwise.
+//!
+//! A lease counts from the moment at which it was *asked for*, on a clock that goes on through a stopped process and
+//! does not follow the calendar; whoever gave it counts from when he gave it, which is later, and adds the clocks'
+//! stated error. So it never runs out here after it ran out there.
+
+use crate::book::Book;
+use crate::rules::Rules;
+use crate::warden::{Answer, Ask};
+use flaxstand_proto::Micros;
+use std::collections::BTreeMap;
+
+/// Asks whose answers may still come, most.
+const ASKED_MOST: usize = 16;
+/// A lease is asked for anew so many times in its span.
+const RENEWALS: u64 = 4;
+
+/// What a member acts on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acting {
+    /// The floor: it has no lease.
+    Floor,
+    /// The narrower of the version in force and of the one under way.
+    Between(u64, u64),
+    /// The version in force.
+    Alone(u64),
+}
+
+/// A member.
+#[derive(Debug)]
+pub struct Member {
+    name: String,
+    incarnation: u64,
+    book: Option<Book>,
+    /// The book's index in the log.
+    index: u64,
+    /// Until when it acts on the book, and the stage that the lease is for.
+    lease: Option<(Micros, u64)>,
+    asked: BTreeMap<u64, Micros>,
+    next_ask: u64,
+    ask_at: Micros,
+    span: Micros,
+    leaving: bool,
+    /// The book that has to be saved before its stage is confirmed.
+    unsaved: bool,
+}
+
+impl Member {
+    /// A member that starts, with the book it saved in an earlier life. `span` is how long a lease is expected to
+    /// be, until the first tells.
+    pub fn new(
+        name: String,
+        incarnation: u64,
+        saved: Option<(u64, Book)>,
+        span: Micros,
+        now: Micros,
+    ) -> Member {
+        let (index, book) = saved.map_or((0, None), |(index, book)| (index, Some(book)));
+        Member {
+            name,
+            incarnation,
+            book,
+            index,
+            lease: None,
+            asked: BTreeMap::new(),
+            next_ask: 1,
+            ask_at: now,
+            span,
+            leaving: false,
+            unsaved: false,
+        }
+    }
+
+    /// The book, and its index.
+    pub fn book(&self) -> Option<(u64, &Book)> {
+        self.book.as_ref().map(|b| (self.index, b))
+    }
+
+    /// A newer book. A stage that is newer than the lease's ends the lease: it was for what was before.
+    pub fn learn(&mut self, index: u64, book: &Book) {
+        if index > self.index || self.book.is_none() {
+            self.unsaved |= self.book.as_ref() != Some(book);
+            (self.index, self.book) = (index, Some(book.clone()));
+        }
+    }
+
+    /// The book that is to be saved now, if it changed: before anything later is said.
+    pub fn take_unsaved(&mut self) -> Option<(u64, &Book)> {
+        let unsaved = std::mem::take(&mut self.unsaved);
+        self.book.as_ref().filter(|_| unsaved).map(|b| (self.index, b))
+    }
+
+    /// What it acts on at a moment.
+    pub fn acting(&self, now: Micros) -> Acting {
+        match (&self.book, self.lease) {
+            // An older stage's lease holds for the newer stage: who acts on that contradicts nobody who may act on
+            // the older, and the older is no longer acted on here.
+            (Some(book), Some((until, _))) if now < until && book.acting.number > 0 => match &book.next {
+                Some(next) => Acting::Between(book.acting.number, next.number),
+                None => Acting::Alone(book.acting.number),
+            },
+            _ => Acting::Floor,
+        }
+    }
+
+    /// The rules that it acts on, given the rules it was started with.
+    pub fn rules(&self, started_with: &Rules, now: Micros) -> Rules {
+        match (self.acting(now), &self.book) {
+            (Acting::Floor, Some(book)) if book.acting.number > 0 => {
+                let floor = book.acting.rules.on_floor();
+                // Of a floor that is being changed the narrower of both.
+                book.next.as_ref().map_or(floor.clone(), |next| floor.narrower(&next.rules.on_floor()))
+            }
+            (Acting::Floor, _) => started_with.on_floor(),
+            (_, Some(book)) => book.rules(),
+            (_, None) => started_with.on_floor(),
+        }
+    }
+
+    /// Until when that holds if nothing comes.
+    pub fn lease_until(&self) -> Option<Micros> {
+        self.lease.map(|(until, _)| until)
+    }
+
+    /// Gives the lease back at the next ask, and acts on the floor from now on.
+    pub fn leave(&mut self, now: Micros) {
+        self.leaving = true;
+        self.lease = None;
+        self.ask_at = now;
+    }
+
+    /// What to ask now, if it is time. To be sent at once.
+    pub fn ask(&mut self, now: Micros) -> Option<Ask> {
+        if now < self.ask_at || self.unsaved {
+            return None;
+        }
+        self.ask_at = now.after(Micros(self.span.0 / RENEWALS));
+        let seq = self.next_ask;
+        self.next_ask += 1;
+        self.asked.insert(seq, now);
+        while self.asked.len() > ASKED_MOST {
+            self.asked.pop_first();
+        }
+        let unknown = self.book.as_ref().map(|b| {
+            let next = b.next.as_ref().unwrap_or(&b.acting);
+            next.rules.unknown().join(", ")
+        });
+        Some(Ask {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            seq,
+            index: self.index,
+            stage: self.book.as_ref().map_or(0, |b| b.stage),
+            digest: self.book.as_ref().map_or(0, Book::digest),
+            cannot: unknown.filter(|keys| !keys.is_empty()).map(|keys| format!("it does not know {keys}")),
+            leaves: self.leaving,
+        })
+    }
+
+    /// When to ask again at the latest.
+    pub fn wake(&self) -> Micros {
+        self.lease.map_or(self.ask_at, |(until, _)| self.ask_at.min(until))
+    }
+
+    /// An answer came: a lease for the stage that it names, if that is the book's here by now.
+    pub fn answered(&mut self, answer: &Answer) {
+        let Some(asked) = self.asked.remove(&answer.seq) else { return };
+        if answer.incarnation != self.incarnation || self.leaving {
+            return;
+        }
+        if let Some((index, book)) = &answer.book {
+            self.learn(*index, book);
+        }
+        let stage = self.book.as_ref().map_or(0, |b| b.stage);
+        if let Some(span) = answer.lease.map(Micros).filter(|_| answer.stage == stage && stage > 0) {
+            self.span = span;
+            let until = asked.after(span);
+            self.lease = Some(self.lease.map_or((until, stage), |(before, _)| (before.max(until), stage)));
+        }
+    }
+}
--- a/crates/flaxstand-agree/tests/keepers/main.rs
+++ b/crates/flaxstand-agree/tests/keepers/main.rs
@@ -271,9 +271,9 @@
     (1..3).for_each(|i| says(&mut k, i, 3, Body::PreVoted(4, true)));
     (1..3).for_each(|i| says(&mut k, i, 4, Body::Voted(true)));
     assert!(k.leads() && k.state().log.last() == 3);
-    (1..3).for_each(|i| says(&mut k, i, 4, Body::Held(2)));
+    (1..3).for_each(|i| says(&mut k, i, 4, Body::Held(2, 0)));
     let before = k.committed();
-    (1..3).for_each(|i| says(&mut k, i, 4, Body::Held(3)));
+    (1..3).for_each(|i| says(&mut k, i, 4, Body::Held(3, 0)));
     (before, k.committed())
 }
 
--- a/crates/flaxstand-agree/tests/keepers/rig.rs
+++ b/crates/flaxstand-agree/tests/keepers/rig.rs
@@ -216,7 +216,7 @@
                     _ => {}
                 }
             }
-            Body::Append { .. } | Body::Install(_) => {
+            Body::Append { .. } | Body::Install(..) => {
                 match self.leaders.insert(letter.term, letter.from.clone()) {
                     Some(before) if before != letter.from => {
                         self.broken.push(format!("two leaders in term {}", letter.term));
