--- a/crates/flaxstand-agree/src/journal.rs
+++ b/crates/flaxstand-agree/src/journal.rs
@@ -164,7 +164,7 @@
 }
 
 /// What is under way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Flight {
     /// All up to this record is durable if it goes well.
     upto: u64,
@@ -176,7 +176,7 @@
 }
 
 /// The journal.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Journal {
     queue: Vec<Record>,
     /// Records ever queued, and how many of them are durable.
--- a/crates/flaxstand-agree/src/keeper.rs
+++ b/crates/flaxstand-agree/src/keeper.rs
@@ -150,7 +150,7 @@
     pub disk_fails: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Role {
     Follower,
     Candidate { pre: bool, granted: BTreeSet<Member> },
@@ -158,7 +158,7 @@
 }
 
 /// A keeper.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Keeper {
     pub(crate) config: Config,
     pub(crate) rng: Pcg64Mcg,
@@ -422,6 +422,20 @@
         &self.state
     }
 
+    /// All that matters for what it does next, without moments: for a search over states.
+    #[doc(hidden)]
+    pub fn essence(&self, now: Micros) -> String {
+        let s = &self.state;
+        let heard = self.leader_heard.is_some_and(|at| now.since(at) < self.config.election);
+        let role = match &self.role {
+            Role::Follower => "follows".to_owned(),
+            Role::Candidate { pre, granted } => format!("{pre} {granted:?}"),
+            Role::Leader(leading) => leading.essence(),
+        };
+        let held: Vec<&Body> = self.held.iter().map(|(_, l)| &l.body).collect();
+        format!("{s:?} {role} {} {heard} {:?} {held:?}", self.committed, self.unsure)
+    }
+
     /// Whether it leads, as far as it knows.
     pub fn leads(&self) -> bool {
         matches!(self.role, Role::Leader(_))
--- a/crates/flaxstand-agree/src/leading.rs
+++ b/crates/flaxstand-agree/src/leading.rs
@@ -15,7 +15,7 @@
 /// Newcomers that a leader speaks to, most.
 const LEARNERS_MOST: usize = 8;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
     /// All up to there is durable there.
     held: u64,
@@ -39,7 +39,7 @@
 }
 
 /// A leader's view of the others.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Leading {
     peers: BTreeMap<Member, Peer>,
     pub(crate) speak_at: Micros,
@@ -51,6 +51,14 @@
         Leading { peers, speak_at: now }
     }
 
+    /// See `Keeper::essence`.
+    pub(crate) fn essence(&self) -> String {
+        let of = |(m, p): (&Member, &Peer)| {
+            format!("{} {} {} {:?}", m.name, p.counted, p.next, p.unsure.map(|u| u.2))
+        };
+        format!("leads {:?}", self.peers.iter().map(of).collect::<Vec<_>>())
+    }
+
     /// A member started and is not sure of itself.
     pub(crate) fn unsure(&mut self, member: &Member, life: Life, now: Micros) {
         if let Some(peer) = self.peers.get_mut(member)
--- /dev/null
+++ b/crates/flaxstand-agree/tests/search.rs
@@ -0,0 +1,248 @@
+//! An exhaustive search of a small model: three keepers, two changes, bounded timeouts, crashes and letters in flight.
+//! Every order of deliveries, losses, timeouts and crashes (before or after the disk took what they wait for) within
+//! the bounds is walked, on the keepers themselves; the states seen are counted.
+
+use flaxstand_agree::{Body, Config, Keeper, Letter, Member, Micros, Planted, Snapshot, State, What};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+const ELECTION: Micros = Micros(100_000);
+
+/// What may still happen.
+#[derive(Clone, Copy, Debug, Hash)]
+struct Budget {
+    timeouts: u32,
+    crashes: u32,
+    changes: u32,
+    /// Letters in flight, most: one more is lost.
+    letters: usize,
+}
+
+#[derive(Clone)]
+struct World {
+    keepers: Vec<Keeper>,
+    disks: Vec<State>,
+    clocks: Vec<Micros>,
+    letters: Vec<Letter>,
+    budget: Budget,
+    /// By term: who led; by index: what was agreed on.
+    leaders: BTreeMap<u64, String>,
+    agreed: BTreeMap<u64, (u64, What)>,
+    votes: BTreeMap<(String, u64), String>,
+}
+
+fn member(i: usize) -> Member {
+    Member { name: format!("k{i}"), incarnation: 1 + i as u64 }
+}
+
+fn start(i: usize, state: State, seed: u64, planted: Planted, now: Micros) -> Keeper {
+    let config = Config {
+        name: member(i).name,
+        names: (0..3).map(|i| member(i).name).collect(),
+        election: ELECTION,
+        heartbeat: Micros(20_000),
+        seed,
+        begins_with: Vec::new(),
+        planted,
+    };
+    Keeper::start(config, Some(state), Vec::new(), now)
+}
+
+impl World {
+    fn new(budget: Budget, planted: Planted) -> World {
+        let electorate: Vec<Member> = (0..3).map(member).collect();
+        let mut w = World {
+            keepers: Vec::new(),
+            disks: Vec::new(),
+            clocks: vec![Micros(1_000_000); 3],
+            letters: Vec::new(),
+            budget,
+            leaders: BTreeMap::new(),
+            agreed: BTreeMap::new(),
+            votes: BTreeMap::new(),
+        };
+        for i in 0..3 {
+            let mut state = State::fresh(member(i), Default::default());
+            (state.cluster, state.term) = (9, 1);
+            state.log.snapshot =
+                Snapshot { index: 1, term: 1, electorate: electorate.clone(), state: Vec::new() };
+            w.keepers.push(start(i, state.clone(), i as u64, planted, w.clocks[i]));
+            w.disks.push(state);
+        }
+        // All have just started, and each hears that nobody knows more of it.
+        for i in 0..3 {
+            w.keepers[i].tick(w.clocks[i]);
+            w.settle(i, false).expect("nothing is broken yet");
+        }
+        while let Some(letter) = w.letters.pop() {
+            w.deliver(&letter, false).expect("nothing is broken yet");
+            w.letters.retain(|l| matches!(l.body, Body::AskLife | Body::LifeSeen(_)));
+        }
+        w
+    }
+
+    /// What a keeper leads to: batches stored, letters sent, what it shows; or it dies before its disk has it.
+    fn settle(&mut self, i: usize, dies: bool) -> Result<(), String> {
+        let now = self.clocks[i];
+        if !dies {
+            while self.keepers[i].batch(now).is_some() {
+                self.disks[i] = self.keepers[i].state().clone();
+                self.keepers[i].stored(true, now);
+            }
+        }
+        for letter in self.keepers[i].take_letters() {
+            if let Body::Voted(true) = letter.body
+                && let Some(before) =
+                    self.votes.insert((letter.from.name.clone(), letter.term), letter.to.clone())
+                && before != letter.to
+            {
+                return Err(format!("{} voted twice in term {}", letter.from.name, letter.term));
+            }
+            if let Body::Append { .. } = letter.body {
+                let led = self.leaders.entry(letter.term).or_insert_with(|| letter.from.name.clone());
+                if *led != letter.from.name {
+                    return Err(format!("two leaders in term {}", letter.term));
+                }
+            }
+            if self.letters.len() < self.budget.letters {
+                self.letters.push(letter);
+            }
+        }
+        self.keepers[i].take_agreed();
+        let log = &self.keepers[i].state().log;
+        for index in 2..=self.keepers[i].committed() {
+            let entry = log.entry(index).expect("no compaction here");
+            let is = (entry.term, entry.what.clone());
+            let was = self.agreed.entry(index).or_insert_with(|| is.clone());
+            if *was != is {
+                return Err(format!("two entries agreed on at index {index}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, letter: &Letter, dies: bool) -> Result<(), String> {
+        let i: usize = letter.to[1..].parse().expect("a keeper's name");
+        self.keepers[i].receive(letter.clone(), self.clocks[i]);
+        self.settle(i, dies)
+    }
+
+    /// It dies and starts again with what its disk has.
+    fn crash(&mut self, i: usize, planted: Planted) {
+        self.budget.crashes -= 1;
+        let seed = 100 + u64::from(self.budget.crashes);
+        self.keepers[i] = start(i, self.disks[i].clone(), seed, planted, self.clocks[i]);
+    }
+
+    /// Every state that can follow.
+    fn next(&self, planted: Planted) -> Vec<Result<World, String>> {
+        let mut all = Vec::new();
+        let ways: &[bool] = if self.budget.crashes > 0 { &[false, true] } else { &[false] };
+        for dies in ways.iter().copied() {
+            for at in 0..self.letters.len() {
+                let mut w = self.clone();
+                let letter = w.letters.swap_remove(at);
+                let to: usize = letter.to[1..].parse().expect("a keeper's name");
+                let done = w.deliver(&letter, dies);
+                if dies {
+                    w.crash(to, planted);
+                }
+                all.push(done.map(|()| w));
+            }
+            for i in 0..3 {
+                if self.budget.timeouts > 0 {
+                    let mut w = self.clone();
+                    w.budget.timeouts -= 1;
+                    w.clocks[i] = w.clocks[i].after(Micros(ELECTION.0 * 3));
+                    let now = w.clocks[i];
+                    w.keepers[i].tick(now);
+                    let done = w.settle(i, dies);
+                    if dies {
+                        w.crash(i, planted);
+                    }
+                    all.push(done.map(|()| w));
+                }
+                if self.budget.changes > 0 && self.keepers[i].leads() {
+                    let mut w = self.clone();
+                    w.budget.changes -= 1;
+                    let _ = w.keepers[i].propose(vec![w.budget.changes as u8], w.clocks[i]);
+                    let done = w.settle(i, dies);
+                    if dies {
+                        w.crash(i, planted);
+                    }
+                    all.push(done.map(|()| w));
+                }
+            }
+        }
+        all
+    }
+
+    fn key(&self) -> u64 {
+        let mut h = DefaultHasher::new();
+        for i in 0..3 {
+            self.keepers[i].essence(self.clocks[i]).hash(&mut h);
+            format!("{:?}", self.disks[i]).hash(&mut h);
+        }
+        // Stamps are moments.
+        let mut letters: Vec<String> = self
+            .letters
+            .iter()
+            .map(|l| match &l.body {
+                Body::Append { prev, entries, commit, .. } => {
+                    format!("{} {} {} {prev:?} {entries:?} {commit}", l.from.name, l.to, l.term)
+                }
+                Body::Held(upto, _) => format!("{} {} {} held {upto}", l.from.name, l.to, l.term),
+                Body::Missing(upto, _) => format!("{} {} {} missing {upto}", l.from.name, l.to, l.term),
+                other => format!("{} {} {} {other:?}", l.from.name, l.to, l.term),
+            })
+            .collect();
+        letters.sort();
+        (letters, self.budget).hash(&mut h);
+        h.finish()
+    }
+}
+
+/// Walks all states within a budget, or as many as `most`. How many there were, and how many entries were agreed on
+/// at most; or the first thing that is broken.
+fn search(budget: Budget, planted: Planted, most: usize) -> Result<(usize, usize), String> {
+    let first = World::new(budget, planted);
+    let mut seen = HashSet::from([first.key()]);
+    let mut open = VecDeque::from([first]);
+    let mut agreed = 0;
+    while let Some(world) = open.pop_front() {
+        for next in world.next(planted) {
+            let next = next?;
+            agreed = agreed.max(next.agreed.len());
+            if seen.len() < most && seen.insert(next.key()) {
+                open.push_back(next);
+            }
+        }
+    }
+    Ok((seen.len(), agreed))
+}
+
+fn told(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn no_state_within_the_bounds_breaks_the_log() {
+    let budget = Budget {
+        timeouts: told("FLAXSTAND_TIMEOUTS", 2) as u32,
+        crashes: told("FLAXSTAND_CRASHES", 1) as u32,
+        changes: told("FLAXSTAND_CHANGES", 1) as u32,
+        letters: told("FLAXSTAND_LETTERS", 3) as usize,
+    };
+    let most = told("FLAXSTAND_STATES", 60_000) as usize;
+    let (states, agreed) = search(budget, Planted::None, most).unwrap_or_else(|e| panic!("{e}"));
+    println!("{budget:?}: {states} states, at most {agreed} entries agreed on");
+    assert!(states > 10_000 && agreed > 0, "{states} states, {agreed} entries");
+}
+
+#[test]
+fn a_planted_fault_is_found() {
+    let budget = Budget { timeouts: 3, crashes: 0, changes: 0, letters: 4 };
+    // An assertion of the keepers' own, or two entries at one index.
+    let found = std::panic::catch_unwind(|| search(budget, Planted::OlderLogElected, 400_000));
+    assert!(!matches!(found, Ok(Ok(_))), "{found:?}");
+}
