--- a/crates/flaxstand-cli/tests/agreement/fleet.rs
+++ b/crates/flaxstand-cli/tests/agreement/fleet.rs
@@ -194,6 +194,12 @@
         self.relays[&(b, a)].set(flow, flow);
     }
 
+    /// Breaks the connections that stand between two now.
+    pub fn reset(&self, a: usize, b: usize) {
+        self.relays[&(a, b)].reset();
+        self.relays[&(b, a)].reset();
+    }
+
     pub fn isolate(&self, i: usize) {
         (0..self.all.len()).filter(|j| *j != i).for_each(|j| self.cut(i, j));
     }
--- a/crates/flaxstand-cli/tests/agreement/main.rs
+++ b/crates/flaxstand-cli/tests/agreement/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use flaxstand_lab::relay::Flow;
 use fleet::{Fleet, shared};
 
 fn text(bytes: &[u8]) -> String {
@@ -292,3 +293,65 @@
     settles(&f, 3);
     assert_eq!(f.book(1).unwrap().acting.text, shared(100, "repeatable"));
 }
+
+/// Long, and so no part of the usual run: `cargo test --release -p flaxstand-cli --test agreement -- --ignored --nocapture`.
+/// Prints how long changes took with all well, with a member cut off, with the leader killed and with links that are
+/// slow and break, and the longest contradiction seen. `FLAXSTAND_CHANGES` says how many of each.
+#[test]
+#[ignore = "a measurement of several minutes"]
+fn changes_under_drawn_faults() {
+    let each = std::env::var("FLAXSTAND_CHANGES").ok().and_then(|n| n.parse().ok()).unwrap_or(50);
+    let mut f = agreed("measured", 3, 5);
+    let mut base = 1;
+    let mut draw = 1u64;
+    for fault in ["all well", "a member cut off", "the leader killed", "links late and broken"] {
+        let mut took = Vec::new();
+        for round in 0..each {
+            draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let drawn = (draw >> 33) as usize;
+            let leader = f.leader();
+            f.until("the passage before to be over", |f| {
+                f.report(f.leader())?.holds.is_empty().then_some(())
+            });
+            match fault {
+                "a member cut off" => f.isolate(if drawn.is_multiple_of(2) { 4 } else { (leader + 1) % 3 }),
+                "links late and broken" => {
+                    let (a, b) = (drawn % 5, (drawn / 8) % 5);
+                    if a != b {
+                        f.link(a, b, Flow::Late(std::time::Duration::from_millis(drawn as u64 % 200)));
+                    }
+                    f.reset(leader, (leader + 1 + drawn % 4) % 5);
+                }
+                _ => {}
+            }
+            let started = std::time::Instant::now();
+            let effect = ["once", "repeatable"][round % 2];
+            let next = f.propose(base, &shared(5 + drawn as u64 % 400, effect));
+            if fault == "the leader killed" {
+                f.kill(leader);
+            }
+            f.until("the version to be in force somewhere", |f| {
+                let acts = |i: &usize| f.all[*i].acts().is_some_and(|a| a.what == format!("Alone({next})"));
+                f.everyone().iter().any(acts).then_some(())
+            });
+            took.push(started.elapsed().as_millis() as u64);
+            if fault == "the leader killed" {
+                f.run(leader);
+            }
+            f.heal();
+            settles(&f, next);
+            base = next;
+        }
+        took.sort_unstable();
+        let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
+        println!(
+            "{fault}: {each} changes in force after ms: {} {} {} {} (p10 p50 p90 most)",
+            at(0.1),
+            at(0.5),
+            at(0.9),
+            at(1.0)
+        );
+    }
+    let (longest, who) = f.contradiction();
+    println!("longest contradiction: {} ms {who}", longest * 1000.0);
+}
--- a/crates/flaxstand-gateway/src/core/agreement.rs
+++ b/crates/flaxstand-gateway/src/core/agreement.rs
@@ -207,6 +207,7 @@
         if let Some(agreed) = &mut self.agreed {
             agreed.agreement.leave(now);
         }
+        self.settle_agreement(now);
     }
 
     /// The rules that hold in this turn, before anything is decided in it: a lease that ran out while the process
@@ -225,6 +226,7 @@
         }
         let words = agreed.agreement.take_words();
         if let Some(rules) = rules {
+            self.cut_what_waits(now);
             self.config.site.settings = settings_of(&rules, &self.config.site);
             let settings = super::module_settings(&self.config);
             self.brain_classes = settings.classes.clone();
@@ -249,6 +251,17 @@
         self.agreed.as_ref().map(|a| a.agreement.wake(now).max(Micros(now.0 + 1)))
     }
 
+    /// What was decided on under the rules before and has not left yet, since its node does not read, never leaves:
+    /// the connections that it waits on are closed, and the module hears that it never ran.
+    fn cut_what_waits(&mut self, now: Micros) {
+        let waits = |c: &Conn| matches!(c.peer, Peer::Node(_)) && !c.outbox.is_empty();
+        let conns: Vec<ConnId> =
+            self.plumbing.iter().filter(|(_, c)| waits(c)).map(|(conn, _)| conn).collect();
+        for conn in conns {
+            self.lost_unsaid(conn, "the rules changed while requests waited to leave", now);
+        }
+    }
+
     fn say_to(&mut self, conn: ConnId, bytes: &[u8]) {
         if self.plumbing.get(conn).is_some_and(|c| c.outbox.len() < UNREAD_MOST) {
             self.plumbing.push(conn, &Frame::Agreement { bytes });
--- a/crates/flaxstand-gateway/src/core/dispatch.rs
+++ b/crates/flaxstand-gateway/src/core/dispatch.rs
@@ -31,11 +31,25 @@
 
     /// A connection is no more.
     pub(super) fn lost(&mut self, conn: ConnId, cause: &str, by_us: bool, now: Micros) {
+        let Some(c) = self.plumbing.get(conn) else { return };
+        // What is given up must not leave after all: with its last bytes it would run.
+        let last = match c.inlet {
+            Inlet::Frames(_) | Inlet::Door(_) if by_us => Some(c.outbox.pending().to_vec()),
+            _ => by_us.then(Vec::new),
+        };
+        self.gone(conn, cause, last, now);
+    }
+
+    /// The same, closed from here, and nothing that waits on it leaves.
+    pub(super) fn lost_unsaid(&mut self, conn: ConnId, cause: &str, now: Micros) {
+        self.gone(conn, cause, Some(Vec::new()), now);
+    }
+
+    /// Closes it with these last bytes, if it is to be closed, and settles what hung on it.
+    fn gone(&mut self, conn: ConnId, cause: &str, last: Option<Vec<u8>>, now: Micros) {
         let Some(gone) = self.plumbing.take(conn) else { return };
-        if by_us {
-            // What is given up must not leave after all: with its last bytes it would run.
-            let pending = if let Inlet::Link(_) = gone.inlet { &[] } else { gone.outbox.pending() };
-            self.plumbing.say(Command::Close { conn, last: pending.to_vec() });
+        if let Some(last) = last {
+            self.plumbing.say(Command::Close { conn, last });
         }
         match (gone.peer, gone.inlet) {
             (Peer::Client(client), _) => self.client_lost(conn, &client, cause, now),
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -303,7 +303,6 @@
             self.phase = Phase::Stopping;
             self.plumbing.say(Command::StopListening);
             self.drain_buffer(now);
-            self.leave_agreement(now);
             self.part_with_clients(now);
         }
     }
@@ -327,6 +326,8 @@
     fn exit(&mut self, now: Micros) {
         if self.phase != Phase::Stopped {
             self.phase = Phase::Stopped;
+            // Until then it acts, and needs its lease.
+            self.leave_agreement(now);
             let conns: Vec<ConnId> = self.plumbing.iter().map(|(conn, _)| conn).collect();
             conns.into_iter().for_each(|conn| self.hang_up(conn, Parting::Stopping, "stopping", now));
             // What was learnt of the nodes since the list last changed is kept for the next start.
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -26,6 +26,8 @@
 const BACKLOG: i32 = 4096;
 /// Events taken from the system in a turn.
 const EVENTS_A_TURN: usize = 1024;
+/// A turn that takes longer than this is settled again at its end, before anything of it is written.
+const LONG_TURN: Micros = Micros(50_000);
 /// Longest sleep without a moment of the machine's.
 const LONGEST_SLEEP: Micros = Micros(3_600_000_000);
 
@@ -279,8 +281,14 @@
 
     fn turn(&mut self) -> Option<Micros> {
         loop {
-            let next = self.machine.settle(self.now);
-            let commands = self.machine.take_commands();
+            let mut next = self.machine.settle(self.now);
+            let mut commands = self.machine.take_commands();
+            // Guards against a process that stood still inside a turn: what it decided by may be over by now.
+            if clock().since(self.now) > LONG_TURN {
+                self.now = clock();
+                next = self.machine.settle(self.now);
+                commands.extend(self.machine.take_commands());
+            }
             if commands.is_empty() || self.done {
                 return next;
             }
--- a/crates/flaxstand-gateway/tests/core.rs
+++ b/crates/flaxstand-gateway/tests/core.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use flaxstand_gateway::core::Core;
+use flaxstand_gateway::core::{Agreeing, Core};
 use flaxstand_gateway::machine::{ConnId, Control, Machine};
 use flaxstand_proto::*;
 use harness::*;
@@ -865,3 +865,52 @@
     assert_eq!(w.attempts(0), []);
     assert_eq!(w.core.held(), 0);
 }
+
+/// Proposes the next version at an initiator that agrees with itself alone.
+fn propose(w: &mut World, base: u64, attempts: f64) {
+    use flaxstand_agree::agreement::{Reply, Wish, Word};
+    use flaxstand_agree::book::Version;
+    use flaxstand_agree::rules::Value;
+    let operator = w.core.accepted(1, w.now).expect("it is let in");
+    let hello = Hello { role: Role::Client, versions: (VERSION, VERSION), id: 0, epoch: 0, name: "test" };
+    w.core.received(operator, &bytes_of(&Frame::Hello(hello)), w.now);
+    let mut version = Version::default();
+    version.rules.values.insert("site.max-attempts".into(), Value::Number(attempts));
+    let bytes = postcard::to_stdvec(&Word::Wish(Wish::Propose(base, version))).unwrap();
+    w.core.received(operator, &bytes_of(&Frame::Agreement { bytes: &bytes }), w.now);
+    w.run(5);
+    let agreed = postcard::to_stdvec(&Word::Reply(Reply::Agreed(base + 1))).unwrap();
+    assert!(w.said[&operator].contains(&Said::Agreement(agreed)), "{:?}", w.said[&operator]);
+}
+
+#[test]
+fn what_waits_to_leave_when_the_rules_change_never_leaves() {
+    use flaxstand_agree::agreement::Found;
+    let mut c = config();
+    c.agreeing = Some(Agreeing {
+        keepers: vec![(c.name.clone(), "127.0.0.1:9".parse().unwrap())],
+        others: Vec::new(),
+        lease: ms(1000),
+        election: ms(100),
+        clock_error: 0.0,
+        started_with: Default::default(),
+    });
+    let mut w = World::new(c, 1);
+    w.core.agree(1, Some(Found::default()), None, w.now);
+    w.run(3000);
+    propose(&mut w, 0, 3.0);
+    w.run(2000);
+    assert_eq!(w.core.agreement().unwrap().version(w.now), 1);
+    let client = w.client();
+    w.submit(client, 1, READ, Some(0));
+    w.run(2);
+    let first = w.attempts(0)[0];
+    let node = w.node_conn(0);
+    w.done(node, first, Code::Served, b"");
+    w.blocked.insert(node);
+    w.submit(client, 2, READ, Some(0));
+    w.run(2);
+    assert!(!w.core.outgoing(node).is_empty(), "it waits to leave");
+    propose(&mut w, 1, 1.0);
+    assert!(w.closed.contains(&node) && w.core.outgoing(node).is_empty());
+}
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -99,6 +99,7 @@
     Barred(u64),
     Flushed(u64),
     Status(String),
+    Agreement(Vec<u8>),
     Watch,
     GetList,
     Other,
@@ -120,6 +121,7 @@
         Frame::Barred { id } => Said::Barred(id),
         Frame::Flushed { id } => Said::Flushed(id),
         Frame::Status { json, .. } => Said::Status(String::from_utf8_lossy(json).into_owned()),
+        Frame::Agreement { bytes } => Said::Agreement(bytes.to_vec()),
         Frame::Watch => Said::Watch,
         Frame::GetList => Said::GetList,
         _ => Said::Other,
@@ -279,7 +281,9 @@
             Command::Save(bytes) => self.saved = Some(bytes),
             Command::Exit => self.exited = true,
             Command::Store(batch) => self.batches.push_back(batch),
-            Command::Keep(_) | Command::SaveBook(_) => {}
+            // A disk that is done at once.
+            Command::Keep(_) => self.core.kept(true, self.now),
+            Command::SaveBook(_) => {}
             Command::StopListening | Command::Print(_) | Command::Append(..) => {}
         }
     }
