--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -98,6 +98,12 @@
 pub fn rehearse(r: Rehearsal) -> Result<(), Failure> {
     let (day, text) = read_day(&r.day)?;
     let seconds = r.seconds.unwrap_or(day.seconds).clamp(0.1, 86_400.0);
+    if r.virtually && day.accord.is_some() {
+        let day = r.day.display();
+        return Err(Failure::System(format!(
+            "{day}: initiators agree on this day: play it without --virtual"
+        )));
+    }
     if r.virtually {
         let played = world::play(&day, seconds, r.policy);
         if let Some(folder) = &r.keep {
@@ -141,7 +147,7 @@
         write(path, &flaxstand_lab::html::page(day, book, report).map_err(system)?)?;
     }
     told_result(serde_json::to_string_pretty(report), &report.text(), to)?;
-    if report.audit.kept() { Ok(()) } else { Err(Failure::Rule) }
+    if report.kept() { Ok(()) } else { Err(Failure::Rule) }
 }
 
 pub fn swarm(first: u64, days: u64, threads: usize, folder: &Path) -> Result<(), Failure> {
--- a/crates/flaxstand-cli/tests/agreement/fleet.rs
+++ b/crates/flaxstand-cli/tests/agreement/fleet.rs
@@ -1,38 +1,27 @@
 //! Several processes of the program on loopback, a relay on every link between two of them, and what each one's log
 //! says that it acted on.
 
-use flaxstand_agree::agreement::{Reply, Report, Wish, Word};
+use flaxstand_agree::agreement::{Reply, Report, Terms, Wish};
 use flaxstand_agree::book::{Book, Version};
+use flaxstand_gateway::machine::Micros;
 use flaxstand_gateway::settings::read_rules;
-use flaxstand_lab::relay::{Flow, Relay};
-use flaxstand_proto::{Frame, Hello, Inbox, Role, VERSION, VERSION_OLDEST, encode};
+use flaxstand_lab::agreed::{Accord, Acted, Links, Pause, acted_of, ask, calendar, contradiction, spans};
 use rustix::process::{Pid, Signal, kill_process};
-use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// How long anything that is expected may take. Nothing waits for this to pass.
 const BOUND: Duration = Duration::from_secs(40);
 pub const LEASE_MS: u64 = 900;
-
-/// What one process acted on from a moment on, by its own log.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Acted {
-    /// Seconds of the host's calendar.
-    pub at: f64,
-    /// `Floor`, `Alone(v)` or `Between(v, w)`.
-    pub what: String,
-    pub stage: u64,
-}
+const ELECTION_MS: u64 = 250;
+const ERROR: f64 = 0.001;
 
 pub struct Process {
     pub name: String,
     child: Option<Child>,
-    listen: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
     acted: Arc<Mutex<Vec<Acted>>>,
 }
@@ -42,22 +31,12 @@
     folder: PathBuf,
     pub all: Vec<Process>,
     keepers: usize,
-    relays: BTreeMap<(usize, usize), Relay>,
+    /// A relay on each link between two.
+    pub links: Links,
     /// When a process stood still: which, from when, to when.
     pauses: Vec<(usize, f64, f64)>,
 }
 
-pub fn now() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64()
-}
-
-/// A port to listen at, also again after a restart: on an address of loopback from which no call is made, so that
-/// none of the system's calls takes it meanwhile.
-fn free(i: usize) -> SocketAddr {
-    let near = std::process::id() % 200;
-    TcpListener::bind((Ipv4Addr::new(127, 77, near as u8, i as u8 + 1), 0)).unwrap().local_addr().unwrap()
-}
-
 /// What all initiators of the test share.
 pub fn shared(limit: u64, effect: &str) -> String {
     format!(
@@ -77,18 +56,12 @@
         let process = |i: usize| Process {
             name: format!("i{i}"),
             child: None,
-            listen: free(i),
             log: Arc::default(),
             acted: Arc::default(),
         };
         let all: Vec<Process> = (0..count).map(process).collect();
-        let mut relays = BTreeMap::new();
-        for i in 0..count {
-            for j in (0..count).filter(|j| *j != i) {
-                relays.insert((i, j), Relay::start(all[j].listen).unwrap());
-            }
-        }
-        let mut fleet = Fleet { folder, all, keepers, relays, pauses: Vec::new() };
+        let links = Links::new(count).unwrap();
+        let mut fleet = Fleet { folder, all, keepers, links, pauses: Vec::new() };
         (0..count).for_each(|i| fleet.write_settings(i));
         (0..count).for_each(|i| fleet.run(i));
         fleet
@@ -104,17 +77,14 @@
 
     fn write_settings(&self, i: usize) {
         let folder = self.folder.display();
-        let kind = |j: usize| if j < self.keepers { "keeper" } else { "initiator" };
-        // Each is told of the others at the relays on its own links.
-        let at = |j: usize| self.relays.get(&(i, j)).map_or(self.all[j].listen, Relay::address);
-        let others: String =
-            (0..self.all.len()).map(|j| format!(" {} \"i{j}\" at=\"{}\"\n", kind(j), at(j))).collect();
+        let ms = |n: u64| Micros(n * 1000);
+        let (keepers, lease, election) = (self.keepers as u32, ms(LEASE_MS), ms(ELECTION_MS));
+        let accord = Accord { keepers, lease, election, clock_error: ERROR };
         let text = format!(
             "initiator \"i{i}\" {{\n listen \"unix:{folder}/i{i}.sock\"\n list \"unix:{folder}/none.sock\"\n seed {i}\n}}\n\
-             {}agreement {{\n listen \"{}\"\n folder \"{}\"\n lease-ms {LEASE_MS}\n election-ms 250\n{others}}}\n",
+             {}{}",
             shared(100, "repeatable"),
-            self.all[i].listen,
-            self.own_folder(i).display(),
+            self.links.settings(i, &accord, |j| format!("i{j}"), &self.own_folder(i)),
         );
         std::fs::write(self.file(i), text).unwrap();
     }
@@ -165,54 +135,23 @@
         self.signal(i, signal);
         if let Some(mut child) = self.all[i].child.take() {
             child.wait().unwrap();
-            self.all[i].acted.lock().unwrap().push(Acted { at: now(), what: "Gone".into(), stage: 0 });
+            self.all[i].acted.lock().unwrap().push(Acted { at: calendar(), what: "Gone".into(), stage: 0 });
         }
     }
 
     pub fn pause(&mut self, i: usize) -> f64 {
         self.signal(i, Signal::STOP);
-        now()
+        calendar()
     }
 
     pub fn go_on(&mut self, i: usize, since: f64) {
-        self.pauses.push((i, since, now()));
+        self.pauses.push((i, since, calendar()));
         self.signal(i, Signal::CONT);
     }
 
-    /// One direction: what `from` says does not reach `to`, on whichever connection.
-    pub fn cut_one_way(&self, from: usize, to: usize) {
-        self.relays[&(from, to)].set(Flow::Stall, Flow::Pass);
-        self.relays[&(to, from)].set(Flow::Pass, Flow::Stall);
-    }
-
-    pub fn cut(&self, a: usize, b: usize) {
-        self.link(a, b, Flow::Stall);
-    }
-
-    pub fn link(&self, a: usize, b: usize, flow: Flow) {
-        self.relays[&(a, b)].set(flow, flow);
-        self.relays[&(b, a)].set(flow, flow);
-    }
-
-    /// Breaks the connections that stand between two now.
-    pub fn reset(&self, a: usize, b: usize) {
-        self.relays[&(a, b)].reset();
-        self.relays[&(b, a)].reset();
-    }
-
-    pub fn isolate(&self, i: usize) {
-        (0..self.all.len()).filter(|j| *j != i).for_each(|j| self.cut(i, j));
-    }
-
-    pub fn heal(&self) {
-        for relay in self.relays.values() {
-            relay.set(Flow::Pass, Flow::Pass);
-        }
-    }
-
     /// An operator's word to one initiator.
     pub fn say(&self, i: usize, wish: &Wish) -> Option<Reply> {
-        ask(self.all[i].listen, wish).ok()?
+        ask(self.links.listen(i), wish).ok()?
     }
 
     pub fn report(&self, i: usize) -> Option<Box<Report>> {
@@ -307,52 +246,20 @@
         path
     }
 
-    /// The longest time for which two processes acted on rules that contradict each other, seconds, and which two:
-    /// rules of stages that do not follow each other. The floor contradicts nothing; who stands still acts on nothing.
+    /// The longest time for which two processes acted on rules that contradict each other, seconds, and which two.
     pub fn contradiction(&self) -> (f64, String) {
-        let mut worst = (0.0, String::new());
-        let spans: Vec<Vec<(f64, f64, u64)>> = (0..self.all.len()).map(|i| self.spans(i)).collect();
-        for i in 0..spans.len() {
-            for j in i + 1..spans.len() {
-                for (from, to, stage) in &spans[i] {
-                    for (other_from, other_to, other) in &spans[j] {
-                        let together = to.min(*other_to) - from.max(*other_from);
-                        if stage.abs_diff(*other) > 1 && together > worst.0 {
-                            worst = (together, format!("i{i} on stage {stage} and i{j} on stage {other}"));
-                        }
-                    }
-                }
-            }
-        }
-        worst
-    }
-
-    /// When a process acted on which stage with a lease, less the time for which it stood still.
-    fn spans(&self, i: usize) -> Vec<(f64, f64, u64)> {
-        let acted = self.all[i].acted.lock().unwrap().clone();
-        let mut spans = Vec::new();
-        for (at, a) in acted.iter().enumerate() {
-            let until = acted.get(at + 1).map_or(now(), |next| next.at);
-            if a.what == "Floor" || a.what == "Gone" {
-                continue;
-            }
-            let mut pieces = vec![(a.at, until)];
-            for (_, from, to) in self.pauses.iter().filter(|(p, ..)| *p == i) {
-                pieces = pieces
-                    .into_iter()
-                    .flat_map(|(s, e)| [(s, e.min(*from)), (s.max(*to), e)])
-                    .filter(|(s, e)| e > s)
-                    .collect();
-            }
-            spans.extend(pieces.into_iter().map(|(s, e)| (s, e, a.stage)));
-        }
-        spans
+        let of = |i: usize| {
+            let pauses: Vec<Pause> =
+                self.pauses.iter().filter(|(p, ..)| *p == i).map(|(_, a, b)| (*a, *b)).collect();
+            spans(&self.all[i].acted(), &pauses, calendar())
+        };
+        contradiction(&(0..self.all.len()).map(of).collect::<Vec<_>>())
     }
 
     /// Fails if two acted on rules that contradict each other for longer than the settings allow.
     #[track_caller]
     pub fn no_contradiction(&self) {
-        let terms = flaxstand_agree::agreement::Terms::of(LEASE_MS as f64, 0.001, 250.0);
+        let terms = Terms::of(LEASE_MS as f64, ERROR, ELECTION_MS as f64);
         let (longest, who) = self.contradiction();
         assert!(longest * 1000.0 <= terms.contradiction_ms, "{longest} s: {who}");
     }
@@ -394,61 +301,9 @@
     }
 }
 
-/// The passage that a line of the log tells.
-fn acted_of(line: &str) -> Option<Acted> {
-    let (head, rest) = line.split_once(" INFO rules ")?;
-    let at = seconds(head.trim())?;
-    let what = rest.split_once("to=")?.1;
-    let end = what.find(" stage=")?;
-    let stage = what[end + 7..].split_whitespace().next()?.parse().ok()?;
-    Some(Acted { at, what: what[..end].to_owned(), stage })
-}
-
-/// Seconds since 1970 of a log's `2026-12-02T00:46:34.581734Z`; within one day of now.
-fn seconds(stamp: &str) -> Option<f64> {
-    let time = stamp.split_once('T')?.1.strip_suffix('Z')?;
-    let mut parts = time.split(':').map(|p| p.parse::<f64>().ok());
-    let (h, m, s) = (parts.next()??, parts.next()??, parts.next()??);
-    let today = now();
-    let in_day = h * 3600.0 + m * 60.0 + s;
-    let day = ((today - in_day) / 86_400.0).round() * 86_400.0;
-    Some(day + in_day)
-}
-
 pub fn version(text: &str) -> Version {
     let rules = read_rules("proposed", text).unwrap();
-    Version { number: 0, rules, text: text.to_owned(), by: "a test".into(), at: (now() * 1e6) as u64 }
-}
-
-/// One word to an initiator, and its answer.
-pub fn ask(to: SocketAddr, wish: &Wish) -> std::io::Result<Option<Reply>> {
-    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    let (role, versions) = (Role::Client, (VERSION_OLDEST, VERSION));
-    let mut bytes = Vec::new();
-    encode(&Frame::Hello(Hello { role, versions, id: 0, epoch: 0, name: "test" }), &mut bytes);
-    let word = postcard::to_stdvec(&Word::Wish(wish.clone())).unwrap();
-    encode(&Frame::Agreement { bytes: &word }, &mut bytes);
-    stream.write_all(&bytes)?;
-    let (mut inbox, mut buffer, mut found) = (Inbox::default(), [0; 64 * 1024], None);
-    while found.is_none() {
-        let count = stream.read(&mut buffer)?;
-        if count == 0 {
-            break;
-        }
-        let fed = inbox.feed(&buffer[..count], |frame| {
-            if let Frame::Agreement { bytes } = frame
-                && let Ok(Word::Reply(reply)) = postcard::from_bytes(bytes)
-            {
-                found = Some(reply);
-            }
-            true
-        });
-        if fed.is_err() {
-            break;
-        }
-    }
-    Ok(found)
+    Version { number: 0, rules, text: text.to_owned(), by: "a test".into(), at: (calendar() * 1e6) as u64 }
 }
 
 /// Copies a folder as it lies there.
--- a/crates/flaxstand-cli/tests/agreement/main.rs
+++ b/crates/flaxstand-cli/tests/agreement/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use flaxstand_lab::agreed::calendar;
 use flaxstand_lab::relay::Flow;
 use fleet::{Fleet, shared};
 
@@ -40,14 +41,14 @@
 fn a_leader_that_is_cut_off_while_a_change_narrows_ends_on_the_floor() {
     let f = agreed("cut-off", 3, 5);
     let old = f.leader();
-    f.isolate(old);
+    f.links.around(old, Flow::Stall);
     let others: Vec<usize> = f.everyone().into_iter().filter(|i| *i != old).collect();
     f.until_acting(&[old], "Floor");
     assert_eq!(f.propose(1, &shared(40, "once")), 2);
     f.until_acting(&others, "Alone(2)");
     assert_eq!(f.all[old].acts().unwrap().what, "Floor");
     assert_eq!(f.book(old).unwrap().acting.number, 1, "it can't have heard of it");
-    f.heal();
+    f.links.heal();
     settles(&f, 2);
 }
 
@@ -55,15 +56,15 @@
 fn a_change_waits_for_a_member_that_may_act_on_the_old_rules_and_no_longer() {
     let f = agreed("waits", 3, 5);
     // No keeper: it acts on version 1 until its lease ends.
-    f.isolate(4);
-    let before = fleet::now();
+    f.links.around(4, Flow::Stall);
+    let before = calendar();
     assert_eq!(f.propose(1, &shared(500, "repeatable")), 2);
     let rest = [0, 1, 2, 3];
     f.until_acting(&rest, "Alone(2)");
     let let_go = f.all[4].acted().into_iter().rev().find(|a| a.what == "Floor").expect("its lease ended").at;
     let widened = rest.iter().map(|i| f.all[*i].acts().unwrap().at).fold(f64::INFINITY, f64::min);
     assert!(let_go > before && widened > let_go, "{before} {let_go} {widened}");
-    f.heal();
+    f.links.heal();
     settles(&f, 2);
 }
 
@@ -73,19 +74,19 @@
     let leader = f.leader();
     let deaf = (leader + 1) % 5;
     // It does not hear the leader, and is heard: nobody is unseated by it.
-    f.cut_one_way(leader, deaf);
+    f.links.one_way(leader, deaf, Flow::Stall);
     let term = f.report(leader).unwrap().term;
     assert_eq!(f.propose(1, &shared(80, "repeatable")), 2);
     f.until_acting(&[leader, (leader + 2) % 5, (leader + 3) % 5], "Alone(2)");
     assert_eq!(f.report(leader).unwrap().term, term);
-    f.heal();
+    f.links.heal();
     settles(&f, 2);
     for round in 0..3 {
         for i in 0..3 {
-            (3..7).for_each(|j| f.cut(i, j));
+            (3..7).for_each(|j| f.links.both(i, j, Flow::Stall));
         }
         f.propose(2 + round, &shared(70 - round, "repeatable"));
-        f.heal();
+        f.links.heal();
         settles(&f, 3 + round);
     }
 }
@@ -211,17 +212,17 @@
     assert_eq!(taken.len(), 1, "{one:?} {two:?}");
     settles(&f, 2);
     // One that can't come in force, since a member holds it up, is withdrawn.
-    f.isolate(3);
+    f.links.around(3, Flow::Stall);
     assert_eq!(f.propose(2, &shared(400, "repeatable")), 3);
     let withdrawn = f.say(leader, &Wish::Withdraw(3, "a test".into(), 0)).expect("an answer");
     if withdrawn == Reply::Agreed(3) {
         f.until_acting(&[0, 1, 2], "Alone(2)");
-        f.heal();
+        f.links.heal();
         settles(&f, 2);
     } else {
         // It came in force first: then there is nothing to take back.
         assert!(matches!(&withdrawn, Reply::Refused(why) if why.contains("not under way")), "{withdrawn:?}");
-        f.heal();
+        f.links.heal();
         settles(&f, 3);
     }
 }
@@ -242,7 +243,7 @@
 #[test]
 fn a_member_that_reaches_no_keeper_learns_from_a_neighbour() {
     let f = agreed("neighbour", 3, 5);
-    (0..3).for_each(|keeper| f.cut(4, keeper));
+    (0..3).for_each(|keeper| f.links.both(4, keeper, Flow::Stall));
     let next = f.propose(1, &shared(60, "once"));
     settles(&f, next);
 }
@@ -314,13 +315,15 @@
                 f.report(f.leader())?.holds.is_empty().then_some(())
             });
             match fault {
-                "a member cut off" => f.isolate(if drawn.is_multiple_of(2) { 4 } else { (leader + 1) % 3 }),
+                "a member cut off" => {
+                    f.links.around(if drawn.is_multiple_of(2) { 4 } else { (leader + 1) % 3 }, Flow::Stall)
+                }
                 "links late and broken" => {
                     let (a, b) = (drawn % 5, (drawn / 8) % 5);
                     if a != b {
-                        f.link(a, b, Flow::Late(std::time::Duration::from_millis(drawn as u64 % 200)));
+                        f.links.both(a, b, Flow::Late(std::time::Duration::from_millis(drawn as u64 % 200)));
                     }
-                    f.reset(leader, (leader + 1 + drawn % 4) % 5);
+                    f.links.reset(leader, (leader + 1 + drawn % 4) % 5);
                 }
                 _ => {}
             }
@@ -338,7 +341,7 @@
             if fault == "the leader killed" {
                 f.run(leader);
             }
-            f.heal();
+            f.links.heal();
             settles(&f, next);
             base = next;
         }
--- a/crates/flaxstand-lab/src/day.rs
+++ b/crates/flaxstand-lab/src/day.rs
@@ -1,12 +1,15 @@
 //! A day: what there is, what clients do, and what goes wrong when. Read from a KDL file that holds the
 //! site's part of a settings file too. `docs/rehearsal.md` describes every key.
 
+use crate::agreed::Accord;
 use crate::model::Spec;
 use crate::node::Habits;
 use flaxstand::api::{Effect, RepeatGroup};
+use flaxstand_agree::rules::{Value, safe};
 use flaxstand_audit::{Group, Terms};
 use flaxstand_gateway::machine::Micros;
-use flaxstand_gateway::settings::{Block, SettingsError, SiteFile, Source, read_site};
+use flaxstand_gateway::settings::{Block, SettingsError, SiteFile, Source, read_floor, read_site};
+use std::collections::BTreeMap;
 use std::path::Path;
 use thiserror::Error;
 
@@ -120,6 +123,12 @@
     KillInitiator,
     /// The initiator is told to stop and started again.
     RestartInitiator,
+    /// Nothing passes between the initiator and all other initiators.
+    CutInitiator,
+    /// The initiator's process stands still.
+    PauseInitiator,
+    /// These rules are proposed, in place of what they say in the day's file.
+    Change(BTreeMap<String, Value>),
     /// So many times the usual traffic, of one plan or of all.
     Burst(Option<u16>, f64),
 }
@@ -192,6 +201,10 @@
     pub plans: Vec<PlanMix>,
     /// In the order of the file.
     pub faults: Vec<Fault>,
+    /// How the initiators agree, if they do.
+    pub accord: Option<Accord>,
+    /// The floor of their rules.
+    pub floor: BTreeMap<String, Value>,
 }
 
 const MS: std::ops::RangeInclusive<f64> = 0.0..=3_600_000.0;
@@ -262,6 +275,8 @@
             mixes: Vec::new(),
             plans: Vec::new(),
             faults: Vec::new(),
+            accord: None,
+            floor: BTreeMap::new(),
             site,
         };
         day.read_mixes(root);
@@ -276,6 +291,8 @@
             self.transit = Micros::from_ms(b.number("transit-ms", MS, Some(100.0)));
             b.finish();
         }
+        self.floor = read_floor(root);
+        self.accord = root.block("agreement").map(|b| read_accord(&b, &self));
         self.faults = root.blocks("fault").iter().filter_map(|b| read_fault(b, &self)).collect();
         self
     }
@@ -455,6 +472,21 @@
     traffic
 }
 
+fn read_accord(b: &Block<'_>, day: &Day) -> Accord {
+    let ms = |key, default| Micros::from_ms(b.number(key, 50.0..=600_000.0, Some(default)));
+    let accord = Accord {
+        keepers: b.whole("keepers", 1..=5, Some(3)) as u32,
+        lease: ms("lease-ms", 1000.0),
+        election: ms("election-ms", 250.0),
+        clock_error: b.number("clock-error", 0.0..=0.1, Some(0.001)),
+    };
+    if accord.keepers > day.site.site.settings.initiators {
+        b.problem(format!("keepers is {}, expected at most the site's initiators", accord.keepers));
+    }
+    b.finish();
+    accord
+}
+
 fn read_fault(b: &Block<'_>, day: &Day) -> Option<Fault> {
     let name = b.name();
     let share = |b: &Block<'_>| b.number("share", SHARE, Some(1.0));
@@ -498,6 +530,12 @@
         }
         "kill-initiator" => Trouble::KillInitiator,
         "restart-initiator" => Trouble::RestartInitiator,
+        "cut-initiator" => Trouble::CutInitiator,
+        "pause-initiator" => Trouble::PauseInitiator,
+        "change" => Trouble::Change(b.sets("set", |key, _| match safe(key) {
+            Some(_) => Ok(()),
+            None => Err(format!("{key:?} is no key of the rules, see docs/agreement.md")),
+        })),
         "burst" => Trouble::Burst(None, b.number("times", 0.0..=1000.0, None)),
         "plan-burst" => {
             let names = &day.site.site.plans;
@@ -509,7 +547,7 @@
             b.problem(
                 "no such fault; there are pauses, stall, slow, neighbour, drop, hang, errors, full, refuse, deaf, \
                  reset, cut-in, cut-out, heavy, crash, replace, list-silent, list-fails, list-cut, list-late, kill-initiator, \
-                 restart-initiator, burst, plan-burst"
+                 restart-initiator, cut-initiator, pause-initiator, change, burst, plan-burst"
                     .into(),
             );
             return None;
@@ -521,7 +559,14 @@
     let nodes = places("nodes", day.fleet.nodes);
     let initiators = places("initiators", day.site.site.settings.initiators);
     let of_nodes = matches!(trouble, Trouble::Node(..) | Trouble::Crash | Trouble::Replace);
-    let of_initiators = matches!(trouble, Trouble::KillInitiator | Trouble::RestartInitiator);
+    let agreement = matches!(trouble, Trouble::CutInitiator | Trouble::PauseInitiator | Trouble::Change(_));
+    if agreement && day.accord.is_none() {
+        b.problem("there is no agreement, expected the block".into());
+    }
+    let of_initiators = matches!(
+        trouble,
+        Trouble::KillInitiator | Trouble::RestartInitiator | Trouble::CutInitiator | Trouble::PauseInitiator
+    );
     if of_nodes == nodes.is_empty() {
         b.problem(format!(
             "nodes {}",
--- a/crates/flaxstand-lab/src/lib.rs
+++ b/crates/flaxstand-lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! The laboratory. Emulated peers, each a [`flaxstand_gateway::machine::Machine`] that the same driver
 //! runs as the initiator: [`node`] on its [`model`], [`list`], and the clients of [`load`]. A [`day`] says
 //! what there is and what goes wrong; [`rehearse`] plays it with real processes on loopback, [`world`] in one process on virtual time;
+//! [`agreed`] is about days on which initiators agree, with a [`relay`] on each link between them;
 //! [`swarm`] looks for
 //! a day on which something breaks, [`experiment`] tells what a change does; [`measure`] tells what an initiator costs.
 #![forbid(unsafe_code)]
 
+pub mod agreed;
 pub mod day;
 pub mod experiment;
 pub mod html;
--- a/crates/flaxstand-lab/src/process.rs
+++ b/crates/flaxstand-lab/src/process.rs
@@ -112,6 +112,10 @@
         }
     }
 
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        let _ = rustix::process::kill_process(rustix::process::Pid::from_child(&self.child), signal);
+    }
+
     pub(crate) fn tell(&mut self, lines: &str) {
         if !lines.is_empty() {
             // A process that is gone hears nothing: that is the trouble being played.
--- a/crates/flaxstand-lab/src/rehearse.rs
+++ b/crates/flaxstand-lab/src/rehearse.rs
@@ -1,6 +1,7 @@
 //! Plays a day on loopback: starts the list service, the nodes, the initiators and the clients, each a
 //! process of its own; brings about what goes wrong at its time; audits what was recorded.
 
+use crate::agreed::{Agreed, Links, calendar, changed};
 use crate::between;
 use crate::day::Day;
 use crate::list::{ListService, node_line};
@@ -8,15 +9,18 @@
 use crate::model::{Model, Spec};
 use crate::node::{Identity, Node};
 use crate::process::{Process, RehearsalError, SOON, ask_to_stop, io_error, stop, stopped};
+use crate::relay::Flow;
 use crate::report::{Report, report};
 use crate::script::{Step, script};
 use crate::shell::{Peer, Shell};
 use flaxstand_audit::{Book, Record, audit, read_folder};
 use flaxstand_gateway::driver::{Driver, Options, clock};
 use flaxstand_gateway::machine::{Address, Micros};
+use flaxstand_gateway::settings::rules_of;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeSet;
+use rustix::process::Signal;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
@@ -58,6 +62,9 @@
     /// Those that were killed or told to stop and have not come back.
     leaving: BTreeSet<usize>,
     record: File,
+    links: Option<Links>,
+    /// Since when initiators stand still.
+    paused: BTreeMap<usize, f64>,
     next_node: u64,
 }
 
@@ -68,6 +75,16 @@
         self.record.write_all(&line).map_err(io_error("the rehearsal's record"))
     }
 
+    /// What the audit of the agreement has to know beside the logs.
+    fn agreement_note(&mut self, line: &str) -> Result<(), RehearsalError> {
+        if self.links.is_none() {
+            return Ok(());
+        }
+        let path = self.plan.folder.join("agreement.log");
+        let file = OpenOptions::new().create(true).append(true).open(path);
+        file.and_then(|mut f| writeln!(f, "{line}")).map_err(io_error("the agreement's notes"))
+    }
+
     fn start_node(&mut self, slot: usize, cold: bool, listen: &str) -> Result<(), RehearsalError> {
         let plan = self.plan;
         let (node, incarnation) = (self.nodes[slot].node, self.nodes[slot].incarnation);
@@ -99,7 +116,11 @@
 
     fn start_initiator(&mut self, index: usize) -> Result<(), RehearsalError> {
         let folder = self.plan.folder.display();
-        let settings = settings_of(self.plan, index, &self.list_address);
+        let mut settings = settings_of(self.plan, index, &self.list_address);
+        if let (Some(links), Some(accord)) = (&self.links, &self.plan.day.accord) {
+            let own = self.plan.folder.join(format!("initiator-{index}"));
+            settings += &links.settings(index, accord, |i| format!("initiator-{i}"), &own);
+        }
         let file = format!("{folder}/initiator-{index}.kdl");
         std::fs::write(&file, settings).map_err(io_error("an initiator's settings"))?;
         let name = format!("initiator-{index}");
@@ -143,11 +164,38 @@
                 self.start_node(slot, true, "127.0.0.1:0")?;
                 self.list_node(slot, "serving", "0");
             }
+            Step::Cut(index, on) => {
+                if let Some(links) = &self.links {
+                    links.around(index, if on { Flow::Stall } else { Flow::Pass });
+                }
+            }
+            Step::Pause(index, true) => {
+                if let Some(process) = &self.initiators[index] {
+                    process.signal(Signal::STOP);
+                    self.paused.insert(index, calendar());
+                }
+            }
+            Step::Pause(index, false) => {
+                if let (Some(since), Some(process)) = (self.paused.remove(&index), &self.initiators[index]) {
+                    let until = calendar();
+                    process.signal(Signal::CONT);
+                    self.agreement_note(&format!("pause {index} {since} {until}"))?;
+                }
+            }
+            Step::Propose(sets) => {
+                if let Some(links) = &self.links {
+                    let rules = changed(&rules_of(&self.plan.day.site, self.plan.day.floor.clone()), &sets);
+                    let number = links.propose(&rules, &format!("{sets:?}"), SOON);
+                    info!(?number, ?sets, "proposed");
+                }
+            }
             Step::KillInitiator(index, outright) => {
                 self.leaving.insert(index);
+                // Noted after its end: until then it may act.
                 self.note(&Record::Killed { at: clock().0, initiator: index as u32 })?;
                 if outright {
                     self.initiators[index] = None;
+                    self.agreement_note(&format!("gone {index} {}", calendar()))?;
                 } else if let Some(process) = &self.initiators[index] {
                     ask_to_stop(process)?;
                 }
@@ -211,6 +259,8 @@
         initiators: (0..initiators).map(|_| None).collect(),
         leaving: BTreeSet::new(),
         record,
+        links: plan.day.accord.map(|_| Links::new(initiators)).transpose().map_err(io_error("relays"))?,
+        paused: BTreeMap::new(),
         next_node: count as u64,
     };
     for slot in 0..count {
@@ -221,6 +271,14 @@
     for index in 0..initiators {
         stage.start_initiator(index)?;
     }
+    if let Some(links) = &stage.links {
+        // The day's own rules are the first version; the day begins once all act on it.
+        let rules = rules_of(&plan.day.site, plan.day.floor.clone());
+        let first = links.propose(&rules, "the day's file", SOON).and_then(|_| links.alike());
+        if first.is_none() {
+            return Err(RehearsalError::Process("the initiators did not agree on a first version".into()));
+        }
+    }
     let mut load_arguments = vec!["stand-in".into(), "load".into(), plan.file.display().to_string()];
     load_arguments.push(format!("--seconds={}", plan.seconds));
     load_arguments.push(format!("--record={folder}/clients.jsonl"));
@@ -239,6 +297,15 @@
     let longest = plan.day.site.site.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let end = start.after(Micros::from_ms(plan.seconds * 1000.0 + longest + 10_000.0));
     load.expect("done", Duration::from_micros(end.since(clock()).0) + SOON)?;
+    if let Some(links) = &stage.links {
+        links.heal();
+        let version = links.alike().map_or("none".to_owned(), |v| v.to_string());
+        stage.agreement_note(&format!("alike {version}"))?;
+        let now = calendar();
+        for index in 0..stage.initiators.len() {
+            stage.agreement_note(&format!("gone {index} {now}"))?;
+        }
+    }
     for process in std::mem::take(&mut stage.initiators).into_iter().flatten() {
         stop(process)?;
     }
@@ -254,7 +321,12 @@
 pub fn audited(day: &Day, folder: &Path) -> Result<(Report, Book), RehearsalError> {
     let book = Book::new(read_folder(folder)?);
     let verdict = audit(&book, &day.terms());
-    Ok((report(day, &book, verdict), book))
+    let mut report = report(day, &book, verdict);
+    if let Some(accord) = &day.accord {
+        let count = day.site.site.settings.initiators as usize;
+        report.agreement = Some(Agreed::read(folder, count, accord)?);
+    }
+    Ok((report, book))
 }
 
 /// What a stand-in's process is told.
--- a/crates/flaxstand-lab/src/relay.rs
+++ b/crates/flaxstand-lab/src/relay.rs
@@ -79,6 +79,16 @@
         (faults.there, faults.back) = (there, back);
     }
 
+    /// The same of one direction: from the caller on.
+    pub fn set_there(&self, flow: Flow) {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner).there = flow;
+    }
+
+    /// Back to the caller.
+    pub fn set_back(&self, flow: Flow) {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner).back = flow;
+    }
+
     /// Breaks all connections that stand now.
     pub fn reset(&self) {
         self.faults.lock().unwrap_or_else(PoisonError::into_inner).resets += 1;
--- a/crates/flaxstand-lab/src/report.rs
+++ b/crates/flaxstand-lab/src/report.rs
@@ -1,5 +1,6 @@
 //! What a day came to, from the records: service by class and plan, latency, refusals, tries and attempts.
 
+use crate::agreed::Agreed;
 use crate::day::Day;
 use crate::recovery::{Recovery, recovery};
 use flaxstand_audit::{Answer, Book, Record, Verdict};
@@ -55,6 +56,8 @@
     pub plans: Vec<Service>,
     /// How service came back after what went wrong, if anything did.
     pub recovery: Option<Recovery>,
+    /// What became of the agreement, where initiators agree.
+    pub agreement: Option<Agreed>,
     /// What the audit found.
     pub audit: Verdict,
 }
@@ -146,6 +149,7 @@
     };
     let service = if wanted > 0.0 { worth / wanted } else { 1.0 };
     Report {
+        agreement: None,
         recovery: recovery(day, &operations),
         day: day.name.clone(),
         service,
@@ -156,6 +160,11 @@
 }
 
 impl Report {
+    /// Every rule was kept, and what initiators agreed on was as promised.
+    pub fn kept(&self) -> bool {
+        self.audit.kept() && self.agreement.as_ref().is_none_or(Agreed::kept)
+    }
+
     /// For people.
     pub fn text(&self) -> String {
         let mut out = String::new();
@@ -222,6 +231,9 @@
         if self.audit.breaches.len() > 20 {
             let _ = writeln!(out, "  and {} more", self.audit.breaches.len() - 20);
         }
+        if let Some(agreement) = &self.agreement {
+            out += &agreement.text();
+        }
         out
     }
 }
--- a/crates/flaxstand-lab/src/script.rs
+++ b/crates/flaxstand-lab/src/script.rs
@@ -1,6 +1,8 @@
 //! A day's faults as steps in time: what both drivers carry out.
 
 use crate::day::{Day, Trouble};
+use flaxstand_agree::rules::Value;
+use std::collections::BTreeMap;
 
 /// What happens at a moment of the day.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +23,12 @@
     KillInitiator(usize, bool),
     /// It is started again.
     ReturnInitiator(usize),
+    /// Nothing passes between an initiator and all others, or it does again.
+    Cut(usize, bool),
+    /// An initiator's process stands still, or goes on.
+    Pause(usize, bool),
+    /// A change of the rules is proposed.
+    Propose(BTreeMap<String, Value>),
 }
 
 /// The steps of a day that lasts so long, by their second.
@@ -46,9 +54,19 @@
             }
         }
         for index in fault.initiators.iter().map(|i| *i as usize) {
-            let outright = fault.trouble == Trouble::KillInitiator;
-            steps.push((from, Step::KillInitiator(index, outright)));
-            steps.push((until, Step::ReturnInitiator(index)));
+            let (on, off) = match fault.trouble {
+                Trouble::CutInitiator => (Step::Cut(index, true), Step::Cut(index, false)),
+                Trouble::PauseInitiator => (Step::Pause(index, true), Step::Pause(index, false)),
+                _ => {
+                    let outright = fault.trouble == Trouble::KillInitiator;
+                    (Step::KillInitiator(index, outright), Step::ReturnInitiator(index))
+                }
+            };
+            steps.push((from, on));
+            steps.push((until, off));
+        }
+        if let Trouble::Change(sets) = &fault.trouble {
+            steps.push((from, Step::Propose(sets.clone())));
         }
         if let Trouble::List(on, off) = &fault.trouble {
             steps.push((from, Step::TellList(on.clone())));
--- a/crates/flaxstand-lab/src/world.rs
+++ b/crates/flaxstand-lab/src/world.rs
@@ -649,6 +649,8 @@
                 self.start_node(slot, true);
                 self.list_node(slot, "serving", "0");
             }
+            // Days on which initiators agree are played with processes.
+            Step::Cut(..) | Step::Pause(..) | Step::Propose(_) => {}
             Step::KillInitiator(index, _) if self.leaving.contains(&self.initiator_host(index)) => {}
             Step::ReturnInitiator(index) if !self.leaving.contains(&self.initiator_host(index)) => {}
             Step::KillInitiator(index, outright) => {
