--- a/crates/flaxstand-cli/tests/agreement/main.rs
+++ b/crates/flaxstand-cli/tests/agreement/main.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use flaxstand_lab::agreed::calendar;
+use flaxstand_lab::relay::Flow;
 use fleet::{Fleet, shared};
 
 fn text(bytes: &[u8]) -> String {
@@ -39,14 +41,14 @@
 fn a_leader_that_is_cut_off_while_a_change_narrows_ends_on_the_floor() {
     let f = agreed("cut-off", 3, 5);
     let old = f.leader();
-    f.isolate(old);
+    f.links.around(old, Flow::Stall);
     let others: Vec<usize> = f.everyone().into_iter().filter(|i| *i != old).collect();
     f.until_acting(&[old], "Floor");
     assert_eq!(f.propose(1, &shared(40, "once")), 2);
     f.until_acting(&others, "Alone(2)");
     assert_eq!(f.all[old].acts().unwrap().what, "Floor");
     assert_eq!(f.book(old).unwrap().acting.number, 1, "it can't have heard of it");
-    f.heal();
+    f.links.heal();
     settles(&f, 2);
 }
 
@@ -54,15 +56,15 @@
 fn a_change_waits_for_a_member_that_may_act_on_the_old_rules_and_no_longer() {
     let f = agreed("waits", 3, 5);
     // No keeper: it acts on version 1 until its lease ends.
-    f.isolate(4);
-    let before = fleet::now();
+    f.links.around(4, Flow::Stall);
+    let before = calendar();
     assert_eq!(f.propose(1, &shared(500, "repeatable")), 2);
     let rest = [0, 1, 2, 3];
     f.until_acting(&rest, "Alone(2)");
     let let_go = f.all[4].acted().into_iter().rev().find(|a| a.what == "Floor").expect("its lease ended").at;
     let widened = rest.iter().map(|i| f.all[*i].acts().unwrap().at).fold(f64::INFINITY, f64::min);
     assert!(let_go > before && widened > let_go, "{before} {let_go} {widened}");
-    f.heal();
+    f.links.heal();
     settles(&f, 2);
 }
 
@@ -72,19 +74,19 @@
     let leader = f.leader();
     let deaf = (leader + 1) % 5;
     // It does not hear the leader, and is heard: nobody is unseated by it.
-    f.cut_one_way(leader, deaf);
+    f.links.one_way(leader, deaf, Flow::Stall);
     let term = f.report(leader).unwrap().term;
     assert_eq!(f.propose(1, &shared(80, "repeatable")), 2);
     f.until_acting(&[leader, (leader + 2) % 5, (leader + 3) % 5], "Alone(2)");
     assert_eq!(f.report(leader).unwrap().term, term);
-    f.heal();
+    f.links.heal();
     settles(&f, 2);
     for round in 0..3 {
         for i in 0..3 {
-            (3..7).for_each(|j| f.cut(i, j));
+            (3..7).for_each(|j| f.links.both(i, j, Flow::Stall));
         }
         f.propose(2 + round, &shared(70 - round, "repeatable"));
-        f.heal();
+        f.links.heal();
         settles(&f, 3 + round);
     }
 }
@@ -210,17 +212,17 @@
     assert_eq!(taken.len(), 1, "{one:?} {two:?}");
     settles(&f, 2);
     // One that can't come in force, since a member holds it up, is withdrawn.
-    f.isolate(3);
+    f.links.around(3, Flow::Stall);
     assert_eq!(f.propose(2, &shared(400, "repeatable")), 3);
     let withdrawn = f.say(leader, &Wish::Withdraw(3, "a test".into(), 0)).expect("an answer");
     if withdrawn == Reply::Agreed(3) {
         f.until_acting(&[0, 1, 2], "Alone(2)");
-        f.heal();
+        f.links.heal();
         settles(&f, 2);
     } else {
         // It came in force first: then there is nothing to take back.
         assert!(matches!(&withdrawn, Reply::Refused(why) if why.contains("not under way")), "{withdrawn:?}");
-        f.heal();
+        f.links.heal();
         settles(&f, 3);
     }
 }
@@ -241,7 +243,7 @@
 #[test]
 fn a_member_that_reaches_no_keeper_learns_from_a_neighbour() {
     let f = agreed("neighbour", 3, 5);
-    (0..3).for_each(|keeper| f.cut(4, keeper));
+    (0..3).for_each(|keeper| f.links.both(4, keeper, Flow::Stall));
     let next = f.propose(1, &shared(60, "once"));
     settles(&f, next);
 }
@@ -292,3 +294,67 @@
     settles(&f, 3);
     assert_eq!(f.book(1).unwrap().acting.text, shared(100, "repeatable"));
 }
+
+/// Long, and so no part of the usual run: `cargo test --release -p flaxstand-cli --test agreement -- --ignored --nocapture`.
+/// Prints how long changes took with all well, with a member cut off, with the leader killed and with links that are
+/// slow and break, and the longest contradiction seen. `FLAXSTAND_CHANGES` says how many of each.
+#[test]
+#[ignore = "a measurement of several minutes"]
+fn changes_under_drawn_faults() {
+    let each = std::env::var("FLAXSTAND_CHANGES").ok().and_then(|n| n.parse().ok()).unwrap_or(50);
+    let mut f = agreed("measured", 3, 5);
+    let mut base = 1;
+    let mut draw = 1u64;
+    for fault in ["all well", "a member cut off", "the leader killed", "links late and broken"] {
+        let mut took = Vec::new();
+        for round in 0..each {
+            draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let drawn = (draw >> 33) as usize;
+            let leader = f.leader();
+            f.until("the passage before to be over", |f| {
+                f.report(f.leader())?.holds.is_empty().then_some(())
+            });
+            match fault {
+                "a member cut off" => {
+                    f.links.around(if drawn.is_multiple_of(2) { 4 } else { (leader + 1) % 3 }, Flow::Stall)
+                }
+                "links late and broken" => {
+                    let (a, b) = (drawn % 5, (drawn / 8) % 5);
+                    if a != b {
+                        f.links.both(a, b, Flow::Late(std::time::Duration::from_millis(drawn as u64 % 200)));
+                    }
+                    f.links.reset(leader, (leader + 1 + drawn % 4) % 5);
+                }
+                _ => {}
+            }
+            let started = std::time::Instant::now();
+            let effect = ["once", "repeatable"][round % 2];
+            let next = f.propose(base, &shared(5 + drawn as u64 % 400, effect));
+            if fault == "the leader killed" {
+                f.kill(leader);
+            }
+            f.until("the version to be in force somewhere", |f| {
+                let acts = |i: &usize| f.all[*i].acts().is_some_and(|a| a.what == format!("Alone({next})"));
+                f.everyone().iter().any(acts).then_some(())
+            });
+            took.push(started.elapsed().as_millis() as u64);
+            if fault == "the leader killed" {
+                f.run(leader);
+            }
+            f.links.heal();
+            settles(&f, next);
+            base = next;
+        }
+        took.sort_unstable();
+        let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
+        println!(
+            "{fault}: {each} changes in force after ms: {} {} {} {} (p10 p50 p90 most)",
+            at(0.1),
+            at(0.5),
+            at(0.9),
+            at(1.0)
+        );
+    }
+    let (longest, who) = f.contradiction();
+    println!("longest contradiction: {} ms {who}", longest * 1000.0);
+}
