--- a/crates/flaxstand-gateway/src/settings/mod.rs
+++ b/crates/flaxstand-gateway/src/settings/mod.rs
@@ -71,6 +71,12 @@
             (Some(_), None) => b.problem("there is a log, expected a class that is buffered".into()),
             _ => {}
         }
+        if let (Some(a), Some(_)) = (&agreement, &site.site.write_back) {
+            // The buffer keeps windows and rests of keys from its start on.
+            a.problem(
+                "there is an agreement, expected no class that is buffered: it does not follow it yet".into(),
+            );
+        }
         let files = b.whole("files", 0..=1 << 20, Some(0));
         let daemon = Daemon {
             config: Config {
--- a/crates/flaxstand-gateway/tests/settings.rs
+++ b/crates/flaxstand-gateway/tests/settings.rs
@@ -100,3 +100,43 @@
         format!("initiator \"other\" {{\n listen \"127.0.0.1:0\"\n list \"127.0.0.1:1\"\n}}\n{shared}");
     assert!(read_daemon("test.kdl", &whole).is_ok());
 }
+
+#[test]
+fn mistakes_of_an_agreement_are_told_with_their_line() {
+    let agreeing = |keepers: &str, more: &str| {
+        format!(
+            "{SOUND}agreement {{\n    listen \"127.0.0.1:7300\"\n    folder \"/tmp/none\"\n{keepers}}}\nfloor {{\n{more}}}\n"
+        )
+    };
+    let three = "    keeper \"left\" at=\"127.0.0.1:1\"\n    keeper \"b\" at=\"127.0.0.1:2\"\n    keeper \"c\" at=\"127.0.0.1:3\"\n";
+    let daemon = read_daemon("test.kdl", &agreeing(three, "    set \"plan.basic.limit-rate\" 3\n")).unwrap();
+    let agreeing_with = daemon.agreement.expect("a block").agreeing;
+    assert_eq!(agreeing_with.keepers.len(), 3);
+    assert_eq!(agreeing_with.started_with.floor.len(), 1);
+    let two = "    keeper \"left\" at=\"127.0.0.1:1\"\n    keeper \"b\" at=\"127.0.0.1:2\"\n";
+    let stranger = three.replace("left", "right");
+    for (keepers, floor, line, words) in [
+        (two, "", 15, "2 keepers, expected 3 or 5"),
+        (&stranger[..], "", 15, "\"left\" is neither a keeper nor an initiator"),
+        (
+            &format!("{three}    lease-ms 600\n")[..],
+            "",
+            15,
+            "lease-ms is 600, expected at least twice election-ms, 500",
+        ),
+        (three, "    set \"plan.basic.price\" 3\n", 23, "\"plan.basic.price\" has no narrower value"),
+        (three, "    set \"site.limits\" 3\n", 23, "is no key of the rules"),
+        (three, "    set \"class.read.effect\" \"twice\"\n", 23, "expected one of once, keyed, repeatable"),
+    ] {
+        let found = problems(&agreeing(keepers, floor));
+        assert!(found.len() == 1 && found[0].0 == line && found[0].1.contains(words), "{found:?}");
+    }
+    let buffered = agreeing(three, "").replace("deadline-ms 1500", "deadline-ms 1500\n    buffered #true");
+    let buffered =
+        buffered.replace("list \"127.0.0.1:7100\"", "list \"127.0.0.1:7100\"\n    log \"/tmp/none\"");
+    assert!(
+        problems(&buffered)[0].1.contains("expected no class that is buffered"),
+        "{:?}",
+        problems(&buffered)
+    );
+}
