flaxstand measure agreement: the module with agreement and without it, in turn

An initiator that agrees on its rules with two others beside one that does not, closed and open loop, five rounds.

--- a/crates/flaxstand-cli/src/args.rs
+++ b/crates/flaxstand-cli/src/args.rs
@@ -159,6 +159,8 @@
 pub enum Measured {
     /// Requests a second, latency, processor time, memory
     Requests,
+    /// Agreement on against off: requests a second, processor time, in turn
+    Agreement,
     /// Buffered writes beside writes through: latency, writes and syncs a second, reading a log back
     Buffer,
 }
--- a/crates/flaxstand-cli/src/kit.rs
+++ b/crates/flaxstand-cli/src/kit.rs
@@ -208,7 +208,12 @@
         rehearse::clean(&folder);
         return told_result(serde_json::to_string_pretty(&measured), &measured.text(), json);
     }
-    let figures = measure::measure(&program, &folder, seconds.clamp(0.5, 600.0)).map_err(system)?;
+    let seconds = seconds.clamp(0.5, 600.0);
+    let figures = match what {
+        Measured::Agreement => measure::measure_agreement(&program, &folder, seconds, 5),
+        _ => measure::measure(&program, &folder, seconds),
+    };
+    let figures = figures.map_err(system)?;
     rehearse::clean(&folder);
     told_result(serde_json::to_string_pretty(&figures), &figures.text(), json)
 }
--- a/crates/flaxstand-lab/src/measure.rs
+++ b/crates/flaxstand-lab/src/measure.rs
@@ -2,9 +2,12 @@
 //! of the same frames that sends everything at once. One run holds both, so that their ratios mean something
 //! on a machine whose speed drifts.
 
+use crate::agreed::{Accord, Links};
 use crate::list::node_line;
 use crate::press::Seen;
 use crate::process::{Process, RehearsalError, SOON, io_error, stop};
+use flaxstand_gateway::machine::Micros;
+use flaxstand_gateway::settings::read_rules;
 use serde::Serialize;
 use std::fmt::Write as _;
 use std::path::Path;
@@ -13,7 +16,7 @@
 /// One figure.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figure {
-    /// `module` or `pipe`.
+    /// `module` or `pipe`; `agreed`: the module, at an initiator that agrees on its rules with two others.
     pub policy: &'static str,
     /// Nodes.
     pub nodes: u32,
@@ -59,6 +62,9 @@
             );
         }
         let (idle, holding, held) = self.memory_kib;
+        if held == 0 {
+            return out;
+        }
         let each = (holding.saturating_sub(idle)) as f64 * 1024.0 / held.max(1) as f64;
         let _ = writeln!(
             out,
@@ -161,6 +167,50 @@
         seconds: f64,
     ) -> Result<Figure, RehearsalError> {
         let (_echo, _list, initiator) = self.stage(policy, nodes, false)?;
+        self.pressed(policy, nodes, pressure, seconds, initiator)
+    }
+
+    /// The same at an initiator that agrees with two others on its rules, leases as by default.
+    fn agreed(&self, nodes: u32, pressure: (&str, u32), seconds: f64) -> Result<Figure, RehearsalError> {
+        let ms = |n: u64| Micros(n * 1000);
+        let accord = Accord { keepers: 3, lease: ms(3000), election: ms(500), clock_error: 0.001 };
+        let links = Links::new(3).map_err(io_error("relays"))?;
+        let name = |i: usize| ["measured", "second", "third"][i].to_owned();
+        let block = |i: usize| {
+            let folder = self.folder.join(format!("agreed-{}-{i}", links.listen(i).port()));
+            links.settings(i, &accord, name, &folder)
+        };
+        let mut others = Vec::new();
+        let mut text = String::new();
+        let (_echo, _list, initiator) = self.stage_with(nodes, false, |list| {
+            text = settings(self.folder, "module", list);
+            text.clone() + &block(0)
+        })?;
+        for i in 1..3 {
+            let own = text.replace("measured", &name(i)) + &block(i);
+            let file = self.folder.join(format!("{}.kdl", name(i)));
+            std::fs::write(&file, own).map_err(io_error("settings"))?;
+            let file = file.display().to_string();
+            let arguments = ["run", "--config", &file, "--with-parent"].map(str::to_owned);
+            let mut other = self.start(&name(i), &arguments)?;
+            other.expect("ready", SOON)?;
+            others.push(other);
+        }
+        let rules = read_rules("measured", &text).map_err(|e| RehearsalError::Process(e.to_string()))?;
+        if links.propose(&rules, &text, SOON).and_then(|_| links.alike()).is_none() {
+            return Err(RehearsalError::Process("the initiators did not agree".into()));
+        }
+        self.pressed("agreed", nodes, pressure, seconds, initiator)
+    }
+
+    fn pressed(
+        &self,
+        policy: &'static str,
+        nodes: u32,
+        pressure: (&str, u32),
+        seconds: f64,
+        initiator: Process,
+    ) -> Result<Figure, RehearsalError> {
         let (kind, amount) = pressure;
         let argument =
             if kind == "window" { format!("--window={}", amount / 4) } else { format!("--rate={amount}") };
@@ -188,6 +238,28 @@
     }
 }
 
+/// What agreement costs: the module with it and without it in turn, `rounds` times.
+///
+/// # Errors
+/// A process can't be started or ends by itself.
+pub fn measure_agreement(
+    program: &Path,
+    folder: &Path,
+    seconds: f64,
+    rounds: u32,
+) -> Result<Figures, RehearsalError> {
+    std::fs::create_dir_all(folder).map_err(io_error("a folder for logs"))?;
+    let bench = Bench { program, folder };
+    let mut all = Figures::default();
+    for _ in 0..rounds {
+        for pressure in [("window", 256), ("rate", 10_000)] {
+            all.figures.push(bench.figure("module", 10, pressure, seconds)?);
+            all.figures.push(bench.agreed(10, pressure, seconds)?);
+        }
+    }
+    Ok(all)
+}
+
 /// Takes every figure.
 ///
 /// # Errors
