Agreement: a word costs no status, entries are written in one place, dead state gone

Each word at a leader, and each ask passed on, built the operators' whole status to learn two of its figures (agreement.rs, settle and asked): Keeper tells its leader and last entry now. Change::bytes in place of three copies; the term of a wish was never read; needs_everyone compared one thing twice; the electorate is a list, not a map of nothing. No behaviour changes: tests of flaxstand-agree and -gateway and the 11 with several processes pass as they were.

--- a/crates/flaxstand-agree/src/agreement.rs
+++ b/crates/flaxstand-agree/src/agreement.rs
@@ -181,8 +181,8 @@
     /// A keeper's book, made of what was agreed on, and its index.
     book: (u64, Book),
     routes: BTreeMap<(String, u64), Route>,
-    /// By index: the term it was proposed in, and who waits for it.
-    wishes: BTreeMap<u64, (u64, u64)>,
+    /// By index: who waits for it.
+    wishes: BTreeMap<u64, u64>,
     homes: Vec<String>,
     home: usize,
     answered_at: Micros,
@@ -383,6 +383,10 @@
         self.keeper.as_ref()?.leads_until(now)
     }
 
+    fn leader(&self) -> Option<String> {
+        self.keeper.as_ref()?.leader().map(str::to_owned)
+    }
+
     /// What keepers agreed on goes into the book; a leader tends leases and passages.
     fn settle(&mut self, now: Micros) {
         let Some(keeper) = &mut self.keeper else { return };
@@ -401,7 +405,7 @@
                     if let Err(why) = &outcome {
                         info!(index, why, "a change that changes nothing");
                     }
-                    if let Some((_, conn)) = self.wishes.remove(&index) {
+                    if let Some(conn) = self.wishes.remove(&index) {
                         let reply = outcome.map_or_else(Reply::Refused, Reply::Agreed);
                         self.words.push_back((To::Back(conn), Word::Reply(reply)));
                     }
@@ -420,17 +424,16 @@
             warden.at_stage(self.book.1.stage);
             // Only while nobody else can lead: leases that another gave are not known here.
             let sure = keeper.leads_until(now).is_some_and(|until| now < until);
-            let pending = keeper.status(now).last > keeper.committed();
+            let pending = keeper.last() > keeper.committed();
             if sure
                 && !pending
                 && let Some(change) = warden.passage(&self.book.1, self.calendar + now.0, now)
             {
-                let bytes = postcard::to_stdvec(&change).expect("plain values can be written");
-                let _ = keeper.propose(bytes, now);
+                let _ = keeper.propose(change.bytes(), now);
             }
         } else {
             self.warden = None;
-            for (_, conn) in std::mem::take(&mut self.wishes).into_values() {
+            for conn in std::mem::take(&mut self.wishes).into_values() {
                 let why = "the leader was lost before it was agreed on: look at the history, and try again";
                 self.words.push_back((To::Back(conn), Word::Reply(Reply::Refused(why.into()))));
             }
@@ -439,9 +442,8 @@
 
     /// An ask, our own or another's: answered by the leader, passed on by all others.
     fn asked(&mut self, conn: Option<u64>, hops: u8, ask: Ask, now: Micros) {
-        if let (Some(warden), Some(until)) =
-            (&mut self.warden, self.keeper.as_ref().and_then(|k| k.leads_until(now)))
-        {
+        let until = self.leads(now);
+        if let (Some(warden), Some(until)) = (&mut self.warden, until) {
             let (answer, new) = warden.asked(&ask, self.book.0, &self.book.1, until, now);
             if new && self.book.1.stage > 0 {
                 self.take_in(ask.name.clone(), now);
@@ -452,8 +454,7 @@
             }
             return;
         }
-        let leader =
-            self.keeper.as_ref().and_then(|k| k.status(now).leader).filter(|l| *l != self.config.name);
+        let leader = self.leader().filter(|l| *l != self.config.name);
         // A keeper knows who leads; one without a leader has nobody to pass asks on to.
         let to = match (&self.keeper, leader) {
             (Some(_), leader) => leader,
@@ -471,9 +472,7 @@
 
     fn take_in(&mut self, name: String, now: Micros) {
         if let Some(keeper) = &mut self.keeper {
-            let change = Change::Join(name);
-            let bytes = postcard::to_stdvec(&change).expect("plain values can be written");
-            let _ = keeper.propose(bytes, now);
+            let _ = keeper.propose(Change::Join(name).bytes(), now);
         }
     }
 
@@ -500,22 +499,20 @@
             Wish::Forget(name) => self.gone(&name, now).map(|()| Change::Forget(name)),
         };
         let proposed = change.and_then(|change| {
-            let leader = || self.keeper.as_ref().and_then(|k| k.status(now).leader);
             if self.leads(now).is_none() {
-                return Err(Reply::Elsewhere(leader()));
+                return Err(Reply::Elsewhere(self.leader()));
             }
             if self.wishes.len() >= WISHES_MOST {
                 return Err(Reply::Refused("too much is being agreed on: try again later".into()));
             }
-            let bytes = postcard::to_stdvec(&change).expect("plain values can be written");
             let keeper = self.keeper.as_mut().expect("it leads");
-            keeper.propose(bytes, now).map_err(|e| match e {
+            keeper.propose(change.bytes(), now).map_err(|e| match e {
                 ProposeError::NotLeader { leader } => Reply::Elsewhere(leader),
                 other => Reply::Refused(other.to_string()),
             })
         });
         match proposed {
-            Ok((term, index)) => drop(self.wishes.insert(index, (term, conn))),
+            Ok((_, index)) => drop(self.wishes.insert(index, conn)),
             Err(reply) => self.words.push_back((To::Back(conn), Word::Reply(reply))),
         }
     }
--- a/crates/flaxstand-agree/src/book.rs
+++ b/crates/flaxstand-agree/src/book.rs
@@ -81,6 +81,13 @@
     Forget(String),
 }
 
+impl Change {
+    /// As an entry of the log has it.
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain values can be written")
+    }
+}
+
 /// The book.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Book {
@@ -204,11 +211,8 @@
     pub fn needs_everyone(&self) -> bool {
         let Some(next) = &self.next else { return false };
         let floor = self.acting.rules.on_floor();
-        floor.narrower(&next.rules).values != floor.values && {
-            // What is free differs without contradicting.
-            let middle = floor.narrower(&next.rules);
-            middle.values.iter().any(|(key, value)| floor.values.get(key) != Some(value))
-        }
+        // What is free stays the floor's there.
+        floor.narrower(&next.rules).values != floor.values
     }
 
     /// As bytes.
--- a/crates/flaxstand-agree/src/keeper.rs
+++ b/crates/flaxstand-agree/src/keeper.rs
@@ -8,7 +8,7 @@
 use flaxstand_store::Batch;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use thiserror::Error;
 use tracing::{debug, info, warn};
 
@@ -441,6 +441,16 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Who leads, where that is known.
+    pub fn leader(&self) -> Option<&str> {
+        self.leader.as_ref().map(|l| l.name.as_str())
+    }
+
+    /// The last entry here.
+    pub fn last(&self) -> u64 {
+        self.state.log.last()
+    }
+
     /// All up to there is agreed on.
     pub fn committed(&self) -> u64 {
         self.committed
@@ -493,9 +503,8 @@
     pub(crate) fn note_seen(&mut self, member: Member, newest: Seen) {
         let seen = &mut self.state.seen;
         if seen.len() >= SEEN_MOST && !seen.contains_key(&member) {
-            let electorate: BTreeMap<&Member, ()> =
-                self.state.log.electorate().1.iter().map(|m| (m, ())).collect();
-            seen.retain(|m, _| electorate.contains_key(m));
+            let electorate = self.state.log.electorate().1;
+            seen.retain(|m, _| electorate.contains(m));
         }
         self.state.seen.insert(member.clone(), newest);
         self.journal.note(Record::Seen(member, newest));
