Watches are heard in time, wakes are kept, and what crosses a hand-over is asked again

Causes, by line: - core/watch.rs: a watch waited 5 s (20 s where lists are pushed), and 1 s more before it was given up. Waits are 1.5 to 2.5 s now, drawn, so that a fleet does not call in step. - core/watch.rs: an answer without a change was not told to the module, so its failures were counted as one row and the wait after a silent watch was 0.8 to 1.6 s instead of the first. The first answer after a failure is told. - brain.rs: waits grew to 5 s; now 0.2 s to 1.5 s, and the module is woken for them (up to a quarter aim late before). - the call after a failed one waits for nothing at the service: silent too, it shows after 1 s.

Found beside it: core/mod.rs kept one wake of the module, the earlier of two, and rounded it down. Either loses a wake that the module counts on; a held request was then looked at only when something else happened. All wakes are kept.

--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -18,8 +18,12 @@
 const FILE: &str = "RELAY_CONFIG";
 /// Descriptors that are neither a client's nor a node's: epoll, signals, listener, list, log.
 const RESERVE: usize = 24;
-/// Longest that the list service is asked to wait; twice in the time within which it must be asked.
-const WATCH_MOST: f64 = 20_000.0;
+/// Longest that the list service is asked to wait, ms; twice in the time within which it must be asked. A change
+/// counts as told 6 s after the list service had it: a watch that fell silent is given up 1 s after its wait, and
+/// what is left has room for some calls that fail.
+const WATCH_MOST: f64 = 2500.0;
+/// First and longest wait between calls that failed, where lists are pushed, ms.
+const CALL_AGAIN: (f64, f64) = (50.0, 1000.0);
 /// Longest deadline that the platform waits for after SIGTERM, and how much longer it waits before SIGKILL, ms.
 const DEADLINE_MOST: f64 = 3000.0;
 const KILL_AFTER: f64 = 700.0;
@@ -60,6 +64,7 @@
         // Well before the node closes it: what crosses that on its way is lost.
         idle: ms(c.settings.keepalive_ms(), 0.6, d.idle),
         watch: Micros::from_ms(watch.min(WATCH_MOST)),
+        list_retry: (Micros::from_ms(CALL_AGAIN.0), Micros::from_ms(CALL_AGAIN.1)),
         stop_grace: Micros::from_ms(killed - CLOSE_BEFORE),
         stop: Micros::from_ms(killed - END_BEFORE),
         ..d
--- a/crates/flaxstand-drill/src/wire.rs
+++ b/crates/flaxstand-drill/src/wire.rs
@@ -259,7 +259,7 @@
         name_of: impl Fn(NodeId) -> Result<&'a str, String>,
     ) -> Result<Self, String> {
         Ok(match *action {
-            Action::Send { request, node } => {
+            Action::Send { request, node, .. } => {
                 Outbound::Assign { i, op_id: request.0, target: name_of(node)? }
             }
             Action::Cancel { request, attempt } => {
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -24,7 +24,7 @@
     /// It is not read until it has read what waits for it.
     pub(super) paused: bool,
     /// It sends nothing more; its answers still go out.
-    finished: bool,
+    pub(super) finished: bool,
 }
 
 impl Core {
@@ -229,6 +229,7 @@
         debug!(conn = conn.0, cause, owed = client.owed.len(), "client gone");
         for id in client.owed.values() {
             self.counts.abandoned += 1;
+            self.call_back(*id, now);
             if let Some(held) = self.requests.get_mut(id) {
                 held.owner = None;
                 held.payload = Vec::new();
--- a/crates/flaxstand-gateway/src/core/door.rs
+++ b/crates/flaxstand-gateway/src/core/door.rs
@@ -79,7 +79,8 @@
     }
 
     pub(super) fn door_accepted(&mut self, now: Micros) -> Result<ConnId, Vec<u8>> {
-        let open = matches!(self.phase, Phase::Running | Phase::Leaving);
+        // While the process stops it listens no more; who had connected before that is told so once it has asked.
+        let open = self.phase != Phase::Stopped;
         if !open || self.clients >= self.config.bounds.clients && !self.make_room(now) {
             debug!(clients = self.clients, "client turned away");
             let mut bytes = Vec::new();
@@ -297,6 +298,8 @@
         door.reader = Requests::default();
         (door.flow, door.since) = (Flow::Lingering(LINGER_BYTES), now);
         self.plumbing.partial_bytes -= held;
+        // The client reads to the end of what it was sent and closes in its turn (RFC 9112, 9.6).
+        self.plumbing.say(Command::Shut(conn));
         self.plumbing.at(now.after(LINGER), Timer::Quiet(conn));
     }
 
@@ -310,6 +313,10 @@
         if !outbox.is_empty() || !client.owed.is_empty() {
             return;
         }
+        if client.finished {
+            // What it sent behind its last request is not begun: it has gone.
+            return self.lost(conn, "client has all it waits for", true, now);
+        }
         let full = !door.wants_read();
         match door.flow {
             Flow::Open => self.read_door(conn, now),
@@ -343,15 +350,21 @@
         }
     }
 
-    /// Nothing new is taken: connections without a request are closed, the others after their answer.
+    /// Nothing new is taken: connections that rest are shut, so that a request that crosses this is not read and its
+    /// client asks elsewhere; the others after their answer. New ones are left until they have asked.
     pub(super) fn part_with_clients(&mut self, now: Micros) {
-        let free = |c: &Conn| match (&c.peer, &c.inlet) {
+        let rests = |c: &Conn| match (&c.peer, &c.inlet) {
             (Peer::Client(client), Inlet::Door(door)) => {
-                client.owed.is_empty() && c.outbox.is_empty() && door.reader.is_empty()
+                let old = door.asked > 0 || now.since(door.since) >= MUTE;
+                old && client.owed.is_empty()
+                    && c.outbox.is_empty()
+                    && door.reader.is_empty()
+                    && !matches!(door.flow, Flow::Lingering(_))
             }
             _ => false,
         };
-        let free: Vec<ConnId> = self.plumbing.iter().filter(|(_, c)| free(c)).map(|(conn, _)| conn).collect();
-        free.into_iter().for_each(|conn| self.lost(conn, "stopping", true, now));
+        let rests: Vec<ConnId> =
+            self.plumbing.iter().filter(|(_, c)| rests(c)).map(|(conn, _)| conn).collect();
+        rests.into_iter().for_each(|conn| self.linger(conn, now));
     }
 }
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -48,6 +48,8 @@
     /// Of the list held, once the service has told one in this life.
     pub(super) revision: Option<u64>,
     heard_at: Micros,
+    /// On the platform: the last call was answered.
+    pub(super) answers: bool,
     /// The whole list has been asked for and has not come.
     asked: bool,
     /// It has changed; saved once the module has heard, or a pace would be saved with the wrong start.
@@ -58,7 +60,8 @@
 impl ListPeer {
     pub(super) fn new(waits: &Waits) -> Self {
         let backoff = Backoff::new(waits.list_retry.0, waits.list_retry.1);
-        ListPeer { conn: None, revision: None, heard_at: Micros(0), asked: false, unsaved: false, backoff }
+        let (conn, revision, heard_at) = (None, None, Micros(0));
+        ListPeer { conn, revision, heard_at, answers: false, asked: false, unsaved: false, backoff }
     }
 }
 
@@ -137,7 +140,7 @@
 
     /// The connection is no more, or never came to be. The list held stays in use.
     pub(super) fn list_lost(&mut self, stage: Stage, cause: &str, now: Micros) {
-        self.list.conn = None;
+        (self.list.conn, self.list.answers) = (None, false);
         warn!(cause, ?stage, "no connection to the list service; the list held stays in use");
         self.plumbing.cancel_all(Timer::ListSilence);
         if self.config.site.settings.list_on_request {
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -75,6 +75,8 @@
     Stopped,
 }
 
+/// Wakes that the module may have asked for, most. The latest are forgotten first: it counts on the earliest.
+const WAKES_MOST: usize = 256;
 /// Answers leave this long before a stop has lasted long enough.
 const STOP_MARGIN: Micros = Micros(50_000);
 
@@ -109,8 +111,9 @@
     list: ListPeer,
     /// Events for the module that its own actions caused, or that came since it last decided.
     events: VecDeque<Event>,
-    /// When the module asked to be woken.
-    wake_at: Option<Micros>,
+    /// When the module asked to be woken: each of these comes, as on the simulator's wire. Guards against a wake that is
+    /// lost where two are asked for: at the first the module counts on the second, and asks for none.
+    wakes: BTreeSet<Micros>,
     /// Something was told to the module that it has not decided on.
     undecided: bool,
     decided_at: Option<Micros>,
@@ -180,7 +183,7 @@
             class_names,
             volumes: BTreeSet::new(),
             events: VecDeque::new(),
-            wake_at: None,
+            wakes: BTreeSet::new(),
             undecided: true,
             decided_at: None,
             phase: Phase::Running,
@@ -307,9 +310,12 @@
         }
     }
 
-    /// All that was held has been answered and read by its client, or the stop has lasted long enough.
+    /// All that was held has been answered and read by its client. One that speaks HTTP has read when it closes in
+    /// its turn: over what it still sends, a close from here would take its answer with it.
     fn stopped(&self) -> bool {
-        let owed = |(_, c): (ConnId, &Conn)| matches!(c.peer, Peer::Client(_)) && !c.outbox.is_empty();
+        let owed = |(_, c): (ConnId, &Conn)| {
+            matches!(c.inlet, Inlet::Door(_)) || matches!(c.peer, Peer::Client(_)) && !c.outbox.is_empty()
+        };
         self.requests.values().all(|r| r.owner.is_none())
             && !self.plumbing.iter().any(owed)
             && self.buffer_drained()
@@ -379,7 +385,8 @@
         }
     }
 
-    fn finished(&mut self, conn: ConnId, _now: Micros) -> bool {
+    fn finished(&mut self, conn: ConnId, now: Micros) -> bool {
+        self.link_ended(conn, now);
         self.client_finished(conn)
     }
 
@@ -394,6 +401,9 @@
     fn wrote(&mut self, conn: ConnId, count: usize, now: Micros) {
         if let Some(c) = self.plumbing.get_mut(conn) {
             c.outbox.wrote(count);
+            if let Inlet::Link(link) = &mut c.inlet {
+                link.rested = false;
+            }
             self.client_read(conn, now);
         }
     }
@@ -407,6 +417,14 @@
         }
     }
 
+    fn wants_end(&self, conn: ConnId) -> bool {
+        matches!(self.plumbing.get(conn).map(|c| &c.inlet), Some(Inlet::Door(_)))
+    }
+
+    fn rested(&self, conn: ConnId) -> bool {
+        matches!(self.plumbing.get(conn).map(|c| &c.inlet), Some(Inlet::Link(link)) if link.rested)
+    }
+
     fn stored(&mut self, well: bool, now: Micros) {
         self.batch_stored(well, now);
     }
@@ -443,12 +461,12 @@
         if std::mem::take(&mut self.list.unsaved) {
             self.plumbing.say(Command::Save(self.saved_list(now)));
         }
-        let woken = self.wake_at.is_some_and(|at| at <= now);
+        let woken = self.wakes.first().is_some_and(|at| *at <= now);
         // Many requests share one look at all that is held: decisions come at most once a tick.
         let tick = Micros::from_ms(self.config.site.settings.tick);
         let next = self.decided_at.map_or(now, |at| at.after(tick));
         if (self.undecided || woken) && now >= next {
-            self.wake_at = self.wake_at.filter(|_| !woken);
+            self.wakes = self.wakes.split_off(&Micros(now.0 + 1));
             self.decide(now);
         }
         let buffer = self.settle_buffer(now);
@@ -457,7 +475,7 @@
         }
         let tick_due = self.decided_at.map_or(now, |at| at.after(tick)).max(Micros(now.0 + 1));
         let undecided = (self.undecided || !self.events.is_empty()).then_some(tick_due);
-        let woken = self.wake_at.map(|at| at.max(tick_due));
+        let woken = self.wakes.first().map(|at| (*at).max(tick_due));
         let timer = self.plumbing.next_due();
         [undecided, woken, timer, buffer, agreement].into_iter().flatten().min()
     }
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -234,8 +234,8 @@
         self.plumbing.is_at(conn, Stage::Open);
         self.plumbing.at(now.after(idle), Timer::Idle(conn));
         for (id, attempt) in waiting {
-            if restarted || !self.is_owed(id) {
-                // Not sent: the module sends it when the node bears it; or nobody waits, and its payload is gone.
+            if restarted || !self.may_begin(id, attempt, now) {
+                // Not sent: the module sends it when the node bears it, if at all.
                 self.end_attempt(id, attempt, Outcome::Moot, now);
             } else {
                 self.hand_over(id, attempt, conn, now);
--- a/crates/flaxstand-gateway/src/core/pipe.rs
+++ b/crates/flaxstand-gateway/src/core/pipe.rs
@@ -52,7 +52,7 @@
                     self.at.insert(a.id, node);
                 }
                 actions.push(match node {
-                    Some(node) => Action::Send { request: a.id, node },
+                    Some(node) => Action::Send { request: a.id, node, until: a.valid_until },
                     None => Action::Refuse { request: a.id, retry_after: 0.0 },
                 });
             }
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -4,17 +4,22 @@
 
 use super::Core;
 use super::nodes::NodePeer;
-use super::plumbing::{Conn, Inlet, Peer, Timer};
+use super::plumbing::{Conn, Inlet, Peer, Stage, Timer};
 use crate::machine::{ConnId, Micros};
 use flaxstand::api::{AttemptNo, NodeId, Outcome, Readiness, RequestId};
 use flaxstand_http::{Answer, Answers, write_request};
 use flaxstand_platform::{HEALTH, field, outcome_of};
 use std::fmt::Display;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use tracing::{debug, info};
 
 /// A head of an answer that is not whole so long after it began, or a body of which nothing more came for so
 /// long, is spoilt.
 const ANSWER_STALLS: Micros = Micros(250_000);
+/// So long after an answer a second copy of it may follow (4 ms were seen). Until then a connection is used again only
+/// if no other rests, and what is the last answer once more, head and body, and came in less than half the time that
+/// any took there, is taken for such a copy: served, it would be another request's answer.
+const REST: Micros = Micros(20_000);
 /// How often idle connections are looked through.
 const SWEEP: Micros = Micros(1_000_000);
 /// A node that is gone is remembered for so long: lists may flap.
@@ -35,11 +40,27 @@
     carries: Option<Carried>,
     /// When its answer began, or in a body when it last went on; or when it fell idle.
     since: Micros,
+    /// It was idle, and nothing has been written of what it carries now.
+    pub(super) rested: bool,
+    /// When it was asked.
+    asked: Micros,
+    /// When the last answer came whole, and its fingerprint.
+    last: Option<(Micros, u64)>,
+    /// The shortest time that an answer took.
+    shortest: Micros,
 }
 
 impl Link {
     fn new(carries: Carried, now: Micros) -> Self {
-        Link { reader: Answers::default(), carries: Some(carries), since: now }
+        Link {
+            reader: Answers::default(),
+            carries: Some(carries),
+            since: now,
+            rested: false,
+            asked: now,
+            last: None,
+            shortest: Micros(u64::MAX),
+        }
     }
 
     /// Bytes held.
@@ -52,6 +73,13 @@
     }
 }
 
+/// Tells answers apart.
+fn fingerprint(answer: &Answer) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    answer.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Core {
     pub(super) fn link(&mut self, conn: ConnId) -> Option<&mut Link> {
         match self.plumbing.get_mut(conn) {
@@ -60,16 +88,23 @@
         }
     }
 
-    /// Sends by the newest idle connection to the node, or by a new one.
+    /// Sends by the newest idle connection to the node, by one that has rested if there is one, or by a new one.
     pub(super) fn carry(&mut self, at: NodeId, what: Carried, now: Micros) {
-        let Some(node) = self.node(at) else { return };
-        if let Some(conn) = node.idle.pop() {
+        let Some(NodePeer { address, idle, .. }) = self.nodes.get(&at) else { return };
+        let address = address.clone();
+        let rested = |conn: &ConnId| match self.plumbing.get(*conn).map(|c| &c.inlet) {
+            Some(Inlet::Link(link)) => now.since(link.since) >= REST,
+            _ => false,
+        };
+        let newest = idle.len().checked_sub(1);
+        if let Some(index) = idle.iter().rposition(rested).or(newest)
+            && let Some(conn) = self.node(at).map(|node| node.idle.remove(index))
+        {
             if let Some(link) = self.link(conn) {
-                link.carries = Some(what);
+                (link.carries, link.rested) = (Some(what), true);
             }
             return self.write_carried(conn, now);
         }
-        let address = node.address.clone();
         if self.links >= self.config.bounds.links && !self.close_longest_idle(now) {
             debug!(links = self.links, "no connection to be had");
             return self.end_carried(what, Outcome::Moot, now);
@@ -95,19 +130,24 @@
     /// A new connection stands.
     pub(super) fn link_stands(&mut self, conn: ConnId, now: Micros) {
         let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.plumbing.get(conn) else { return };
-        if let (Peer::Node(at), Some(Carried::Attempt(id, attempt))) = (peer, link.carries) {
-            // The node began to drain while it was called: guards the rule on drains. Or the request was answered
-            // meanwhile, or its client left: its payload is gone, and what would be sent is none of a client's.
-            let drains = self.nodes.get(at).is_none_or(|n| n.readiness != Readiness::Serving);
-            if drains || !self.is_owed(id) {
-                self.free(conn, now);
-                return self.end_attempt(id, attempt, Outcome::Moot, now);
-            }
+        let Peer::Node(at) = *peer else { return self.write_carried(conn, now) };
+        // It may have come up late: what held when it was called may hold no longer.
+        let Some(carried) = link.carries else { return };
+        let may = match carried {
+            Carried::Attempt(id, attempt) => self.may_begin(id, attempt, now),
+            _ => self.nodes.get(&at).is_some_and(|n| n.readiness == Readiness::Serving),
+        };
+        if may {
+            return self.write_carried(conn, now);
         }
-        self.write_carried(conn, now);
+        self.free(conn, now);
+        self.end_carried(carried, Outcome::Moot, now);
     }
 
     fn write_carried(&mut self, conn: ConnId, now: Micros) {
+        if let Some(link) = self.link(conn) {
+            link.asked = now;
+        }
         let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.plumbing.get(conn) else { return };
         let host = match peer {
             Peer::Node(at) => self.nodes.get(at).map(|n| n.address.to_string()).unwrap_or_default(),
@@ -139,9 +179,10 @@
                 self.plumbing.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
             }
             Some(Carried::ListCall) => {
-                let call = self.next_list_call();
+                let call = self.next_list_call(now);
+                let host = self.config.list.to_string();
+                let host: (&str, &dyn Display) = ("Host", &host);
                 self.plumbing.put(conn, |bytes| write_request(bytes, "GET", &call, &[host], None));
-                self.list_call_written(now);
             }
             None => {}
         }
@@ -174,6 +215,15 @@
         }
     }
 
+    /// The peer ended its stream in good order: an answer that says no length is whole.
+    pub(super) fn link_ended(&mut self, conn: ConnId, now: Micros) {
+        let Some(link) = self.link(conn) else { return };
+        let before = link.reader.len();
+        let Some(answer) = link.reader.end() else { return };
+        self.plumbing.answer_bytes -= before;
+        self.link_answered(conn, &answer, now);
+    }
+
     /// What came is no answer; what was asked may have run.
     fn spoilt(&mut self, conn: ConnId, why: &dyn Display, now: Micros) {
         self.counts.protocol_faults += 1;
@@ -187,7 +237,18 @@
     }
 
     fn link_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
-        let Some(carried) = self.link(conn).and_then(|link| link.carries.take()) else { return };
+        let Some(link) = self.link(conn) else { return };
+        let Some(carried) = link.carries else { return };
+        if carried != Carried::ListCall {
+            let print = fingerprint(answer);
+            let lag = now.since(link.asked);
+            let soon = lag.0 < link.shortest.0 / 2;
+            if soon && link.last.is_some_and(|(at, last)| now.since(at) < REST && last == print) {
+                return self.spoilt(conn, &"the last answer once more", now);
+            }
+            (link.last, link.shortest) = (Some((now, print)), link.shortest.min(lag));
+        }
+        link.carries = None;
         if carried == Carried::ListCall {
             return self.list_answered(conn, answer, now);
         }
@@ -269,6 +330,24 @@
         self.end_attempt(id, attempt, if left { outcome } else { Outcome::ConnectFailed }, now);
     }
 
+    /// Its client has gone: an attempt that has not wholly left does not follow it. Its connection is closed; one
+    /// that is still coming up is kept, and carries nothing.
+    pub(super) fn call_back(&mut self, id: RequestId, now: Micros) {
+        let Some(held) = self.requests.get(&id).filter(|_| self.on_platform()) else { return };
+        let leaving = |(conn, ends): (ConnId, u64)| {
+            self.plumbing.get(conn).is_some_and(|c| c.stage == Stage::Open && c.outbox.written() < ends)
+        };
+        let handed =
+            held.flights.iter().filter_map(|f| Some((f.attempt, f.handed.filter(|h| leaving(*h))?.0)));
+        for (attempt, conn) in handed.collect::<Vec<_>>() {
+            if let Some(link) = self.link(conn) {
+                link.carries = None;
+            }
+            self.lost(conn, "its client has gone", true, now);
+            self.end_attempt(id, attempt, Outcome::Moot, now);
+        }
+    }
+
     /// A probe is not waited for any longer.
     pub(super) fn hang_up_probe(&mut self, at: NodeId, token: u64, now: Micros) {
         let probe = Some(Carried::Probe(at, token));
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -5,7 +5,7 @@
 use super::door::Origin;
 use super::plumbing::{Peer, Timer};
 use crate::machine::{ConnId, Micros};
-use flaxstand::api::{Action, AttemptNo, Ended, Event, NodeId, Outcome, RequestId};
+use flaxstand::api::{Action, AttemptNo, Ended, Event, NodeId, Outcome, Readiness, RequestId};
 use flaxstand_buffer::{Place, TryId, Write};
 use flaxstand_proto::{Frame, Refusal, Scope, Submit};
 use tracing::{debug, error};
@@ -16,6 +16,8 @@
     pub(super) attempt: AttemptNo,
     pub(super) node: NodeId,
     pub(super) sent: Micros,
+    /// Its first byte must leave before this.
+    until: Micros,
     /// The connection it was handed to, and where in that one's stream it ends; the last place there is
     /// while that is not known.
     pub(super) handed: Option<(ConnId, u64)>,
@@ -173,7 +175,9 @@
     pub(super) fn perform(&mut self, actions: &mut Vec<Action>, now: Micros) {
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, node } => self.send(request, node, now),
+                Action::Send { request, node, until } => {
+                    self.send(request, node, Micros::from_ms(until), now);
+                }
                 Action::Cancel { request, attempt } => {
                     self.call_off(request, attempt, Outcome::Cancelled, now);
                 }
@@ -193,8 +197,12 @@
                     self.answer(request, Verdict::Failed, now, |id| Frame::Failed { id });
                 }
                 Action::Wake { after } => {
-                    let at = now.after(Micros::from_ms(after));
-                    self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
+                    // Rounded up: woken a moment early, the module would find nothing due, take the wake that it asked
+                    // for as still to come, and not be woken again.
+                    self.wakes.insert(now.after(Micros::from_ms(after)).after(Micros(1)));
+                    if self.wakes.len() > super::WAKES_MOST {
+                        self.wakes.pop_last();
+                    }
                 }
                 Action::Subscribe => self.subscribe(now),
             }
@@ -234,24 +242,29 @@
         self.end_attempt(id, attempt, if left { Outcome::Reset } else { Outcome::ConnectFailed }, now);
     }
 
-    /// Whether anybody waits for it.
-    pub(super) fn is_owed(&self, id: RequestId) -> bool {
-        self.requests.get(&id).is_some_and(|r| r.owner.is_some())
+    /// Whether the first byte of an attempt may leave now. Asked in the turn in which it would: between the module's
+    /// word and that its client may have left (its payload is gone then), its time or the window in which repeats
+    /// are dropped may have ended, and its node may have begun to drain.
+    pub(super) fn may_begin(&self, id: RequestId, attempt: AttemptNo, now: Micros) -> bool {
+        let Some(held) = self.requests.get(&id) else { return false };
+        let Some(flight) = held.flights.iter().find(|f| f.attempt == attempt) else { return false };
+        let serves = self.nodes.get(&flight.node).is_some_and(|n| n.readiness == Readiness::Serving);
+        held.owner.is_some() && now < flight.until && now < held.valid_until && serves
     }
 
     /// An attempt, at the module's word.
-    fn send(&mut self, request: RequestId, node: NodeId, now: Micros) {
+    fn send(&mut self, request: RequestId, node: NodeId, until: Micros, now: Micros) {
         let Some(held) = self.requests.get_mut(&request) else {
             error!(request = request.0, "the module sends a request that is not held");
             return;
         };
         let attempt = AttemptNo(held.attempts);
         held.attempts += 1;
-        held.flights.push(Flight { attempt, node, sent: now, handed: None });
+        held.flights.push(Flight { attempt, node, sent: now, until, handed: None });
         debug!(request = request.0, attempt = attempt.0, node = node.0, "sent");
         let listed = self.nodes.get(&node);
         let holds = listed.is_some_and(|n| held.shard.is_none_or(|shard| shard == n.shard));
-        if held.owner.is_none() || now >= held.valid_until || !holds {
+        if !self.may_begin(request, attempt, now) || !holds {
             self.end_attempt(request, attempt, Outcome::Moot, now);
         } else {
             self.send_attempt(request, attempt, node, now);
--- a/crates/flaxstand-gateway/src/core/watch.rs
+++ b/crates/flaxstand-gateway/src/core/watch.rs
@@ -1,6 +1,10 @@
 //! The list over HTTP: the whole of it once, then calls that wait for what is newer, each following the
 //! answer to the last at once. A call that fails, or is silent for longer than it may wait, is told to the
 //! module, which asks again when it sees fit.
+//!
+//! Waits are short, so that a watch that fell silent is noticed, and the list heard anew, before what it missed
+//! counts as told; and they differ, so that hosts that began together do not go on calling together. The call
+//! after a failed one does not wait at all: were its connection silent too, that would show only after its wait.
 
 use super::Core;
 use super::list::Told;
@@ -10,25 +14,30 @@
 use flaxstand::api::{ListScope, Readiness};
 use flaxstand_http::Answer;
 use flaxstand_platform::{Listing, Target, TargetState, list_call};
+use rand_core::RngCore as _;
 use tracing::{info, warn};
 
-/// So long after the longest wait that was asked for an answer is overdue.
+/// So long after the wait that was asked for an answer is overdue: the list service gives a call up after this.
 const OVERDUE: Micros = Micros(1_000_000);
+/// The least part of the longest wait that is asked for.
+const WAIT_LEAST: f64 = 0.6;
 /// Zones that are told apart; targets of any more count to the last.
 const ZONES_MOST: usize = 64;
 
 impl Core {
-    /// What to ask next.
-    pub(super) fn next_list_call(&self) -> String {
-        let wait = self.config.site.waits.watch;
-        list_call(self.list.revision.map(|revision| (revision, wait.0 / 1000)))
-    }
-
-    /// It was asked: from now on its answer is waited for.
-    pub(super) fn list_call_written(&mut self, now: Micros) {
-        let wait = self.config.site.waits.watch.after(OVERDUE);
+    /// What to ask next. From now on its answer is waited for.
+    pub(super) fn next_list_call(&mut self, now: Micros) -> String {
+        let wait = match self.list.revision {
+            Some(_) if self.list.answers => {
+                let part =
+                    WAIT_LEAST + (1.0 - WAIT_LEAST) * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+                Micros::from_ms(self.config.site.waits.watch.ms() * part)
+            }
+            _ => Micros(0),
+        };
         self.plumbing.cancel_all(Timer::ListSilence);
-        self.plumbing.at(now.after(wait), Timer::ListSilence);
+        self.plumbing.at(now.after(wait).after(OVERDUE), Timer::ListSilence);
+        list_call(self.list.revision.map(|revision| (revision, wait.0 / 1000)))
     }
 
     pub(super) fn list_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
@@ -65,7 +74,10 @@
         }
         self.list.revision = Some(listing.rev);
         self.list.backoff.worked();
-        if listing.all || !listing.targets.is_empty() {
+        // The module hears of the first answer after a failure even if nothing has changed: its count of failed
+        // calls ends there, or the next failure would be met as one more in a row, with a longer wait.
+        let first = !std::mem::replace(&mut self.list.answers, true);
+        if listing.all || !listing.targets.is_empty() || first {
             self.take_platform_list(scope, listing, now);
         }
     }
@@ -107,7 +119,7 @@
             self.plumbing.drop_quietly(conn);
         }
         self.plumbing.cancel_all(Timer::ListSilence);
-        self.list.revision = None;
+        (self.list.revision, self.list.answers) = (None, false);
         self.call_list(now);
     }
 }
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -9,7 +9,7 @@
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::{Errno, read, write};
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fs::File;
 use std::io::{self, PipeReader, PipeWriter, Write as _};
 use std::net::TcpListener;
@@ -74,11 +74,19 @@
     }
 }
 
+/// Connections that were refused with a word, most; each is kept until its peer has had time to read it. Part of the
+/// descriptors that the platform's door keeps back.
+const PARTING: usize = 8;
+const PARTING_KEPT: Micros = Micros(250_000);
+
 struct Socket {
     fd: OwnedFd,
     dialing: bool,
     /// The peer sends nothing more.
     finished: bool,
+    /// Nothing more is sent once all that waits is written; and that has been.
+    ends: bool,
+    shut: bool,
     interest: epoll::EventFlags,
 }
 
@@ -153,6 +161,8 @@
     sockets: BTreeMap<ConnId, Socket>,
     /// Given up for a moment when descriptors run out, to take a client and tell it goodbye.
     spare: Option<OwnedFd>,
+    /// Refused connections: closed at once over what their peer has sent, they would be reset, and the refusal lost.
+    parting: VecDeque<(Micros, OwnedFd)>,
     signals: Vec<(PipeReader, Signal)>,
     disk: Option<Disk>,
     keeper: Option<Disk>,
@@ -209,6 +219,7 @@
             listeners: Vec::new(),
             sockets: BTreeMap::new(),
             spare: spare(),
+            parting: VecDeque::new(),
             signals,
             disk,
             keeper,
@@ -280,6 +291,9 @@
     }
 
     fn turn(&mut self) -> Option<Micros> {
+        while self.parting.front().is_some_and(|(at, _)| self.now.since(*at) >= PARTING_KEPT) {
+            self.parting.pop_front();
+        }
         loop {
             let mut next = self.machine.settle(self.now);
             let mut commands = self.machine.take_commands();
@@ -301,7 +315,7 @@
     fn event(&mut self, data: u64, flags: epoll::EventFlags, buffer: &mut [u8]) {
         let index = (data & 0xffff) as usize;
         if data & LISTENER != 0 {
-            self.accept(index);
+            let _ = self.accept(index);
         } else if data & SIGNAL != 0 {
             self.signal(index);
         } else if data == DISK || data == KEEPER {
@@ -345,9 +359,12 @@
         while taken < READ_A_TURN {
             let Some(socket) = self.sockets.get_mut(&conn) else { return };
             if socket.finished || !self.machine.wants_read(conn) {
-                // Not to be read now; but a peer that is wholly gone is told of.
-                if flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR) {
+                // Not to be read now; but a peer that is wholly gone is told of, and one whose end is waited for.
+                use epoll::EventFlags as F;
+                if flags.intersects(F::HUP | F::ERR) {
                     self.broken(conn, "connection lost");
+                } else if flags.contains(F::RDHUP) && self.machine.wants_end(conn) {
+                    self.broken(conn, "closed by peer behind what is not read");
                 }
                 return;
             }
@@ -387,8 +404,23 @@
             let Some(socket) = self.sockets.get_mut(&conn).filter(|s| !s.dialing) else { return };
             let waits = self.machine.outgoing(conn);
             if waits.is_empty() {
+                if socket.ends && !socket.shut {
+                    socket.shut = true;
+                    let _ = net::shutdown(&socket.fd, net::Shutdown::Write);
+                }
                 break;
             }
+            // Guards against a connection that its peer closes, or speaks on, in the moment in which it is used again:
+            // a request that crosses that is taken for one that may have run, or is served with another's answer.
+            if self.machine.rested(conn) {
+                match read(&socket.fd, &mut [0; 1]) {
+                    Err(Errno::AGAIN) => {}
+                    Err(Errno::INTR) => continue,
+                    Ok(0) => return self.broken(conn, "closed by peer before it was used again"),
+                    Ok(_) => return self.broken(conn, "bytes came before it was used again"),
+                    Err(e) => return self.broken(conn, &e.to_string()),
+                }
+            }
             match write(&socket.fd, waits) {
                 Ok(count) => self.machine.wrote(conn, count, self.now),
                 Err(Errno::AGAIN) => break,
@@ -400,6 +432,8 @@
         let mut interest = epoll::EventFlags::empty();
         if !socket.finished && self.machine.wants_read(conn) {
             interest |= epoll::EventFlags::IN;
+        } else if !socket.finished && self.machine.wants_end(conn) {
+            interest |= epoll::EventFlags::RDHUP;
         }
         if !self.machine.outgoing(conn).is_empty() {
             interest |= epoll::EventFlags::OUT;
@@ -418,6 +452,12 @@
         match command {
             Command::Connect { conn, address } => self.connect(conn, &address),
             Command::Flush(conn) => self.flush(conn),
+            Command::Shut(conn) => {
+                if let Some(socket) = self.sockets.get_mut(&conn) {
+                    socket.ends = true;
+                    self.flush(conn);
+                }
+            }
             Command::Close { conn, last } => {
                 if let Some(socket) = self.sockets.remove(&conn)
                     && !socket.dialing
@@ -464,6 +504,10 @@
                 }
             }
             Command::StopListening => {
+                // Who has connected, and may have asked, is heard: closed unaccepted it would be reset.
+                for index in 0..self.listeners.len() {
+                    while self.accept(index) == ACCEPT_A_TURN {}
+                }
                 self.listeners.iter().for_each(|l| {
                     let _ = epoll::delete(&self.epoll, l.fd());
                 });
@@ -503,7 +547,7 @@
         let added = opened.and_then(|fd| {
             let interest = epoll::EventFlags::OUT;
             epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest)?;
-            Ok(Socket { fd, dialing: true, finished: false, interest })
+            Ok(Socket { fd, dialing: true, finished: false, ends: false, shut: false, interest })
         });
         match added {
             Ok(socket) => {
@@ -513,12 +557,13 @@
         }
     }
 
-    fn accept(&mut self, index: usize) {
-        for _ in 0..ACCEPT_A_TURN {
-            let Some(listener) = self.listeners.get(index) else { return };
+    /// Accepts who waits, so many at most. Returns how many it were.
+    fn accept(&mut self, index: usize) -> usize {
+        for count in 0..ACCEPT_A_TURN {
+            let Some(listener) = self.listeners.get(index) else { return count };
             match listener.accept() {
                 Ok(fd) => self.accepted(fd, index),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return count,
                 Err(e) => {
                     let code = e.raw_os_error();
                     if code == Some(Errno::MFILE.raw_os_error()) || code == Some(Errno::NFILE.raw_os_error())
@@ -529,10 +574,11 @@
                         drop(listener.accept());
                         self.spare = spare();
                     }
-                    return;
+                    return count;
                 }
             }
         }
+        ACCEPT_A_TURN
     }
 
     fn accepted(&mut self, fd: OwnedFd, listener: usize) {
@@ -541,13 +587,26 @@
                 let interest = epoll::EventFlags::IN;
                 match epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest) {
                     Ok(()) => {
-                        self.sockets.insert(conn, Socket { fd, dialing: false, finished: false, interest });
+                        let socket = Socket {
+                            fd,
+                            dialing: false,
+                            finished: false,
+                            ends: false,
+                            shut: false,
+                            interest,
+                        };
+                        self.sockets.insert(conn, socket);
                     }
                     Err(e) => self.machine.closed(conn, &e.to_string(), self.now),
                 }
             }
             Err(last) => {
                 let _ = write(&fd, &last);
+                let _ = net::shutdown(&fd, net::Shutdown::Write);
+                if self.parting.len() >= PARTING {
+                    self.parting.pop_front();
+                }
+                self.parting.push_back((self.now, fd));
             }
         }
     }
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -76,6 +76,8 @@
         /// Bytes that its outbox still held.
         last: Vec<u8>,
     },
+    /// Send nothing more on this connection once all that waits is written; its peer may still send, and is read.
+    Shut(ConnId),
     /// Put these bytes into the machine's saved state, in place of what is there.
     Save(Vec<u8>),
     /// Add these bytes to one of the machine's files. A stand-in's records, written before its answers.
@@ -128,7 +130,8 @@
     fn connect_failed(&mut self, conn: ConnId, cause: &str, now: Micros);
     /// Bytes came.
     fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros);
-    /// The peer will send nothing more, but may still read. False: close the connection.
+    /// The peer ended its stream, all of which has been told, but may still read. A reset is no such end. False: close
+    /// the connection.
     fn finished(&mut self, conn: ConnId, now: Micros) -> bool;
     /// The connection broke or was closed; nothing more is told of it.
     fn closed(&mut self, conn: ConnId, cause: &str, now: Micros);
@@ -138,6 +141,15 @@
     fn wrote(&mut self, conn: ConnId, count: usize, now: Micros);
     /// Whether the connection may be read now.
     fn wants_read(&self, conn: ConnId) -> bool;
+    /// Whether an end of the peer's stream is to be told at once, although bytes before it are not read now.
+    fn wants_end(&self, _conn: ConnId) -> bool {
+        false
+    }
+    /// Whether the connection has rested since its last message. Then whatever came meanwhile, or its end, is looked
+    /// for before anything is written: it is of no further use, and nothing of what waits has left.
+    fn rested(&self, _conn: ConnId) -> bool {
+        false
+    }
     /// How the batch went that was to be stored.
     fn stored(&mut self, _well: bool, _now: Micros) {}
     /// How the batch went that was to be kept.
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -155,6 +155,8 @@
     /// Connections that the core called and that stand, with the address called.
     pub called: BTreeMap<ConnId, Address>,
     pub closed: BTreeSet<ConnId>,
+    /// Connections on which the core sends nothing more; it still reads them.
+    pub shut: BTreeSet<ConnId>,
     /// Connections whose peer does not read.
     pub blocked: BTreeSet<ConnId>,
     /// How each address takes a call; the list service's stands by itself.
@@ -162,6 +164,9 @@
     pub list: Vec<(u64, State, u32, String)>,
     pub revision: u64,
     pub list_up: bool,
+    /// On the platform: calls for the whole list that are turned away before one is answered; when the last was.
+    pub busy: u32,
+    pub listed_at: Micros,
     /// Which start a node says it is, where not the first.
     pub starts: BTreeMap<u64, u64>,
     /// What attempts brought: operation, where it begins, data.
@@ -241,11 +246,14 @@
             dialled: Vec::new(),
             called,
             closed,
+            shut: BTreeSet::new(),
             blocked,
             dials,
             list,
             revision: 1,
             list_up,
+            busy: 0,
+            listed_at: now,
             starts: BTreeMap::new(),
             brought: Vec::new(),
             batches: VecDeque::new(),
@@ -258,6 +266,11 @@
         world
     }
 
+    /// When the core wants to be called again.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.wake
+    }
+
     pub fn turn(&mut self) {
         self.wake = self.core.settle(self.now);
         loop {
@@ -273,6 +286,10 @@
         match command {
             Command::Connect { conn, address } => self.dial(conn, address),
             Command::Flush(conn) => self.drain(conn),
+            Command::Shut(conn) => {
+                self.drain(conn);
+                self.shut.insert(conn);
+            }
             Command::Close { conn, last } => {
                 self.hear(conn, &last);
                 self.closed.insert(conn);
@@ -330,6 +347,11 @@
             let text = String::from_utf8_lossy(bytes);
             self.heard.entry(conn).or_default().push_str(&text);
             if text.starts_with("GET /v1/endpoints HTTP") {
+                if self.busy > 0 {
+                    self.busy -= 1;
+                    return self.answer(conn, "503 Busy", "");
+                }
+                self.listed_at = self.now;
                 let list = self.listing(true);
                 self.answer(conn, "200 OK", &list);
             }
--- a/crates/flaxstand-http/src/message.rs
+++ b/crates/flaxstand-http/src/message.rs
@@ -1,7 +1,7 @@
 //! Whole messages.
 
 /// The fields of a head, in their order.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Fields(Vec<(String, Vec<u8>)>);
 
 impl Fields {
@@ -51,7 +51,7 @@
 }
 
 /// A whole answer; never one of the 1xx.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Answer {
     /// Its status.
     pub status: u16,
--- a/crates/flaxstand-http/src/read.rs
+++ b/crates/flaxstand-http/src/read.rs
@@ -7,6 +7,8 @@
 enum Framing {
     Length(usize),
     Chunked,
+    /// With the connection.
+    End,
 }
 
 /// The one plain number of `Content-Length`; none: there is no such field.
@@ -117,6 +119,8 @@
 pub struct Answers {
     bytes: Vec<u8>,
     in_body: bool,
+    /// The head of an answer whose body ends with the connection, and where the body begins.
+    ends: Option<(u16, Fields, usize)>,
 }
 
 impl Answers {
@@ -151,6 +155,9 @@
     /// # Errors
     /// It is none.
     pub fn take(&mut self) -> Result<Option<Answer>, Fault> {
+        if let Some((.., at)) = self.ends {
+            return if self.bytes.len() - at > ANSWER_MOST { Err(Fault::BodyTooLong) } else { Ok(None) };
+        }
         loop {
             let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
             let mut head = httparse::Response::new(&mut fields);
@@ -169,8 +176,10 @@
             }
             let fields = Fields::new(head.headers);
             let keeps = lasts(head.version, &fields);
-            let Some((body, end)) = self.body(body_at, status, &fields)? else {
+            let framing = framing(status, keeps, &fields)?;
+            let Some((body, end)) = self.body(body_at, framing)? else {
                 self.in_body = true;
+                self.ends = matches!(framing, Framing::End).then_some((status, fields, body_at));
                 return Ok(None);
             };
             let keeps = keeps && end == self.bytes.len();
@@ -179,25 +188,39 @@
         }
     }
 
-    fn body(&self, at: usize, status: u16, fields: &Fields) -> Result<Option<(Vec<u8>, usize)>, Fault> {
-        let framing = match (length(fields, ANSWER_MOST)?, fields.has("transfer-encoding")) {
-            // Two ways to say where it ends: one of them is wrong.
-            (Some(_), true) => return Err(Fault::Encoding),
-            (Some(length), false) => Framing::Length(length),
-            (None, true)
-                if fields.one("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) =>
-            {
-                Framing::Chunked
-            }
-            (None, true) => return Err(Fault::Encoding),
-            (None, false) if status == 204 || status == 304 => Framing::Length(0),
-            // Up to the connection's end: whether that is the whole of it can't be told.
-            (None, false) => return Err(Fault::NoLength),
-        };
+    /// The connection ended in good order, not by a reset: an answer that ends with it is whole.
+    pub fn end(&mut self) -> Option<Answer> {
+        let (status, fields, at) = self.ends.take()?;
+        let body = self.bytes.split_off(at);
+        *self = Answers::default();
+        Some(Answer { status, fields, body, keeps: false })
+    }
+
+    fn body(&self, at: usize, framing: Framing) -> Result<Option<(Vec<u8>, usize)>, Fault> {
         match framing {
             Framing::Length(length) => Ok(self.bytes.get(at..at + length).map(|b| (b.to_vec(), at + length))),
             Framing::Chunked => dechunk(&self.bytes, at),
+            Framing::End => Ok(None),
+        }
+    }
+}
+
+/// How an answer's body ends.
+fn framing(status: u16, keeps: bool, fields: &Fields) -> Result<Framing, Fault> {
+    match (length(fields, ANSWER_MOST)?, fields.has("transfer-encoding")) {
+        // Two ways to say where it ends: one of them is wrong.
+        (Some(_), true) => Err(Fault::Encoding),
+        (Some(length), false) => Ok(Framing::Length(length)),
+        (None, true)
+            if fields.one("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) =>
+        {
+            Ok(Framing::Chunked)
         }
+        (None, true) => Err(Fault::Encoding),
+        (None, false) if status == 204 || status == 304 => Ok(Framing::Length(0)),
+        // Only where it is said that the connection ends with it (RFC 9112, 6.3): else it is spoilt.
+        (None, false) if !keeps => Ok(Framing::End),
+        (None, false) => Err(Fault::NoLength),
     }
 }
 
--- a/crates/flaxstand-lab/src/world.rs
+++ b/crates/flaxstand-lab/src/world.rs
@@ -522,6 +522,8 @@
                 self.hosts[host].batch = Some(batch);
                 self.schedule(now.after(takes), host, Event::Stored);
             }
+            // Clients that speak HTTP are parted with so, and days on virtual time have none.
+            Command::Shut(_) => {}
             // Days on virtual time have no agreement.
             Command::Keep(_) | Command::SaveBook(_) => {}
             Command::StopListening => self.listeners.retain(|_, h| *h != host),
--- a/src/api.rs
+++ b/src/api.rs
@@ -285,6 +285,8 @@
         request: RequestId,
         /// Where to.
         node: NodeId,
+        /// Its first byte must leave before this, or it ends as [`Outcome::Moot`]: a connection may come up late.
+        until: Ms,
     },
     /// Call an attempt off; it ends as cancelled unless it ends otherwise first.
     Cancel {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,8 +55,8 @@
 /// How long a client that was given up is expected back, ms, and the part of its worth that a repeat has.
 const PATIENCE: Ms = 2000.0;
 const REPEAT: f64 = 0.3;
-/// First wait before a failed subscription is asked for again, ms.
-const ASK_AGAIN: Ms = 400.0;
+/// First and longest wait before a failed call of the list is made again, ms.
+const ASK_AGAIN: (Ms, Ms) = (200.0, 1500.0);
 
 /// A sum that fades with time constant `LATELY`.
 #[derive(Clone, Copy, Default)]
@@ -211,7 +211,8 @@
     fn probe_due(&self, usual: &Usual, now: Ms) -> bool {
         let heard = self.heard(usual, now);
         let overdue = |o: &Out| o.passed.is_none() && now - o.sent > self.own(o, usual) + heard;
-        self.probe.is_none() && now >= self.next_probe && self.out.iter().any(overdue)
+        let serves = self.entry.readiness == Readiness::Serving;
+        serves && self.probe.is_none() && now >= self.next_probe && self.out.iter().any(overdue)
     }
 
     fn suspect(&self, usual: &Usual, now: Ms) -> bool {
@@ -441,30 +442,32 @@
     fn may_have_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|t| t.ran != Ran::Never)
     }
+    /// Until when another attempt may leave: its client waits, and a group of nodes drops repeats.
+    fn until(&self, effect: Effect, tick: Ms) -> Ms {
+        let Effect::Keyed { window, .. } = effect else { return self.a.valid_until };
+        let ends = self.may_have_run().map_or(Ms::INFINITY, |first| first.sent + window - tick);
+        ends.min(self.a.valid_until)
+    }
     /// Guards the rule on effects: whether another attempt at this node is harmless.
     fn effect_allows(&self, node: &Node, effect: Effect, tick: Ms, now: Ms) -> bool {
-        let Some(first) = self.may_have_run() else {
-            return true;
-        };
+        let Some(first) = self.may_have_run() else { return true };
         match effect {
             Effect::Repeatable => true,
             Effect::Once => false,
-            Effect::Keyed { group, window } => {
+            Effect::Keyed { group, .. } => {
                 let inside = match group {
                     RepeatGroup::All => true,
                     RepeatGroup::Zone => first.zone == node.entry.zone,
                     RepeatGroup::Cell => first.shard == node.entry.shard,
                 };
-                inside && now + tick < first.sent + window
+                inside && now < self.until(effect, tick)
             }
         }
     }
     /// Whether it may be told that trying again is harmless.
     fn may_refuse(&self, effect: Effect) -> bool {
-        match effect {
-            Effect::Repeatable | Effect::Keyed { group: RepeatGroup::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Once => self.may_have_run().is_none(),
-        }
+        let all = matches!(effect, Effect::Repeatable | Effect::Keyed { group: RepeatGroup::All, .. });
+        all || self.may_have_run().is_none()
     }
 }
 
@@ -605,10 +608,10 @@
 
     fn listed(&mut self, scope: ListScope, entries: &[NodeEntry], now: Ms) {
         if scope == ListScope::Failed {
-            // Ask again, ever more rarely: the list service may be what is overloaded.
+            // Ask again, more rarely at first: the list service may be what is overloaded.
+            let wait = (ASK_AGAIN.0 * f64::from(1 << self.asks_failed.min(5))).min(ASK_AGAIN.1);
             self.asks_failed += 1;
-            let wait = ASK_AGAIN * f64::from(1 << self.asks_failed.min(5));
-            self.ask_at = Some(now + wait.min(self.s.ask_within / 2.0) * (0.5 + 0.5 * random(&mut self.rng)));
+            self.ask_at = Some(now + wait * (0.5 + 0.5 * random(&mut self.rng)));
             return;
         }
         self.asks_failed = 0;
@@ -735,7 +738,8 @@
         if !self.requests.is_empty() || self.ask_at.is_some() {
             let copies = self.s.most_out > 1 && self.seeks_lost(now);
             let waits = copies || self.requests.values().any(Request::held);
-            let at = now + if waits { LOOK } else { self.usual.aim / 4.0 };
+            let look = now + if waits { LOOK } else { self.usual.aim / 4.0 };
+            let at = look.min(self.ask_at.unwrap_or(look));
             if self.wake_at.is_none_or(|w| w <= now || w > at) {
                 self.wake_at = Some(at);
                 actions.push(Action::Wake { after: at - now });
@@ -997,8 +1001,9 @@
         self.taken.retain(|at| now - at <= span);
         self.further.retain(|(at, ..)| now - at <= span);
         let (shard, zone) = (node.entry.shard, node.entry.zone);
+        let until = r.until(self.s.classes[r.a.class.0].effect, self.s.tick);
         r.attempts.push(Attempt { node: at, shard, zone, sent: now, ran: Ran::Out });
         node.note_sent((id, attempt), r.a.units, &self.usual, self.s.fall_time, now);
-        actions.push(Action::Send { request: id, node: at });
+        actions.push(Action::Send { request: id, node: at, until });
     }
 }
