--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -15,6 +15,9 @@
 use thiserror::Error;
 use tracing::{debug, info, warn};
 
+/// On the platform a call of the list service that does not stand within this has failed.
+const LIST_DIAL: Micros = Micros(250_000);
+
 /// Why a saved list can't be used.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum SavedListError {
@@ -121,7 +124,8 @@
                 Wire::Frames => Inlet::Frames(Inbox::default()),
                 Wire::Platform => Inlet::Link(Link::of_list(now)),
             };
-            let by = now.after(self.config.site.waits.dial);
+            // Not the settings' time of targets, which may be longer than a change may stay unheard.
+            let by = now.after(if self.on_platform() { LIST_DIAL } else { self.config.site.waits.dial });
             self.list.conn = Some(self.plumbing.dial(Peer::List, inlet, self.config.list.clone(), by));
         }
     }
--- a/crates/flaxstand-platform/src/settings.rs
+++ b/crates/flaxstand-platform/src/settings.rs
@@ -3,6 +3,7 @@
 
 use flaxstand::api::{Budget, Class, Effect, Plan, RepeatGroup, Settings};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 
 /// The settings as the platform and the bench tell them; keys that nothing here has a use for are left unread.
 #[derive(Debug, Deserialize)]
@@ -129,6 +130,30 @@
     idle_worth: f64,
 }
 
+fn not_negative(key: &str, value: f64) -> Result<(), String> {
+    let sound = value.is_finite() && value >= 0.0;
+    if sound { Ok(()) } else { Err(format!("{key}: expected 0 or more, not {value}")) }
+}
+
+fn above_zero(key: &str, value: f64) -> Result<(), String> {
+    let sound = value.is_finite() && value > 0.0;
+    if sound { Ok(()) } else { Err(format!("{key}: expected more than 0, not {value}")) }
+}
+
+/// Guards against two things of one name: a request of that name would be taken for one of the first.
+fn named_once<'a>(list: &str, names: impl Iterator<Item = &'a str>) -> Result<(), String> {
+    let mut seen = BTreeSet::new();
+    for (at, name) in names.enumerate() {
+        if name.is_empty() {
+            return Err(format!("{list}[{at}].name: expected a name"));
+        }
+        if !seen.insert(name) {
+            return Err(format!("{list}[{at}].name: {name:?} is there twice"));
+        }
+    }
+    Ok(())
+}
+
 impl Params {
     /// Names of classes, in the module's order.
     pub fn classes(&self) -> impl Iterator<Item = &str> {
@@ -150,14 +175,65 @@
         self.caps.keepalive_ms.filter(|ms| *ms > 0.0)
     }
 
+    /// Whether the values can be, key by key. A zero is a limit like any other where it has a meaning.
+    fn check(&self) -> Result<(), String> {
+        if self.classes.is_empty() {
+            return Err("classes: expected one or more".into());
+        }
+        named_once("classes", self.classes())?;
+        named_once("grades", self.plans())?;
+        for (at, c) in self.classes.iter().enumerate() {
+            let key = |key: &str| format!("classes[{at}].{key}");
+            above_zero(&key("aimMs"), c.aim_ms)?;
+            above_zero(&key("deadlineMs"), c.deadline_ms)?;
+            not_negative(&key("aimStretch"), c.aim_stretch)?;
+            not_negative(&key("lateValue"), c.late_value)?;
+            not_negative(&key("worth"), c.worth)?;
+            not_negative(&key("dedupWindowMs"), c.dedup_window_ms)?;
+        }
+        for (at, g) in self.grades.iter().enumerate() {
+            let key = |key: &str| format!("grades[{at}].{key}");
+            not_negative(&key("baseRate"), g.base_rate)?;
+            not_negative(&key("floorRate"), g.floor_rate)?;
+            not_negative(&key("ceilingRate"), g.ceiling_rate)?;
+            not_negative(&key("mostAtOnce"), g.most_at_once)?;
+            not_negative(&key("price"), g.price)?;
+        }
+        if self.caps.max_attempts == 0 {
+            return Err("caps.maxAttempts: expected 1 or more, not 0".into());
+        }
+        let (caps, rules, family) = (&self.caps, &self.rules, &self.family_info);
+        for (key, value) in [
+            ("tickMs", self.tick_ms),
+            ("caps.maxRetryAfterMs", caps.max_retry_after_ms),
+            ("caps.dialTimeoutMs", caps.dial_timeout_ms.unwrap_or(0.0)),
+            ("caps.keepaliveMs", caps.keepalive_ms.unwrap_or(0.0)),
+            ("rules.askWithinMs", rules.ask_within_ms),
+            ("rules.coldFrom", rules.cold_from),
+            ("rules.coldMs", rules.cold_ms),
+            ("rules.fallMs", rules.fall_ms),
+            ("rules.fallMultiple", rules.fall_multiple),
+            ("rules.extraFloor", rules.extra_floor.unwrap_or(0.0)),
+            ("rules.furtherRatio", rules.further_ratio.unwrap_or(0.0)),
+            ("rules.budgetSpanMs", rules.budget_span_ms.unwrap_or(0.0)),
+            ("rules.keyRestMs", rules.key_rest_ms),
+            ("familyInfo.coldBears", family.cold_bears),
+            ("familyInfo.unitMean", family.unit_mean),
+            ("familyInfo.mostUnits", family.most_units),
+            ("familyInfo.fairWorth", family.fair_worth),
+            ("familyInfo.idleWorth", family.idle_worth),
+        ] {
+            not_negative(key, value)?;
+        }
+        Ok(())
+    }
+
     /// The module's settings.
     ///
     /// # Errors
-    /// They name no class, or a budget without its span.
+    /// A value can't be: the message names its key. Or a budget has no span.
     pub fn settings(&self) -> Result<Settings, String> {
-        if self.classes.is_empty() {
-            return Err("settings name no class".into());
-        }
+        self.check()?;
         let classes = self.classes.iter().map(|c| Class {
             aim: c.aim_ms,
             aim_stretch: c.aim_stretch,
