--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -222,7 +222,10 @@
         info!(?scope, revision, entries = told.len(), "node list");
         self.events.push_back(Event::List(scope, told));
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
-        ids.into_iter().for_each(|at| self.close_if_gone(at, now));
+        ids.into_iter().for_each(|at| {
+            self.call_back_from(at, now);
+            self.close_if_gone(at, now);
+        });
     }
 
     fn take_entry(&mut self, e: Told, now: Micros) -> Option<NodeEntry> {
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -269,6 +269,7 @@
                 }
             }
             Timer::Quiet(conn) => self.quiet(conn, now),
+            Timer::Begin(conn) => self.begin_ends(conn, now),
             Timer::Sweep => self.sweep(now),
             Timer::GraceEnds => self.close_doors(now),
             Timer::Idle(conn) => self.idle(conn, now),
@@ -402,7 +403,7 @@
         if let Some(c) = self.plumbing.get_mut(conn) {
             c.outbox.wrote(count);
             if let Inlet::Link(link) = &mut c.inlet {
-                link.rested = false;
+                (link.rested, link.begun) = (false, true);
             }
             self.client_read(conn, now);
         }
--- a/crates/flaxstand-gateway/src/core/plumbing.rs
+++ b/crates/flaxstand-gateway/src/core/plumbing.rs
@@ -63,6 +63,8 @@
     Probe(NodeId, u64),
     /// A connection that speaks HTTP may have been at one thing for too long.
     Quiet(ConnId),
+    /// A repeat that was handed to a connection may begin no longer.
+    Begin(ConnId),
     /// Look for pooled connections that have idled long enough, and nodes long gone.
     Sweep,
     /// The time is over in which a stop changes nothing yet.
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -42,6 +42,8 @@
     since: Micros,
     /// It was idle, and nothing has been written of what it carries now.
     pub(super) rested: bool,
+    /// The first byte of what it carries has left.
+    pub(super) begun: bool,
     /// When it was asked.
     asked: Micros,
     /// When the last answer came whole, and its fingerprint.
@@ -57,6 +59,7 @@
             carries: Some(carries),
             since: now,
             rested: false,
+            begun: false,
             asked: now,
             last: None,
             shortest: Micros(u64::MAX),
@@ -146,7 +149,7 @@
 
     fn write_carried(&mut self, conn: ConnId, now: Micros) {
         if let Some(link) = self.link(conn) {
-            link.asked = now;
+            (link.asked, link.begun) = (now, false);
         }
         let Some(Conn { peer, inlet: Inlet::Link(link), .. }) = self.plumbing.get(conn) else { return };
         let host = match peer {
@@ -174,6 +177,11 @@
                     (held.origin, held.payload) = (Some(origin), payload);
                 }
                 self.note_handed(id, attempt, conn, ends);
+                let until = self.flight(id, attempt).map(|f| f.until);
+                let valid_until = self.requests.get(&id).map(|r| r.valid_until);
+                if let Some(until) = until.filter(|until| Some(*until) < valid_until) {
+                    self.plumbing.at(until, Timer::Begin(conn));
+                }
             }
             Some(Carried::Probe(..)) => {
                 self.plumbing.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
@@ -348,6 +356,40 @@
         }
     }
 
+    /// A node takes nothing new: what has been handed to its connections, and of which no byte has left, does not begin.
+    pub(super) fn call_back_from(&mut self, at: NodeId, now: Micros) {
+        if self.nodes.get(&at).is_none_or(|n| n.readiness == Readiness::Serving) {
+            return;
+        }
+        let waits = |(conn, c): (ConnId, &Conn)| match (&c.peer, &c.inlet) {
+            (Peer::Node(node), Inlet::Link(link)) if *node == at && c.stage == Stage::Open && !link.begun => {
+                Some((conn, link.carries?))
+            }
+            _ => None,
+        };
+        for (conn, carried) in self.plumbing.iter().filter_map(waits).collect::<Vec<_>>() {
+            self.end_unbegun(conn, carried, "its node takes nothing new", now);
+        }
+    }
+
+    /// A repeat that has waited to be written until its window was over does not begin.
+    pub(super) fn begin_ends(&mut self, conn: ConnId, now: Micros) {
+        let carried = self.link(conn).filter(|link| !link.begun).and_then(|link| link.carries);
+        if let Some(Carried::Attempt(id, attempt)) = carried
+            && !self.may_begin(id, attempt, now)
+        {
+            self.end_unbegun(conn, Carried::Attempt(id, attempt), "its window is over", now);
+        }
+    }
+
+    fn end_unbegun(&mut self, conn: ConnId, carried: Carried, why: &str, now: Micros) {
+        if let Some(link) = self.link(conn) {
+            link.carries = None;
+        }
+        self.lost(conn, why, true, now);
+        self.end_carried(carried, Outcome::Moot, now);
+    }
+
     /// A probe is not waited for any longer.
     pub(super) fn hang_up_probe(&mut self, at: NodeId, token: u64, now: Micros) {
         let probe = Some(Carried::Probe(at, token));
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -17,7 +17,7 @@
     pub(super) node: NodeId,
     pub(super) sent: Micros,
     /// Its first byte must leave before this.
-    until: Micros,
+    pub(super) until: Micros,
     /// The connection it was handed to, and where in that one's stream it ends; the last place there is
     /// while that is not known.
     pub(super) handed: Option<(ConnId, u64)>,
--- a/crates/flaxstand-gateway/tests/crossed_sockets.rs
+++ b/crates/flaxstand-gateway/tests/crossed_sockets.rs
@@ -118,10 +118,10 @@
         .push(Command::Connect { conn: idle, address: Address::Tcp(listener.local_addr().unwrap()) });
     let (stands, wait) = std::sync::mpsc::channel();
     machine.on_call = Some(Box::new(move |_| stands.send(()).unwrap()));
-    let (mut peer, heard) = (None, std::sync::Arc::new(std::sync::Mutex::new(None)));
+    let heard = std::sync::Arc::new(std::sync::Mutex::new(None));
     let (accept, keeps) = (listener.try_clone().unwrap(), std::sync::Arc::clone(&heard));
     machine.on_bytes = Some(Box::new(move |m| {
-        peer = Some(accept.accept().unwrap().0);
+        let mut peer = Some(accept.accept().unwrap().0);
         act(&mut peer);
         *keeps.lock().unwrap() = peer.take();
         m.write(idle, b"a request");
@@ -212,11 +212,11 @@
 /// Guards against clients whose leaving is not seen, because it stands behind bytes that are not read.
 #[test]
 fn the_end_of_a_stream_is_told_behind_bytes_that_are_not_read() {
-    let mut machine = Crossed::default();
-    machine.on_bytes = Some(Box::new(|m| {
+    let on_bytes: Act = Box::new(|m| {
         m.unread = m.accepted.clone();
         m.commands.push(Command::Flush(ConnId(1)));
-    }));
+    });
+    let machine = Crossed { on_bytes: Some(on_bytes), ..Crossed::default() };
     let (at, driver) = run(machine);
     let mut client = connect(at);
     // Fits into the system's buffers: beyond them the end itself would wait with its sender.
@@ -230,11 +230,11 @@
 #[test]
 fn a_connection_that_is_shut_sends_all_that_waits_and_is_read_to_its_end() {
     const MUCH: usize = 8 << 20;
-    let mut machine = Crossed::default();
-    machine.on_bytes = Some(Box::new(|m| {
+    let on_bytes: Act = Box::new(|m| {
         m.write(ConnId(1), &vec![b'y'; MUCH]);
         m.commands.push(Command::Shut(ConnId(1)));
-    }));
+    });
+    let machine = Crossed { on_bytes: Some(on_bytes), ..Crossed::default() };
     let (at, driver) = run(machine);
     let mut client = connect(at);
     client.write_all(b"x").unwrap();
