One place closes a connection under what it carries; tests share their peers

Read once more; nothing changes in what the program does. - core/pool.rs: four places took what a connection carried, closed it and ended that: close_under serves them. A list's word looked through all connections once for each node that drains or is gone; call_back_from_drained looks once. - core/pool.rs: the Host of a list call was made twice. core/requests.rs: may_begin finds its flight as all else does. - driver.rs: a socket's start is written in one place. flaxstand-platform: keys that are checked alike stand in one table each. - Tests: the request, statuses and configuration of the platform's tests move to the harness of the gateway's tests, the reader of messages to tests/common of the program's; two crossings of an idle connection share how they begin. Every assertion stands as it was.

--- /dev/null
+++ b/crates/flaxstand-cli/tests/common/mod.rs
@@ -0,0 +1,18 @@
+//! What peers of several tests speak.
+
+use std::io::Read;
+use std::net::TcpStream;
+
+/// The next message of a connection: its head, and the body that its length tells.
+pub fn message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let (mut head, mut byte) = (String::new(), [0]);
+    while !head.ends_with("\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(char::from(byte[0]));
+    }
+    let length =
+        head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |n| n.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8_lossy(&body).into_owned()))
+}
--- a/crates/flaxstand-cli/tests/crossings.rs
+++ b/crates/flaxstand-cli/tests/crossings.rs
@@ -1,6 +1,9 @@
 //! `flaxstand run --platform` over loopback, where a signal, the kernel or a peer crosses it. A process that is to find
 //! two things at once is stopped until the kernel holds both, and then goes on. Waits are for events, with a bound.
 
+mod common;
+
+use common::message;
 use rustix::process::{Pid, Resource, Rlimit, Signal, WaitOptions, kill_process, prlimit, waitpid};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -20,20 +23,6 @@
     }
 }
 
-/// The next message of a connection: its head, and the body that its length tells.
-fn message(stream: &mut TcpStream) -> Option<(String, String)> {
-    let (mut head, mut byte) = (String::new(), [0]);
-    while !head.ends_with("\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(char::from(byte[0]));
-    }
-    let length =
-        head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |n| n.parse().unwrap());
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, String::from_utf8_lossy(&body).into_owned()))
-}
-
 /// What a peer was asked, and the connection to answer on.
 struct Asked {
     head: String,
@@ -128,6 +117,20 @@
     fn asked(&self) -> Asked {
         self.target.recv_timeout(BOUND).expect("the target is asked")
     }
+    /// A client whose first request was served, and whose second the kernel holds while the process stands still; and the
+    /// connection to the target, which rests.
+    fn asked_again_while_it_stands_still(&self) -> (TcpStream, Asked) {
+        let mut client = self.client();
+        client.write_all(get("first", "order").as_bytes()).unwrap();
+        let mut asked = self.asked();
+        asked.answer("one");
+        assert_eq!(message(&mut client).unwrap().1, "one");
+        self.stand_still();
+        let from = client.local_addr().unwrap();
+        client.write_all(get("second", "order").as_bytes()).unwrap();
+        until("the request is there", || self.held(self.at, from).is_some_and(|(_, unread)| unread > 1));
+        (client, asked)
+    }
     /// The kernel's word of the process' side of a connection: its state and bytes unread; none: there is none.
     fn held(&self, ours: SocketAddr, peers: SocketAddr) -> Option<(String, u64)> {
         let hex = |at: SocketAddr| {
@@ -199,16 +202,8 @@
 #[test]
 fn a_connection_that_its_target_closed_costs_no_request_that_must_run_once() {
     let rig = Rig::start("stale");
-    let mut client = rig.client();
-    client.write_all(get("first", "order").as_bytes()).unwrap();
-    let mut asked = rig.asked();
-    asked.answer("one");
-    assert_eq!(message(&mut client).unwrap().1, "one");
-    rig.stand_still();
+    let (mut client, asked) = rig.asked_again_while_it_stands_still();
     let (ours, theirs) = (asked.stream.peer_addr().unwrap(), asked.stream.local_addr().unwrap());
-    let from = client.local_addr().unwrap();
-    client.write_all(get("second", "order").as_bytes()).unwrap();
-    until("the request is there", || rig.held(rig.at, from).is_some_and(|(_, unread)| unread > 1));
     asked.stream.shutdown(std::net::Shutdown::Both).unwrap();
     until("and the close", || rig.held(ours, theirs).is_some_and(|(state, _)| state == CLOSE_WAIT));
     rig.go_on();
@@ -226,16 +221,8 @@
 #[test]
 fn what_came_on_a_resting_connection_is_no_answer_to_the_request_that_comes_with_it() {
     let rig = Rig::start("half-line");
-    let mut client = rig.client();
-    client.write_all(get("first", "order").as_bytes()).unwrap();
-    let mut asked = rig.asked();
-    asked.answer("one");
-    assert_eq!(message(&mut client).unwrap().1, "one");
-    rig.stand_still();
+    let (mut client, mut asked) = rig.asked_again_while_it_stands_still();
     let (ours, theirs) = (asked.stream.peer_addr().unwrap(), asked.stream.local_addr().unwrap());
-    let from = client.local_addr().unwrap();
-    client.write_all(get("second", "order").as_bytes()).unwrap();
-    until("the request is there", || rig.held(rig.at, from).is_some_and(|(_, unread)| unread > 1));
     asked.answer("one");
     until("and the second answer", || rig.held(ours, theirs).is_some_and(|(_, unread)| unread > 0));
     rig.go_on();
--- a/crates/flaxstand-cli/tests/program.rs
+++ b/crates/flaxstand-cli/tests/program.rs
@@ -1,5 +1,8 @@
 //! The program as a user meets it: exit codes, messages, sockets, signals.
 
+mod common;
+
+use common::message;
 use flaxstand_proto::{
     Entry, Extent, Frame, Hello, Inbox, List, Parting, Refusal, Role, State, Submit, VERSION, encode,
 };
@@ -577,20 +580,6 @@
     at
 }
 
-/// The next message of a connection: its head, and the body that its length tells.
-fn message(stream: &mut TcpStream) -> Option<(String, String)> {
-    let (mut head, mut byte) = (String::new(), [0]);
-    while !head.ends_with("\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(char::from(byte[0]));
-    }
-    let length =
-        head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |n| n.parse().unwrap());
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, text(&body)))
-}
-
 fn on_platform(file: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_flaxstand"));
     command.args(["run", "--platform"]).env("RELAY_CONFIG", file);
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -221,11 +221,9 @@
         let told: Vec<NodeEntry> = told.into_iter().filter_map(|e| self.take_entry(e, now)).collect();
         info!(?scope, revision, entries = told.len(), "node list");
         self.events.push_back(Event::List(scope, told));
+        self.call_back_from_drained(now);
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
-        ids.into_iter().for_each(|at| {
-            self.call_back_from(at, now);
-            self.close_if_gone(at, now);
-        });
+        ids.into_iter().for_each(|at| self.close_if_gone(at, now));
     }
 
     fn take_entry(&mut self, e: Told, now: Micros) -> Option<NodeEntry> {
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -188,8 +188,6 @@
             }
             Some(Carried::ListCall) => {
                 let call = self.next_list_call(now);
-                let host = self.config.list.to_string();
-                let host: (&str, &dyn Display) = ("Host", &host);
                 self.plumbing.put(conn, |bytes| write_request(bytes, "GET", &call, &[host], None));
             }
             None => {}
@@ -331,11 +329,8 @@
         now: Micros,
     ) {
         let left = self.plumbing.get(conn).is_some_and(|c| c.outbox.written() >= ends);
-        if let Some(link) = self.link(conn) {
-            link.carries = None;
-        }
-        self.lost(conn, "given up", true, now);
-        self.end_attempt(id, attempt, if left { outcome } else { Outcome::ConnectFailed }, now);
+        let outcome = if left { outcome } else { Outcome::ConnectFailed };
+        self.close_under(conn, Carried::Attempt(id, attempt), "given up", outcome, now);
     }
 
     /// Its client has gone: an attempt that has not wholly left does not follow it. Its connection is closed; one
@@ -348,27 +343,22 @@
         let handed =
             held.flights.iter().filter_map(|f| Some((f.attempt, f.handed.filter(|h| leaving(*h))?.0)));
         for (attempt, conn) in handed.collect::<Vec<_>>() {
-            if let Some(link) = self.link(conn) {
-                link.carries = None;
-            }
-            self.lost(conn, "its client has gone", true, now);
-            self.end_attempt(id, attempt, Outcome::Moot, now);
+            let carried = Carried::Attempt(id, attempt);
+            self.close_under(conn, carried, "its client has gone", Outcome::Moot, now);
         }
     }
 
-    /// A node takes nothing new: what has been handed to its connections, and of which no byte has left, does not begin.
-    pub(super) fn call_back_from(&mut self, at: NodeId, now: Micros) {
-        if self.nodes.get(&at).is_none_or(|n| n.readiness == Readiness::Serving) {
-            return;
-        }
+    /// What has been handed to connections of nodes that take nothing new, and of which no byte has left, does not begin.
+    pub(super) fn call_back_from_drained(&mut self, now: Micros) {
+        let serves = |at: &NodeId| self.nodes.get(at).is_some_and(|n| n.readiness == Readiness::Serving);
         let waits = |(conn, c): (ConnId, &Conn)| match (&c.peer, &c.inlet) {
-            (Peer::Node(node), Inlet::Link(link)) if *node == at && c.stage == Stage::Open && !link.begun => {
+            (Peer::Node(at), Inlet::Link(link)) if c.stage == Stage::Open && !link.begun && !serves(at) => {
                 Some((conn, link.carries?))
             }
             _ => None,
         };
         for (conn, carried) in self.plumbing.iter().filter_map(waits).collect::<Vec<_>>() {
-            self.end_unbegun(conn, carried, "its node takes nothing new", now);
+            self.close_under(conn, carried, "its node takes nothing new", Outcome::Moot, now);
         }
     }
 
@@ -378,16 +368,18 @@
         if let Some(Carried::Attempt(id, attempt)) = carried
             && !self.may_begin(id, attempt, now)
         {
-            self.end_unbegun(conn, Carried::Attempt(id, attempt), "its window is over", now);
+            let carried = Carried::Attempt(id, attempt);
+            self.close_under(conn, carried, "its window is over", Outcome::Moot, now);
         }
     }
 
-    fn end_unbegun(&mut self, conn: ConnId, carried: Carried, why: &str, now: Micros) {
+    /// Closes a connection under what it carries, which ends so.
+    fn close_under(&mut self, conn: ConnId, carried: Carried, why: &str, outcome: Outcome, now: Micros) {
         if let Some(link) = self.link(conn) {
             link.carries = None;
         }
         self.lost(conn, why, true, now);
-        self.end_carried(carried, Outcome::Moot, now);
+        self.end_carried(carried, outcome, now);
     }
 
     /// A probe is not waited for any longer.
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -247,7 +247,7 @@
     /// are dropped may have ended, and its node may have begun to drain.
     pub(super) fn may_begin(&self, id: RequestId, attempt: AttemptNo, now: Micros) -> bool {
         let Some(held) = self.requests.get(&id) else { return false };
-        let Some(flight) = held.flights.iter().find(|f| f.attempt == attempt) else { return false };
+        let Some(flight) = self.flight(id, attempt) else { return false };
         let serves = self.nodes.get(&flight.node).is_some_and(|n| n.readiness == Readiness::Serving);
         held.owner.is_some() && now < flight.until && now < held.valid_until && serves
     }
--- a/crates/flaxstand-gateway/src/driver.rs
+++ b/crates/flaxstand-gateway/src/driver.rs
@@ -90,6 +90,12 @@
     interest: epoll::EventFlags,
 }
 
+impl Socket {
+    fn new(fd: OwnedFd, dialing: bool, interest: epoll::EventFlags) -> Self {
+        Socket { fd, dialing, finished: false, ends: false, shut: false, interest }
+    }
+}
+
 /// What an event of epoll is about; part of its number.
 const LISTENER: u64 = 1 << 62;
 const SIGNAL: u64 = 1 << 61;
@@ -547,7 +553,7 @@
         let added = opened.and_then(|fd| {
             let interest = epoll::EventFlags::OUT;
             epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest)?;
-            Ok(Socket { fd, dialing: true, finished: false, ends: false, shut: false, interest })
+            Ok(Socket::new(fd, true, interest))
         });
         match added {
             Ok(socket) => {
@@ -587,15 +593,7 @@
                 let interest = epoll::EventFlags::IN;
                 match epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(conn.0), interest) {
                     Ok(()) => {
-                        let socket = Socket {
-                            fd,
-                            dialing: false,
-                            finished: false,
-                            ends: false,
-                            shut: false,
-                            interest,
-                        };
-                        self.sockets.insert(conn, socket);
+                        self.sockets.insert(conn, Socket::new(fd, false, interest));
                     }
                     Err(e) => self.machine.closed(conn, &e.to_string(), self.now),
                 }
--- a/crates/flaxstand-gateway/tests/crossings.rs
+++ b/crates/flaxstand-gateway/tests/crossings.rs
@@ -3,30 +3,19 @@
 
 mod harness;
 
-use flaxstand::api::{Class, Effect, RepeatGroup};
-use flaxstand_gateway::core::{Config, Waits, Wire};
+use flaxstand_gateway::core::Config;
 use flaxstand_gateway::machine::{Address, ConnId, Control, Machine, Micros, Reloaded};
 use flaxstand_proto::State;
-use harness::{Dial, World, address, config, ms};
+use harness::{Dial, World, address, ask_as, ms, with_keyed};
 use std::collections::BTreeMap;
 
-const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
 /// From when on a change counts as told, after discovery had it.
 const TOLD: Micros = Micros(6_000_000);
 /// How long repeats of the class "keyed" are dropped.
 const WINDOW: f64 = 300.0;
 
 fn platform() -> Config {
-    let mut c = config();
-    c.wire = Wire::Platform;
-    c.site.settings.list_on_request = true;
-    c.site.waits =
-        Waits { idle: ms(18_000), watch: ms(2500), stop_grace: ms(1400), stop: ms(1600), ..c.site.waits };
-    c.site.classes[2].stream = false;
-    let keyed = Effect::Keyed { group: RepeatGroup::Cell, window: WINDOW };
-    c.site.settings.classes[2] = Class { effect: keyed, ..c.site.settings.classes[2].clone() };
-    c.site.classes[2].name = "keyed".into();
-    c
+    with_keyed(2500, WINDOW)
 }
 
 fn seeded(seed: u64) -> Config {
@@ -34,23 +23,7 @@
 }
 
 fn ask(id: &str, class: &str) -> String {
-    format!(
-        "GET {PATH} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Qos-Policy: plan\r\nX-Timeout: 1.000\r\nX-Placement: units=1,shard=0,hosts=1\r\n\r\n"
-    )
-}
-
-/// A client whose request is out at node 0, and the connection that carries it.
-fn asked(w: &mut World, id: &str, class: &str) -> (ConnId, ConnId) {
-    let client = w.http_client();
-    w.says(client, ask(id, class).as_bytes());
-    w.run(5);
-    (client, *w.links(0).last().expect("it was sent"))
-}
-
-fn statuses(w: &World, conn: ConnId) -> Vec<u16> {
-    let heads = w.heard_on(conn).split("HTTP/1.1 ").skip(1);
-    heads.map(|h| h[..3].parse().expect("a status")).collect()
+    ask_as(id, class, 0, "1.000")
 }
 
 /// Attempts of a request that node 0 was sent, over all its connections.
@@ -234,7 +207,7 @@
                 // What a call that failed at once led to, as the driver does.
                 w.turn();
             }
-            let waits = clients.iter().any(|c| statuses(&w, *c).is_empty());
+            let waits = clients.iter().any(|c| w.statuses(*c).is_empty());
             let next = w.next_wake().map_or(u64::MAX, |at| at.since(w.now).0);
             assert!(!waits || next <= 12_000, "seed {seed}, request {n}: next look in {next} us");
         }
@@ -247,7 +220,7 @@
 fn a_repeat_whose_window_ends_while_its_connection_comes_up_is_not_sent() {
     for late in [false, true] {
         let mut w = World::new(platform(), 1);
-        let (client, link) = asked(&mut w, "r1", "keyed");
+        let (client, link) = w.asked("r1", "keyed");
         w.run(90);
         w.dials.insert(address(0).parse().unwrap(), Dial::Lost);
         w.core.closed(link, "reset", w.now);
@@ -262,7 +235,7 @@
         if late {
             w.run(1000);
             assert_eq!(sent(&w, "r1"), 1);
-            assert_eq!(statuses(&w, client), [500], "it may have run");
+            assert_eq!(w.statuses(client), [500], "it may have run");
         }
     }
 }
@@ -272,14 +245,14 @@
 fn nothing_is_sent_on_a_connection_that_comes_up_for_nobody() {
     let mut w = World::new(platform(), 1);
     w.dials.insert(address(0).parse().unwrap(), Dial::Lost);
-    let (client, link) = asked(&mut w, "r1", "once");
+    let (client, link) = w.asked("r1", "once");
     w.core.closed(client, "closed by peer", w.now);
     w.core.connected(link, w.now);
     w.run(5);
     assert_eq!(w.heard_on(link), "");
     // The connection is kept: the next request has it.
     w.run(25);
-    let (_, used) = asked(&mut w, "r2", "once");
+    let (_, used) = w.asked("r2", "once");
     assert_eq!(used, link);
     assert_eq!(sent(&w, "r2"), 1);
 }
@@ -289,7 +262,7 @@
 #[test]
 fn what_a_client_sent_behind_its_last_answer_is_not_begun_once_it_has_gone() {
     let mut w = World::new(platform(), 1);
-    let (client, link) = asked(&mut w, "r1", "read");
+    let (client, link) = w.asked("r1", "read");
     w.blocked.insert(client);
     w.answer(link, "200 OK", "ok");
     w.run(30);
@@ -298,7 +271,7 @@
     w.blocked.remove(&client);
     w.drain(client);
     w.run(100);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     assert_eq!(sent(&w, "r2"), 0);
     assert!(w.closed.contains(&client), "nothing hangs on it any more");
 }
@@ -307,7 +280,7 @@
 #[test]
 fn an_attempt_that_has_not_wholly_left_does_not_follow_its_client() {
     let mut w = World::new(platform(), 1);
-    let (first, link) = asked(&mut w, "r0", "read");
+    let (first, link) = w.asked("r0", "read");
     w.answer(link, "200 OK", "ok");
     w.run(30);
     w.blocked.insert(link);
@@ -327,7 +300,7 @@
 fn a_second_answer_some_milliseconds_late_is_no_answer_to_the_next_request() {
     for late in [0, 1, 4, 10, 15] {
         let mut w = World::new(platform(), 1);
-        let (client, link) = asked(&mut w, "r1", "read");
+        let (client, link) = w.asked("r1", "read");
         w.run(40);
         w.answer(link, "200 OK", "first");
         w.turn();
@@ -336,7 +309,7 @@
         assert!(late < 4 || sent(&w, "r2") == 1);
         w.answer(link, "200 OK", "first");
         w.run(5);
-        assert_eq!(statuses(&w, client), [200], "{late} ms: the second request waits for its own answer");
+        assert_eq!(w.statuses(client), [200], "{late} ms: the second request waits for its own answer");
         assert!(w.closed.contains(&link), "a connection that brings more than belongs to it");
         w.run(100);
         let next = *w.links(0).last().unwrap();
@@ -346,7 +319,7 @@
     }
     // Another answer, however soon, and the same one later are good; and where all come soon, the same one always.
     let mut w = World::new(platform(), 1);
-    let (client, link) = asked(&mut w, "r1", "read");
+    let (client, link) = w.asked("r1", "read");
     w.run(40);
     let answers = [(5, "first"), (5, "second"), (25, "second"), (5, "third"), (5, "third"), (4, "third")];
     for (n, (wait, body)) in answers.into_iter().enumerate() {
@@ -355,7 +328,7 @@
         w.turn();
         w.says(client, ask(&format!("s{n}"), "read").as_bytes());
         w.run(1);
-        assert_eq!(statuses(&w, client).len(), n + 1, "{body}");
+        assert_eq!(w.statuses(client).len(), n + 1, "{body}");
     }
     assert_eq!(w.links(0).len(), 1);
 }
@@ -364,8 +337,8 @@
 #[test]
 fn a_connection_that_has_rested_is_used_before_one_that_was_just_answered_on() {
     let mut w = World::new(platform(), 1);
-    let (_, first) = asked(&mut w, "r1", "read");
-    let (second_client, second) = asked(&mut w, "r2", "read");
+    let (_, first) = w.asked("r1", "read");
+    let (second_client, second) = w.asked("r2", "read");
     w.answer(first, "200 OK", "first");
     w.run(25);
     w.answer(second, "200 OK", "second");
@@ -380,12 +353,12 @@
 #[test]
 fn an_answer_without_a_length_is_whole_at_the_end_of_its_stream_and_never_at_a_reset() {
     let begun = |w: &mut World| {
-        let (client, link) = asked(w, "r1", "once");
+        let (client, link) = w.asked("r1", "once");
         w.says(link, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal");
         w.run(100);
         w.says(link, b"f and half");
         w.run(100);
-        assert!(statuses(w, client).is_empty());
+        assert!(w.statuses(client).is_empty());
         (client, link)
     };
     let mut w = World::new(platform(), 1);
@@ -395,20 +368,20 @@
         w.core.closed(link, "closed by peer", w.now);
     }
     w.run(5);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     assert!(w.heard_on(client).ends_with("half and half"));
     assert_eq!(w.core.footprint().partial_bytes, 0);
     let mut w = World::new(platform(), 1);
     let (client, link) = begun(&mut w);
     w.core.closed(link, "reset by peer", w.now);
     w.run(5);
-    assert_eq!(statuses(&w, client), [500], "it may have run, and is not to run again");
+    assert_eq!(w.statuses(client), [500], "it may have run, and is not to run again");
     assert_eq!(w.core.footprint().partial_bytes, 0);
     // One that stands still does not hold its client.
     let mut w = World::new(platform(), 1);
     let (client, _) = begun(&mut w);
     w.run(300);
-    assert_eq!(statuses(&w, client), [500]);
+    assert_eq!(w.statuses(client), [500]);
 }
 
 /// Guards against answers that a close over unread bytes takes away, and against requests that are begun after the
@@ -416,7 +389,7 @@
 #[test]
 fn at_the_end_of_a_stop_resting_clients_are_shut_and_what_crosses_is_not_sent_on() {
     let mut w = World::new(platform(), 1);
-    let (resting, link) = asked(&mut w, "r1", "read");
+    let (resting, link) = w.asked("r1", "read");
     w.answer(link, "200 OK", "ok");
     w.run(30);
     let new = w.http_client();
@@ -429,7 +402,7 @@
     w.says(last, ask("r3", "read").as_bytes());
     w.run(20);
     assert_eq!(sent(&w, "r2") + sent(&w, "r3"), 0);
-    assert_eq!(statuses(&w, last), [503], "who came last is told");
+    assert_eq!(w.statuses(last), [503], "who came last is told");
     assert!(w.heard_on(last).contains("Connection: close") && w.shut.contains(&last));
     assert!(!w.exited, "they may still be reading");
     for conn in [resting, new, last] {
@@ -443,12 +416,12 @@
 #[test]
 fn the_last_answer_of_a_stop_is_read_although_more_was_sent_behind_its_request() {
     let mut w = World::new(platform(), 1);
-    let (client, link) = asked(&mut w, "r1", "read");
+    let (client, link) = w.asked("r1", "read");
     w.says(client, ask("r2", "read").as_bytes());
     w.core.control(Control::Stop, w.now);
     w.answer(link, "200 OK", "ok");
     w.run(1460);
-    assert_eq!(statuses(&w, client), [200, 500], "the second is answered before the end");
+    assert_eq!(w.statuses(client), [200, 500], "the second is answered before the end");
     let asked = sent(&w, "r2");
     assert!(w.shut.contains(&client) && !w.closed.contains(&client));
     w.says(client, ask("r3", "read").as_bytes());
--- a/crates/flaxstand-gateway/tests/crossings_drawn.rs
+++ b/crates/flaxstand-gateway/tests/crossings_drawn.rs
@@ -3,34 +3,23 @@
 
 mod harness;
 
-use flaxstand::api::{Class, Effect, RepeatGroup};
-use flaxstand_gateway::core::{Config, Waits, Wire};
+use flaxstand_gateway::core::Config;
 use flaxstand_gateway::machine::{ConnId, Control, Machine, Micros};
 use flaxstand_proto::State;
-use harness::{Dial, World, address, config, ms};
+use harness::{Dial, World, address, ask_as, ms, with_keyed};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 
-const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
 const NODES: u64 = 3;
 const WINDOW: u64 = 250;
 const CLIENTS: usize = 8;
 const LINKS: usize = 6;
 
 fn platform(seed: u64) -> Config {
-    let mut c = config();
+    let mut c = with_keyed(2500, WINDOW as f64);
     c.seed = seed;
-    c.wire = Wire::Platform;
-    c.site.settings.list_on_request = true;
-    c.site.settings.may_probe = true;
-    c.site.settings.most_out = 2;
-    c.site.waits =
-        Waits { idle: ms(18_000), watch: ms(2500), stop_grace: ms(1400), stop: ms(1600), ..c.site.waits };
-    c.site.classes[2].stream = false;
-    let keyed = Effect::Keyed { group: RepeatGroup::Cell, window: WINDOW as f64 };
-    c.site.settings.classes[2] = Class { effect: keyed, ..c.site.settings.classes[2].clone() };
-    c.site.classes[2].name = "keyed".into();
+    (c.site.settings.may_probe, c.site.settings.most_out) = (true, 2);
     (c.bounds.clients, c.bounds.links) = (CLIENTS, LINKS);
     c
 }
@@ -180,10 +169,7 @@
                 let (id, shard) = (self.next, self.draw(NODES));
                 self.next += 1;
                 let name = ["read", "once", "keyed"][class];
-                let text = format!(
-                    "GET {PATH} HTTP/1.1\r\nX-Request-ID: r{id}\r\nX-Priority-Class: {name}\r\nX-Qos-Policy: plan\r\n\
-                     X-Timeout: 0.800\r\nX-Placement: units=1,shard={shard},hosts=1\r\n\r\n"
-                );
+                let text = ask_as(&format!("r{id}"), name, shard as i64, "0.800");
                 self.clients.get_mut(&conn).unwrap().0.push(id);
                 self.seen.push((self.w.now, Seen::Asked(id, class)));
                 self.w.says(conn, text.as_bytes());
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -3,7 +3,7 @@
 //! call is answered; all else is the test's to say.
 #![allow(dead_code)]
 
-use flaxstand::api::{Class, Effect, Plan, Settings};
+use flaxstand::api::{Class, Effect, Plan, RepeatGroup, Settings};
 use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
 use flaxstand_gateway::machine::{Address, Command, ConnId, Machine, Micros};
 use flaxstand_proto::*;
@@ -82,6 +82,36 @@
     }
 }
 
+/// The same on the platform's wire, where a watch of the list waits for so long at most.
+pub fn on_platform(watch: u64) -> Config {
+    let mut c = config();
+    c.wire = Wire::Platform;
+    c.site.settings.list_on_request = true;
+    c.site.waits =
+        Waits { idle: ms(18_000), watch: ms(watch), stop_grace: ms(1400), stop: ms(1600), ..c.site.waits };
+    c.site.classes[2].stream = false;
+    c
+}
+
+/// The same, with the third class "keyed": nodes of a shard drop its repeats for so long.
+pub fn with_keyed(watch: u64, window: f64) -> Config {
+    let mut c = on_platform(watch);
+    let keyed = Effect::Keyed { group: RepeatGroup::Cell, window };
+    c.site.settings.classes[2] = Class { effect: keyed, ..c.site.settings.classes[2].clone() };
+    c.site.classes[2].name = "keyed".into();
+    c
+}
+
+pub const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
+
+/// A read as a client of the platform asks for it.
+pub fn ask_as(id: &str, class: &str, shard: i64, timeout: &str) -> String {
+    format!(
+        "GET {PATH} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Qos-Policy: plan\r\nX-Timeout: {timeout}\r\nX-Placement: units=1,shard={shard},hosts=1\r\n\r\n"
+    )
+}
+
 /// What the core wrote, in a form that outlives the bytes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
@@ -418,6 +448,20 @@
         conn
     }
 
+    /// A client of the platform whose request is out at node 0, and the connection that carries it.
+    pub fn asked(&mut self, id: &str, class: &str) -> (ConnId, ConnId) {
+        let client = self.http_client();
+        self.says(client, ask_as(id, class, 0, "1.000").as_bytes());
+        self.run(5);
+        (client, *self.links(0).last().expect("it was sent"))
+    }
+
+    /// The statuses that a client of the platform was answered with.
+    pub fn statuses(&self, conn: ConnId) -> Vec<u16> {
+        let heads = self.heard_on(conn).split("HTTP/1.1 ").skip(1);
+        heads.map(|h| h[..3].parse().expect("a status")).collect()
+    }
+
     /// Connections to a node on which a request is or was, in the order of calling.
     pub fn links(&self, node: u64) -> Vec<ConnId> {
         let at: Address = address(node).parse().unwrap();
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -2,50 +2,27 @@
 
 mod harness;
 
-use flaxstand_gateway::core::{Bounds, Config, Waits, Wire};
+use flaxstand_gateway::core::{Bounds, Config};
 use flaxstand_gateway::machine::{ConnId, Control, Machine, Reloaded};
 use flaxstand_proto::State;
-use harness::{Dial, World, address, config, ms};
-
-const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
+use harness::{Dial, PATH, World, address, ask_as, on_platform};
 
 fn platform() -> Config {
-    let mut c = config();
-    c.wire = Wire::Platform;
-    c.site.settings.list_on_request = true;
-    c.site.waits =
-        Waits { idle: ms(18_000), watch: ms(5000), stop_grace: ms(1400), stop: ms(1600), ..c.site.waits };
-    c.bounds = Bounds { clients: 8, links: 6, ..c.bounds };
-    c.site.classes[2].stream = false;
-    c
+    let c = on_platform(5000);
+    Config { bounds: Bounds { clients: 8, links: 6, ..c.bounds }, ..c }
 }
 
 fn world() -> World {
     World::new(platform(), 2)
 }
 
-fn ask_as(id: &str, class: &str, shard: i64, timeout: &str) -> String {
-    format!(
-        "GET {PATH} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Qos-Policy: plan\r\nX-Timeout: {timeout}\r\nX-Placement: units=1,shard={shard},hosts=1\r\n\r\n"
-    )
-}
-
 fn ask(id: &str) -> String {
     ask_as(id, "once", 0, "1.000")
 }
 
 /// A client whose request is out at node 0, and the connection that carries it.
 fn asked(w: &mut World, id: &str) -> (ConnId, ConnId) {
-    let client = w.http_client();
-    w.says(client, ask(id).as_bytes());
-    w.run(5);
-    (client, *w.links(0).last().expect("it was sent"))
-}
-
-fn statuses(w: &World, conn: ConnId) -> Vec<u16> {
-    let heads = w.heard_on(conn).split("HTTP/1.1 ").skip(1);
-    heads.map(|h| h[..3].parse().expect("a status")).collect()
+    w.asked(id, "once")
 }
 
 #[test]
@@ -90,7 +67,7 @@
         what(&mut w, link);
         w.run(980);
         let sent = w.links(0).iter().map(|l| w.heard_on(*l).matches("GET /api").count()).sum::<usize>();
-        (sent, statuses(&w, client))
+        (sent, w.statuses(client))
     };
     let never = |w: &mut World, link| {
         w.says(link, b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -107,7 +84,7 @@
     w.run(300);
     assert!(w.links(0).len() > 1, "a connection refused: it has never run, and is tried again");
     w.run(1000);
-    assert_eq!(statuses(&w, client), [503]);
+    assert_eq!(w.statuses(client), [503]);
 }
 
 #[test]
@@ -128,7 +105,7 @@
         let (client, link) = asked(&mut w, "r1");
         w.says(link, text.as_bytes());
         w.run(300);
-        assert_eq!(statuses(&w, client), [500], "{text:?}");
+        assert_eq!(w.statuses(client), [500], "{text:?}");
         assert!(!w.heard_on(client).contains("xxxx"), "{text:?}");
         assert!(w.closed.contains(&link), "{text:?}");
         assert_eq!(w.core.held(), 0);
@@ -137,7 +114,7 @@
     let (client, link) = asked(&mut w, "r1");
     w.says(link, format!("HTTP/1.1 200 OK\r\n{}", "X: y\r\n".repeat(3000)).as_bytes());
     w.run(5);
-    assert_eq!(statuses(&w, client), [500], "a head that never ends is cut off at its bound");
+    assert_eq!(w.statuses(client), [500], "a head that never ends is cut off at its bound");
 }
 
 #[test]
@@ -151,7 +128,7 @@
         w.says(link, part);
     }
     w.run(5);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     assert!(w.heard_on(client).ends_with(&body));
     assert_eq!(w.core.footprint().partial_bytes, 0);
     // One that stops short is given up long before its client leaves.
@@ -159,7 +136,7 @@
     let (client, link) = asked(&mut w, "r2");
     w.says(link, b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\nxx");
     w.run(260);
-    assert_eq!(statuses(&w, client), [500]);
+    assert_eq!(w.statuses(client), [500]);
     assert_eq!(w.core.footprint().partial_bytes, 0);
 }
 
@@ -191,12 +168,12 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     );
     w.run(5);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     assert!(w.closed.contains(&link));
     let (client, link) = asked(&mut w, "r2");
     w.answer(link, "200 OK", "ok");
     w.run(5);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     w.says(link, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     assert!(
         {
@@ -239,7 +216,7 @@
         let client = w.http_client();
         w.says(client, text.as_bytes());
         w.run(5);
-        assert_eq!(statuses(&w, client), [status], "{text:?}");
+        assert_eq!(w.statuses(client), [status], "{text:?}");
         assert_eq!((w.core.held(), w.links(0).len()), (0, 0), "{text:?}");
         w.run(600);
         assert_eq!(!w.closed.contains(&client), kept, "{text:?}");
@@ -254,12 +231,12 @@
     let other = w.http_client();
     w.says(other, ask("r1").as_bytes());
     w.run(5);
-    assert_eq!(statuses(&w, other), [409]);
+    assert_eq!(w.statuses(other), [409]);
     w.answer(link, "200 OK", "ok");
     w.run(5);
     w.says(other, ask("r1").as_bytes());
     w.run(5);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     assert_eq!(w.core.held(), 1, "it is served this time");
 }
 
@@ -274,7 +251,7 @@
         let link = *w.links(0).last().unwrap();
         w.answer(link, "200 OK", "ok");
         w.run(5);
-        assert_eq!(statuses(&w, client).len(), done);
+        assert_eq!(w.statuses(client).len(), done);
     }
     assert_eq!(w.links(0).len(), 1, "one connection served them all");
 }
@@ -291,7 +268,7 @@
     assert!(![silent, half].iter().any(|c| w.closed.contains(c)));
     w.run(700);
     assert!([silent, half, slow].iter().all(|c| w.closed.contains(c)));
-    assert_eq!(statuses(&w, half), [408]);
+    assert_eq!(w.statuses(half), [408]);
     assert_eq!(w.core.clients(), 0);
     // One that has asked may hold its connection, and ask again.
     let (client, link) = asked(&mut w, "r1");
@@ -300,7 +277,7 @@
     assert!(!w.closed.contains(&client));
     w.says(client, b"GET /ready HTTP/1.1\r\n\r\n");
     w.run(5);
-    assert_eq!(statuses(&w, client), [200, 200]);
+    assert_eq!(w.statuses(client), [200, 200]);
 }
 
 #[test]
@@ -323,7 +300,7 @@
         let (client, link) = asked(&mut w, &format!("r{n}"));
         w.answer(link, "200 OK", "ok");
         w.run(30);
-        assert_eq!(statuses(&w, client), [200], "client {n}");
+        assert_eq!(w.statuses(client), [200], "client {n}");
     }
     assert_eq!(w.core.clients(), 8);
 }
@@ -350,7 +327,7 @@
     w.run(500);
     w.answer(other, "200 OK", "ok");
     w.run(500);
-    assert_eq!((statuses(&w, first), statuses(&w, second)), (vec![500], vec![200]));
+    assert_eq!((w.statuses(first), w.statuses(second)), (vec![500], vec![200]));
     assert!(w.closed.contains(&out) && !w.closed.contains(&other));
 }
 
@@ -363,7 +340,7 @@
     w.run(240);
     assert_eq!(w.links(0).len(), 1, "still being called");
     w.run(1000);
-    assert_eq!(statuses(&w, client), [503]);
+    assert_eq!(w.statuses(client), [503]);
     assert!(w.links(0).iter().all(|l| w.heard_on(*l).is_empty()));
     // Written in part: what is left must not follow when the connection is closed.
     let mut w = world();
@@ -374,7 +351,7 @@
     let client = w.http_client();
     w.says(client, ask("r1").as_bytes());
     w.run(1100);
-    assert_eq!(statuses(&w, client).len(), 1);
+    assert_eq!(w.statuses(client).len(), 1);
     assert_eq!(w.heard_on(link).matches("GET /api").count(), 1, "only the first");
 }
 
@@ -487,7 +464,7 @@
     assert!(w.heard_on(conn).contains("since=1&"));
     w.answer(link, "200 OK", "ok");
     w.run(5);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     w.core.control(Control::Reload(Reloaded { bounds, list: "127.0.0.1:2".parse().unwrap() }), w.now);
     w.run(5);
     assert!(!w.closed.contains(&conn), "the same address: nothing changes");
@@ -502,7 +479,7 @@
     let late = w.http_client();
     w.says(late, b"GET /ready HTTP/1.1\r\n\r\n");
     w.run(5);
-    assert_eq!(statuses(&w, late), [503]);
+    assert_eq!(w.statuses(late), [503]);
     w.answer(link, "200 OK", "ok");
     w.run(900);
     w.says(client, ask("r2").as_bytes());
@@ -515,9 +492,9 @@
     );
     w.core.closed(late, "closed by peer", w.now);
     assert!(!w.shut.contains(&client) && !w.closed.contains(&client) && !w.exited);
-    assert_eq!(statuses(&w, client), [200]);
+    assert_eq!(w.statuses(client), [200]);
     w.run(150);
-    assert_eq!(statuses(&w, client), [200, 500], "answered before the end, though its second is not over");
+    assert_eq!(w.statuses(client), [200, 500], "answered before the end, though its second is not over");
     assert!(w.heard_on(client).contains("Connection: close"));
     w.run(50);
     assert!(w.exited);
--- a/crates/flaxstand-platform/src/settings.rs
+++ b/crates/flaxstand-platform/src/settings.rs
@@ -186,18 +186,25 @@
             let key = |key: &str| format!("classes[{at}].{key}");
             above_zero(&key("aimMs"), c.aim_ms)?;
             above_zero(&key("deadlineMs"), c.deadline_ms)?;
-            not_negative(&key("aimStretch"), c.aim_stretch)?;
-            not_negative(&key("lateValue"), c.late_value)?;
-            not_negative(&key("worth"), c.worth)?;
-            not_negative(&key("dedupWindowMs"), c.dedup_window_ms)?;
+            for (name, value) in [
+                ("aimStretch", c.aim_stretch),
+                ("lateValue", c.late_value),
+                ("worth", c.worth),
+                ("dedupWindowMs", c.dedup_window_ms),
+            ] {
+                not_negative(&key(name), value)?;
+            }
         }
         for (at, g) in self.grades.iter().enumerate() {
-            let key = |key: &str| format!("grades[{at}].{key}");
-            not_negative(&key("baseRate"), g.base_rate)?;
-            not_negative(&key("floorRate"), g.floor_rate)?;
-            not_negative(&key("ceilingRate"), g.ceiling_rate)?;
-            not_negative(&key("mostAtOnce"), g.most_at_once)?;
-            not_negative(&key("price"), g.price)?;
+            for (name, value) in [
+                ("baseRate", g.base_rate),
+                ("floorRate", g.floor_rate),
+                ("ceilingRate", g.ceiling_rate),
+                ("mostAtOnce", g.most_at_once),
+                ("price", g.price),
+            ] {
+                not_negative(&format!("grades[{at}].{name}"), value)?;
+            }
         }
         if self.caps.max_attempts == 0 {
             return Err("caps.maxAttempts: expected 1 or more, not 0".into());
