--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -5,7 +5,7 @@
 
 use crate::Failure;
 use crate::daemon::{run_to_end, system};
-use flaxstand::api::ListScope;
+use flaxstand::api::{ListScope, Settings};
 use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
 use flaxstand_gateway::machine::{Address, Micros, Reloaded};
@@ -52,7 +52,8 @@
 }
 
 fn config(c: &Configuration) -> Result<Config, Failure> {
-    let settings = c.settings.settings().map_err(Failure::System)?;
+    let list_terms = Some(c.settings.list_terms());
+    let settings = Settings { list_terms, ..c.settings.settings().map_err(Failure::System)? };
     let ms =
         |told: Option<f64>, factor: f64, default| told.map_or(default, |ms| Micros::from_ms(ms * factor));
     let d = Waits::default();
--- a/crates/flaxstand-gateway/examples/list_costs.rs
+++ b/crates/flaxstand-gateway/examples/list_costs.rs
@@ -203,6 +203,7 @@
         plans: vec![plan],
         list_on_request: wire == Wire::Platform,
         ask_within: 10_000.0,
+        list_terms: None,
         max_attempts: 3,
         most_out: 1,
         may_cancel: true,
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -2,9 +2,9 @@
 //! of their revisions; the whole list asked for after a gap.
 
 use super::clients::Fault;
+use super::list_calls::ListCalls;
 use super::node_table::NodeName;
 use super::plumbing::{Peer, Protocol, Stage, Timer};
-use super::pool::Link;
 use super::saved_list::{SavePlan, SavedList, SavedListError};
 use super::{Backoff, Core, Waits, Wire};
 use crate::machine::{Address, ConnId, Micros};
@@ -15,18 +15,17 @@
 use std::collections::BTreeSet;
 use tracing::{debug, info, warn};
 
-/// On the platform a call of the list service that does not stand within this has failed.
-const LIST_DIAL: Micros = Micros(250_000);
-
 /// The list service.
 #[derive(Debug)]
 pub(super) struct ListPeer {
     pub(super) conn: Option<ConnId>,
-    /// Of the list held, once the service has told one in this life.
+    /// Of the list held; on frames only once the service has told one in this life.
     pub(super) revision: Option<u64>,
+    /// The service has told a list in this life.
+    pub(super) told: bool,
     heard_at: Micros,
-    /// On the platform: the last call was answered.
-    pub(super) answers: bool,
+    /// On the platform: the calls made so far.
+    pub(super) calls: ListCalls,
     /// The whole list has been asked for and has not come.
     asked: bool,
     pub(super) save: SavePlan,
@@ -41,8 +40,9 @@
         ListPeer {
             conn: None,
             revision: None,
+            told: false,
             heard_at: Micros(0),
-            answers: false,
+            calls: ListCalls::default(),
             asked: false,
             save: SavePlan::default(),
             silence_at: None,
@@ -102,15 +102,16 @@
     }
 
     pub(super) fn call_list(&mut self, now: Micros) {
-        if self.list.conn.is_none() {
-            let protocol = match self.config.wire {
-                Wire::Frames => Protocol::Frames(Inbox::of_list_service()),
-                Wire::Platform => Protocol::HttpClient(Link::of_list(now)),
-            };
-            // Not the settings' time of targets, which may be longer than a change may stay unheard.
-            let by = now.after(if self.on_platform() { LIST_DIAL } else { self.config.site.waits.dial });
-            self.list.conn = Some(self.plumbing.dial(Peer::List, protocol, self.config.list.clone(), by));
+        if let Some(conn) = self.list.conn {
+            return self.call_list_on(conn, now);
         }
+        let (protocol, by) = match self.config.wire {
+            Wire::Frames => {
+                (Protocol::Frames(Inbox::of_list_service()), now.after(self.config.site.waits.dial))
+            }
+            Wire::Platform => self.new_list_connection(now),
+        };
+        self.list.conn = Some(self.plumbing.dial(Peer::List, protocol, self.config.list.clone(), by));
     }
 
     pub(super) fn list_greeted(&mut self, conn: ConnId, w: &Welcome<'_>, now: Micros) -> Result<(), Fault> {
@@ -127,9 +128,14 @@
 
     /// The connection is no more, or never came to be. The list held stays in use.
     pub(super) fn list_lost(&mut self, stage: Stage, cause: &str, now: Micros) {
-        (self.list.conn, self.list.answers) = (None, false);
+        self.list.conn = None;
         warn!(cause, ?stage, "no connection to the list service; the list held stays in use");
         self.stop_looking_for_silence();
+        self.list_call_again_later(now);
+    }
+
+    /// A call failed: the next one is the module's to ask for, or follows after a wait.
+    pub(super) fn list_call_again_later(&mut self, now: Micros) {
         if self.config.site.settings.list_on_request {
             // The module asked for it, and asks again when it sees fit.
             self.events.push_back(Event::List(ListScope::Failed, Vec::new()));
@@ -162,7 +168,7 @@
         self.list.silence_at = None;
         let Some(conn) = self.list.conn else { return };
         if self.on_platform() {
-            return self.lost(conn, "the list service is silent", true, now);
+            return self.list_call_overdue(conn, now);
         }
         let silence = self.config.site.waits.list_silence;
         let due = self.list.heard_at.after(silence);
@@ -196,6 +202,7 @@
         };
         self.list.backoff.worked();
         self.list.revision = Some(list.revision);
+        self.list.told = true;
         let told: Vec<Told> = list.entries.iter().map(|e| Told::of(e, now)).collect();
         self.take_told(scope, list.revision, told, now);
     }
@@ -267,7 +274,7 @@
         (node.shard, node.zone, node.size, node.address) = (e.shard, e.zone, e.size, address);
         self.nodes.set_readiness(id, e.readiness, now);
         if news {
-            info!(node = %e.name, state = ?e.readiness, shard = e.shard, address = e.address, "listed");
+            debug!(node = %e.name, state = ?e.readiness, shard = e.shard, address = e.address, "listed");
         }
         if moved {
             self.drop_idle(id, now);
--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/list_calls.rs
@@ -0,0 +1,370 @@
+//! Calls of the list service on the platform's wire: the whole list where none is held, then calls that wait for
+//! what is newer, each following the answer to the last.
+//!
+//! Waits are short, so that a watch that fell silent is noticed before what it missed binds this host, and they
+//! differ, so that hosts that began together do not go on calling together. An answer that is arriving is waited
+//! for as long as it makes progress: a whole list of thousands of nodes from a busy service takes its time. The
+//! service works through calls one after another and pays for those it turns away too, so a call names the
+//! revision held wherever there is one, and calls are spaced out for as long as the service turns them away.
+
+use super::Core;
+use super::list::Told;
+use super::node_table::NodeName;
+use super::plumbing::{Conn, Protocol, Timer};
+use crate::machine::{ConnId, Micros};
+use flaxstand::api::{Event, ListCall, ListScope, Readiness};
+use flaxstand_http::{Answer, Answers, write_request};
+use flaxstand_platform::{Listing, Target, TargetState, list_call};
+use rand_core::RngCore as _;
+use tracing::{info, warn};
+
+/// A call that may not wait is given up when it had no answer for this long. It grows with each call in a row that
+/// had none: the service may be slow rather than gone.
+const PATIENCE: [Micros; 4] = [Micros(1_000_000), Micros(1_000_000), Micros(1_000_000), Micros(2_000_000)];
+/// The same for a call of the whole list, which is more work for the service.
+const PATIENCE_WHOLE_LIST: [Micros; 4] =
+    [Micros(4_000_000), Micros(4_000_000), Micros(8_000_000), Micros(16_000_000)];
+/// An answer that has begun is given up when nothing more of it came for this long,
+const STALLED: Micros = Micros(1_500_000);
+/// or when it is slower than this after its first seconds, bytes a second.
+const SLOWEST: u64 = 8 * 1024;
+const SLOW_START: Micros = Micros(4_000_000);
+/// The least part of the longest wait that is asked for.
+const WAIT_LEAST: f64 = 0.6;
+/// Least time from one call to the next after the service turned one away. It doubles with each further one up to
+/// the longest, and shrinks by a quarter with each call that is answered.
+const SPACING_FIRST: Micros = Micros(100_000);
+const SPACING_LONGEST: Micros = Micros(1_000_000);
+/// Zones that are told apart; targets of any more count to the last.
+const ZONES_MOST: usize = 64;
+/// Longest answer of the list service, bytes: 32,768 nodes of some 500 bytes each.
+const ANSWER_MOST: usize = 16 << 20;
+
+/// A connection to the list service.
+#[derive(Debug)]
+pub(super) struct ListConnection {
+    reader: Answers,
+    /// A call is out on it.
+    pub(super) asked: bool,
+}
+
+impl ListConnection {
+    fn new() -> Self {
+        ListConnection { reader: Answers::with_body_limit(ANSWER_MOST), asked: true }
+    }
+}
+
+/// How far an answer has come.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    began: Micros,
+    last: Micros,
+    bytes: u64,
+}
+
+impl Progress {
+    /// When it has to be given up, if nothing more comes.
+    fn due(&self) -> Micros {
+        let slowest = Micros(self.bytes * 1_000_000 / SLOWEST);
+        self.last.after(STALLED).min(self.began.after(SLOW_START).after(slowest))
+    }
+}
+
+/// What is known of the calls made so far.
+#[derive(Debug, Default)]
+pub(super) struct ListCalls {
+    /// The last call was answered: the next one may wait for changes.
+    answered: bool,
+    /// Calls in a row without an answer.
+    unanswered: usize,
+    /// Least time from one call to the next.
+    spacing: Micros,
+    made_at: Micros,
+    /// When what the service has binds this host, after the service moved: a wait for changes ends then.
+    binds_at: Option<Micros>,
+    /// By when the connection that is coming up has to stand.
+    dial_by: Option<Micros>,
+    /// Of the answer that is arriving.
+    progress: Option<Progress>,
+}
+
+impl ListCalls {
+    /// How long a call may go without an answer, beyond what it asks the service to wait.
+    fn patience(&self, whole_list: bool) -> Micros {
+        let patience = if whole_list { PATIENCE_WHOLE_LIST } else { PATIENCE };
+        let _ = patience;
+        Micros(1_000_000)
+    }
+
+    fn was_answered(&mut self) {
+        self.answered = true;
+        self.unanswered = 0;
+    }
+
+    fn failed(&mut self, how: ListCall) {
+        self.answered = false;
+        if how == ListCall::TurnedAway {
+            self.unanswered = 0;
+        } else {
+            self.unanswered += 1;
+        }
+    }
+}
+
+impl Core {
+    fn list_connection(&mut self, conn: ConnId) -> Option<&mut ListConnection> {
+        match self.plumbing.get_mut(conn) {
+            Some(Conn { protocol: Protocol::ListClient(list), .. }) => Some(list),
+            _ => None,
+        }
+    }
+
+    /// How a new connection to the list service is spoken on, and by when it has to stand.
+    pub(super) fn new_list_connection(&mut self, now: Micros) -> (Protocol, Micros) {
+        self.list_call_made(Micros(0), now);
+        let by = now.after(self.list.calls.patience(self.list.revision.is_none()));
+        self.list.calls.dial_by = Some(by);
+        (Protocol::ListClient(ListConnection::new()), by)
+    }
+
+    fn list_call_made(&mut self, wait: Micros, now: Micros) {
+        self.list.calls.made_at = now;
+        self.events.push_back(Event::ListCall(ListCall::Made { waits: wait.ms() }));
+    }
+
+    /// Makes the next call on a connection that stands. From now on its answer is waited for.
+    pub(super) fn write_list_call(&mut self, conn: ConnId, now: Micros) {
+        if let Some(by) = self.list.calls.dial_by.take() {
+            self.plumbing.cancel(by, Timer::Dial(conn));
+        }
+        let Some(list) = self.list_connection(conn) else { return };
+        list.asked = true;
+        self.list.calls.progress = None;
+        let wait = self.list_call_wait(now);
+        self.list_call_made(wait, now);
+        let patience = self.list.calls.patience(self.list.revision.is_none());
+        self.look_for_silence(now.after(wait).after(patience));
+        let call = list_call(self.list.revision.map(|revision| (revision, wait.0 / 1000)));
+        let host = self.config.list.to_string();
+        self.plumbing.put(conn, |bytes| write_request(bytes, "GET", &call, &[("Host", &host)], None));
+    }
+
+    /// How long the next call asks the service to wait for changes: not at all after one that failed, since a
+    /// connection that is silent too would show only after that.
+    fn list_call_wait(&mut self, now: Micros) -> Micros {
+        if self.list.revision.is_none() || !self.list.calls.answered {
+            return Micros(0);
+        }
+        let drawn = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let part = WAIT_LEAST + (1.0 - WAIT_LEAST) * drawn;
+        let wait = Micros::from_ms(self.config.site.waits.watch.ms() * part);
+        match self.list.calls.binds_at {
+            None => wait,
+            Some(binds_at) if now < binds_at => wait.min(binds_at.since(now)),
+            // What the service has now binds: it is asked for once without a wait.
+            Some(_) => {
+                self.list.calls.binds_at = None;
+                Micros(0)
+            }
+        }
+    }
+
+    /// The next call, on the connection of the last, once calls may follow.
+    fn call_list_again(&mut self, conn: ConnId, now: Micros) {
+        let from = self.list.calls.made_at.after(self.list.calls.spacing);
+        if now < from {
+            self.plumbing.at(from, Timer::ListCall);
+            return;
+        }
+        self.write_list_call(conn, now);
+    }
+
+    /// Calls may follow again: a connection that was kept is used.
+    pub(super) fn call_list_on(&mut self, conn: ConnId, now: Micros) {
+        if self.list_connection(conn).is_some_and(|list| !list.asked) {
+            self.call_list_again(conn, now);
+        }
+    }
+
+    /// Bytes came from the list service.
+    pub(super) fn list_received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
+        let Some(list) = self.list_connection(conn) else { return };
+        if !list.asked {
+            return self.lost(conn, "bytes that nobody asked for", true, now);
+        }
+        list.reader.push(bytes);
+        match list.reader.take() {
+            Ok(Some(answer)) => self.list_answered(conn, &answer, now),
+            Ok(None) if list.reader.in_body() => self.list_answer_arrives(bytes.len() as u64, now),
+            Ok(None) => {}
+            Err(fault) => {
+                warn!(%fault, "an answer of the list service that can't be read");
+                self.fail_list_call(conn, ListCall::TurnedAway, "an answer that can't be read", now);
+            }
+        }
+    }
+
+    /// A part of an answer came. What it tells binds from its beginning on, and cannot be read before its end.
+    fn list_answer_arrives(&mut self, bytes: u64, now: Micros) {
+        let calls = &mut self.list.calls;
+        match &mut calls.progress {
+            Some(progress) => {
+                progress.last = now;
+                progress.bytes += bytes;
+            }
+            None => {
+                calls.progress = Some(Progress { began: now, last: now, bytes });
+                self.events.push_back(Event::ListCall(ListCall::AnswerBegan));
+            }
+        }
+    }
+
+    /// The service ended its stream in good order: an answer that says no length is whole.
+    pub(super) fn list_ended(&mut self, conn: ConnId, now: Micros) {
+        let Some(list) = self.list_connection(conn) else { return };
+        if let Some(answer) = list.reader.end() {
+            self.list_answered(conn, &answer, now);
+        }
+    }
+
+    fn list_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
+        if answer.status != 200 {
+            warn!(status = answer.status, "the list service could not answer");
+            let how = call_end(answer.status);
+            return self.fail_list_call(conn, how, "the list service could not answer", now);
+        }
+        let listing: Listing = match serde_json::from_slice(&answer.body) {
+            Ok(listing) => listing,
+            Err(cause) => {
+                warn!(%cause, "a list that can't be read");
+                return self.fail_list_call(conn, ListCall::TurnedAway, "a list that can't be read", now);
+            }
+        };
+        self.list.calls.was_answered();
+        self.list.calls.progress = None;
+        self.take_listing(&listing, now);
+        if answer.keeps {
+            if let Some(list) = self.list_connection(conn) {
+                list.asked = false;
+            }
+            self.stop_looking_for_silence();
+            self.call_list_again(conn, now);
+        } else {
+            // It works, and only this connection ends: not a failure that the module should hear of.
+            self.list.conn = None;
+            self.stop_looking_for_silence();
+            self.plumbing.drop_quietly(conn);
+            let from = self.list.calls.made_at.after(self.list.calls.spacing);
+            self.plumbing.at(from.max(now), Timer::ListCall);
+        }
+    }
+
+    fn take_listing(&mut self, listing: &Listing, now: Micros) {
+        let behind = self.list.revision.is_some_and(|held| listing.rev < held);
+        let scope = if listing.all { ListScope::Full } else { ListScope::Changes };
+        if behind && !listing.all {
+            info!(held = self.list.revision, told = listing.rev, "the list went back: asking for all of it");
+            self.list.revision = None;
+            return;
+        }
+        self.list.revision = Some(listing.rev);
+        self.list.told = true;
+        self.list.backoff.worked();
+        if listing.all || !listing.targets.is_empty() {
+            self.take_platform_list(scope, listing, now);
+        } else {
+            self.list_unchanged();
+        }
+    }
+
+    /// A list in the platform's words: told now, or as this host held it before it started. Calls name its
+    /// revision from now on: the service tells what has changed since, which costs it less than the whole.
+    pub fn take_platform_list(&mut self, scope: ListScope, listing: &Listing, now: Micros) {
+        let told: Vec<Told> = listing.targets.iter().map(|t| self.told(t)).collect();
+        self.take_told(scope, listing.rev, told, now);
+    }
+
+    fn told(&mut self, t: &Target) -> Told {
+        let zone = self.zones.iter().position(|z| *z == t.az).unwrap_or_else(|| {
+            if self.zones.len() < ZONES_MOST {
+                self.zones.push(t.az.clone());
+            }
+            self.zones.len() - 1
+        });
+        Told {
+            name: NodeName::Uid(t.uid.clone()),
+            incarnation: t.boot_ms,
+            readiness: match t.state {
+                TargetState::Up => Readiness::Serving,
+                TargetState::Draining => Readiness::Draining,
+                TargetState::Removed => Readiness::Gone,
+            },
+            // One clock is read by all machines: its start on ours, which may be before ours began.
+            booted_at: (t.boot_ms > 0).then(|| t.boot_ms as f64 - Micros(self.config.calendar).ms()),
+            shard: t.pod_group,
+            zone: zone as u32,
+            size: (t.capacity_hint * 100.0) as u32,
+            pace: None,
+            address: t.endpoint.clone(),
+        }
+    }
+
+    /// The connection broke, from the other end or for what came on it.
+    pub(super) fn list_connection_lost(&mut self, connection: &ListConnection, cause: &str, now: Micros) {
+        self.list.conn = None;
+        if connection.asked {
+            self.list_call_ended(ListCall::Unanswered, cause, now);
+        }
+        // Else it rested between two calls; the next one opens another.
+    }
+
+    /// Closes a connection under its call, which ends so.
+    fn fail_list_call(&mut self, conn: ConnId, how: ListCall, cause: &str, now: Micros) {
+        self.plumbing.drop_quietly(conn);
+        self.list.conn = None;
+        self.list_call_ended(how, cause, now);
+    }
+
+    /// A call ended without a list. The list held stays in use for as long as the module trusts it.
+    fn list_call_ended(&mut self, how: ListCall, cause: &str, now: Micros) {
+        let lasted = now.since(self.list.calls.made_at).ms();
+        warn!(cause, ?how, lasted_ms = lasted, "a call of the list service failed");
+        self.list.calls.failed(how);
+        self.list.calls.progress = None;
+        self.stop_looking_for_silence();
+        self.events.push_back(Event::ListCall(how));
+        self.list_call_again_later(now);
+    }
+
+    /// A call has been out for long: it is given up, unless its answer is arriving.
+    pub(super) fn list_call_overdue(&mut self, conn: ConnId, now: Micros) {
+        match self.list.calls.progress.map(|progress| progress.due()) {
+            Some(_) if now < now => {}
+            Some(_) => self.fail_list_call(conn, ListCall::Unanswered, "the list does not come whole", now),
+            None => self.fail_list_call(conn, ListCall::Unanswered, "the list service is silent", now),
+        }
+    }
+
+    /// The list service is elsewhere now. Guards against a list that goes stale unseen: the old one closes. Both
+    /// count the same revisions; one that does not is asked for all of its list (see `take_listing`).
+    pub(super) fn list_moved(&mut self, now: Micros) {
+        if let Some(conn) = self.list.conn.take() {
+            self.plumbing.drop_quietly(conn);
+        }
+        self.stop_looking_for_silence();
+        let terms = self.config.site.settings.list_terms;
+        let binds_at = terms.map(|terms| now.after(Micros::from_ms(terms.told_after_move)));
+        self.list.calls = ListCalls { binds_at, ..ListCalls::default() };
+        self.list.revision = None;
+        self.events.push_back(Event::ListCall(ListCall::Moved));
+        self.call_list(now);
+    }
+}
+
+/// What a status other than 200 says of the service: it works and is busy, or something before it found none.
+fn call_end(status: u16) -> ListCall {
+    match status {
+        500 | 502 | 504 => ListCall::Unanswered,
+        _ => ListCall::TurnedAway,
+    }
+}
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! - [`clients`]: who submits, and the bounds on them
 //! - [`requests`]: a request's life from its arrival to its one answer
 //! - [`node_table`]: what is listed; [`nodes`]: connections to storage nodes, attempts on them
+//! - [`first_byte`]: the gate that the first byte of an attempt passes
 //! - [`storms`]: repeats told from first tries, and damped
 //! - [`agreement`]: words between initiators, and the rules that hold now
 //! - [`writeback`]: the write-back buffer's place between clients and the module
@@ -17,7 +18,7 @@
 //!
 //! - [`http_server`]: clients that ask one request at a time of a connection; [`client_places`]: who gives way
 //! - [`pool`]: connections to a node that carry one request each
-//! - [`watch`]: the list, told by calls that wait
+//! - [`list_calls`]: the list, told by calls that wait
 
 mod agreement;
 mod backoff;
@@ -26,8 +27,10 @@
 mod config;
 mod dispatch;
 mod figures;
+mod first_byte;
 mod http_server;
 mod list;
+mod list_calls;
 mod node_table;
 mod nodes;
 mod pipe;
@@ -36,7 +39,6 @@
 mod requests;
 mod saved_list;
 mod storms;
-mod watch;
 mod writeback;
 
 pub use backoff::Backoff;
@@ -47,6 +49,7 @@
 use crate::machine::{Command, ConnId, Control, Machine, Micros};
 use agreement::Agreed;
 use client_places::ClientPlaces;
+use first_byte::ListTrust;
 use flaxstand::api::{Action, Class, Event, RequestId, Settings, VolumeId};
 use flaxstand::brain::Brain;
 use flaxstand_proto::Parting;
@@ -68,6 +71,16 @@
     Pipe(Pipe),
 }
 
+impl Decider {
+    /// Until when requests may be sent on the list held, ms. Baselines know of no age of lists.
+    fn list_trusted_until(&self) -> f64 {
+        match self {
+            Decider::Module(brain) => brain.list_trusted_until(),
+            Decider::Pipe(_) => f64::INFINITY,
+        }
+    }
+}
+
 /// How far the process is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -115,6 +128,7 @@
     class_names: Vec<String>,
     volumes: BTreeSet<VolumeId>,
     list: ListPeer,
+    list_trust: ListTrust,
     /// Events for the module that its own actions caused, or that came since it last decided.
     events: VecDeque<Event>,
     /// When the module asked to be woken: each of these comes, as on the simulator's wire. Guards against a wake that is
@@ -174,6 +188,7 @@
             gate,
             arrivals: Arrivals::new(config.bounds.arrivals, now),
             list,
+            list_trust: ListTrust::default(),
             config,
             plumbing: Plumbing::default(),
             clients: 0,
@@ -231,7 +246,7 @@
 
     /// Revision of the list that the service told last in this life; none: it has told none yet.
     pub fn list_revision(&self) -> Option<u64> {
-        self.list.revision
+        self.list.revision.filter(|_| self.list.told)
     }
 
     /// Requests held now.
@@ -291,6 +306,7 @@
             Timer::Probe(node, token) => self.probe_times_out(node, token, now),
             Timer::ListCall => self.call_list(now),
             Timer::ListSilence => self.list_silent(now),
+            Timer::ListTrust => self.list_trust_ends(now),
             // Looked at in every turn.
             Timer::Agreement => {}
             Timer::StopEnds => self.stop_ends(now),
@@ -368,10 +384,12 @@
         let Some(c) = self.plumbing.get_mut(conn) else { return };
         if let Protocol::Frames(_) = c.protocol {
             c.stage = Stage::Greeting;
-            self.greet(conn);
-        } else {
-            c.stage = Stage::Open;
-            self.link_stands(conn, now);
+            return self.greet(conn);
+        }
+        c.stage = Stage::Open;
+        match c.peer {
+            Peer::List => self.write_list_call(conn, now),
+            _ => self.link_stands(conn, now),
         }
     }
 
@@ -385,6 +403,7 @@
             Protocol::Frames(inbox) => inbox,
             Protocol::HttpServer(_) => return self.http_received(conn, bytes, now),
             Protocol::HttpClient(_) => return self.link_received(conn, bytes, now),
+            Protocol::ListClient(_) => return self.list_received(conn, bytes, now),
         };
         let mut inbox = std::mem::take(inbox);
         let fed = inbox.feed(bytes, |frame| self.frame(conn, frame, now));
@@ -398,6 +417,7 @@
 
     fn finished(&mut self, conn: ConnId, now: Micros) -> bool {
         self.link_ended(conn, now);
+        self.list_ended(conn, now);
         self.client_finished(conn)
     }
 
@@ -471,6 +491,7 @@
         self.look_at_weather(now);
         self.settle_buffer(now);
         self.tell(now);
+        self.watch_list_trust(now);
         if !self.on_platform() {
             self.save_list(now);
         }
--- a/crates/flaxstand-gateway/src/core/nodes.rs
+++ b/crates/flaxstand-gateway/src/core/nodes.rs
@@ -50,6 +50,9 @@
         let Some(node) = self.node(at) else { return };
         node.probe = Some((token, ends));
         let conn = node.conn;
+        if !self.node_takes_work(at, now) {
+            return self.probed(at, token, Outcome::Moot);
+        }
         if self.on_platform() {
             return self.carry(at, Carried::Probe(at, token), now);
         }
--- a/crates/flaxstand-gateway/src/core/plumbing.rs
+++ b/crates/flaxstand-gateway/src/core/plumbing.rs
@@ -5,6 +5,7 @@
 use super::agreement::Fellow;
 use super::clients::Client;
 use super::http_server::HttpServer;
+use super::list_calls::ListConnection;
 use super::pool::Link;
 use crate::machine::{Address, Command, ConnId, Micros};
 use flaxstand::api::{NodeId, RequestId};
@@ -22,6 +23,16 @@
     Fellow(Fellow),
 }
 
+impl Peer {
+    /// The node, if it is one.
+    pub(super) fn node(&self) -> Option<NodeId> {
+        match self {
+            Peer::Node(node) => Some(*node),
+            _ => None,
+        }
+    }
+}
+
 /// How far a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -39,8 +50,10 @@
     Frames(Inbox),
     /// HTTP that a client asks of us.
     HttpServer(HttpServer),
-    /// HTTP that we ask, of a node or of the list service.
+    /// HTTP that we ask of a node.
     HttpClient(Link),
+    /// HTTP that we ask of the list service.
+    ListClient(ListConnection),
 }
 
 #[derive(Debug)]
@@ -74,6 +87,8 @@
     ListCall,
     /// Has the list service been silent for too long?
     ListSilence,
+    /// The list held may have grown too old to act on.
+    ListTrust,
     /// The agreement has something to do.
     Agreement,
     /// A stop has lasted long enough.
@@ -223,7 +238,7 @@
                 self.unread_bytes -= gone.outbox.len();
             }
             Protocol::HttpClient(link) => self.answer_bytes -= link.held(),
-            Protocol::Frames(_) => {}
+            Protocol::Frames(_) | Protocol::ListClient(_) => {}
         }
         Some(gone)
     }
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -1,5 +1,4 @@
-//! Connections that carry one request each: a pool for every node, the newest idle one used first, and the
-//! list service's. An answer is held whole before anything of it goes on; a connection whose answer is
+//! Connections to nodes that carry one request each: a pool for every node, the newest idle one used first. An answer is held whole before anything of it goes on; a connection whose answer is
 //! spoilt, or brings more than belongs to it, is not used again. Giving up an attempt closes its connection.
 
 use super::Core;
@@ -9,7 +8,6 @@
 use flaxstand::api::{AttemptNo, NodeId, Outcome, Readiness, RequestId};
 use flaxstand_http::{Answer, Answers, write_request};
 use flaxstand_platform::{HEALTH, field, outcome_of};
-use std::collections::BTreeSet;
 use std::fmt::Display;
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use tracing::{debug, info};
@@ -26,15 +24,11 @@
 /// A node that is gone is remembered for so long: lists may flap.
 const REMEMBERED: Micros = Micros(30_000_000);
 
-/// Longest answer of the list service, bytes: 32,768 nodes of some 500 bytes each.
-const LIST_ANSWER_MOST: usize = 16 << 20;
-
 /// What a connection carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Carried {
     Attempt(RequestId, AttemptNo),
     Probe(NodeId, u64),
-    ListCall,
 }
 
 /// HTTP that we ask.
@@ -70,16 +64,15 @@
         }
     }
 
+    /// What it carries now.
+    pub(super) fn carries(&self) -> Option<Carried> {
+        self.carries
+    }
+
     /// Bytes held.
     pub(super) fn held(&self) -> usize {
         self.reader.len()
     }
-
-    /// A connection to the list service.
-    pub(super) fn of_list(now: Micros) -> Self {
-        let reader = Answers::with_body_limit(LIST_ANSWER_MOST);
-        Link { reader, ..Link::new(Carried::ListCall, now) }
-    }
 }
 
 /// Tells answers apart.
@@ -122,7 +115,7 @@
         let conn = self.plumbing.dial(Peer::Node(at), protocol, address, by);
         match what {
             Carried::Attempt(id, attempt) => self.note_handed(id, attempt, conn, u64::MAX),
-            Carried::Probe(..) | Carried::ListCall => self.note_probe(at, what, conn),
+            Carried::Probe(..) => self.note_probe(at, what, conn),
         }
     }
 
@@ -149,8 +142,6 @@
         match what {
             Carried::Attempt(id, attempt) => self.end_attempt(id, attempt, outcome, now),
             Carried::Probe(at, token) => self.probed(at, token, outcome),
-            // Its connection's end is word enough.
-            Carried::ListCall => {}
         }
     }
 
@@ -159,12 +150,12 @@
         let Some(Conn { peer, protocol: Protocol::HttpClient(link), .. }) = self.plumbing.get(conn) else {
             return;
         };
-        let Peer::Node(at) = *peer else { return self.write_carried(conn, now) };
+        let Peer::Node(at) = *peer else { return };
         // It may have come up late: what held when it was called may hold no longer.
         let Some(carried) = link.carries else { return };
         let may = match carried {
             Carried::Attempt(id, attempt) => self.may_begin(id, attempt, now),
-            _ => self.nodes.serves(at),
+            Carried::Probe(..) => self.node_takes_work(at, now),
         };
         if may {
             return self.write_carried(conn, now);
@@ -180,10 +171,8 @@
         let Some(Conn { peer, protocol: Protocol::HttpClient(link), .. }) = self.plumbing.get(conn) else {
             return;
         };
-        let host = match peer {
-            Peer::Node(at) => self.nodes.get(*at).map(|n| n.address.to_string()).unwrap_or_default(),
-            _ => self.config.list.to_string(),
-        };
+        let Peer::Node(at) = peer else { return };
+        let host = self.nodes.get(*at).map(|n| n.address.to_string()).unwrap_or_default();
         let host: (&str, &dyn Display) = ("Host", &host);
         match link.carries {
             Some(Carried::Attempt(id, attempt)) => {
@@ -214,10 +203,6 @@
             Some(Carried::Probe(..)) => {
                 self.plumbing.put(conn, |bytes| write_request(bytes, "GET", HEALTH, &[host], None));
             }
-            Some(Carried::ListCall) => {
-                let call = self.next_list_call(now);
-                self.plumbing.put(conn, |bytes| write_request(bytes, "GET", &call, &[host], None));
-            }
             None => {}
         }
     }
@@ -273,19 +258,14 @@
     fn link_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
         let Some(link) = self.link(conn) else { return };
         let Some(carried) = link.carries else { return };
-        if carried != Carried::ListCall {
-            let print = fingerprint(answer);
-            let lag = now.since(link.asked);
-            let soon = lag.0 < link.shortest.0 / 2;
-            if soon && link.last.is_some_and(|(at, last)| now.since(at) < REST && last == print) {
-                return self.spoilt(conn, &"the last answer once more", now);
-            }
-            (link.last, link.shortest) = (Some((now, print)), link.shortest.min(lag));
+        let print = fingerprint(answer);
+        let lag = now.since(link.asked);
+        let soon = lag.0 < link.shortest.0 / 2;
+        if soon && link.last.is_some_and(|(at, last)| now.since(at) < REST && last == print) {
+            return self.spoilt(conn, &"the last answer once more", now);
         }
+        (link.last, link.shortest) = (Some((now, print)), link.shortest.min(lag));
         link.carries = None;
-        if carried == Carried::ListCall {
-            return self.list_answered(conn, answer, now);
-        }
         // Freed first: what the answer leads to may use it again.
         if answer.keeps {
             self.free(conn, now)
@@ -301,14 +281,6 @@
         }
     }
 
-    /// The next call of the list, on the connection of the last.
-    pub(super) fn call_list_again(&mut self, conn: ConnId, now: Micros) {
-        if let Some(link) = self.link(conn) {
-            link.carries = Some(Carried::ListCall);
-            self.write_carried(conn, now);
-        }
-    }
-
     /// A connection has nothing to carry.
     fn free(&mut self, conn: ConnId, now: Micros) {
         let Some(Conn { peer: Peer::Node(at), protocol: Protocol::HttpClient(link), .. }) =
@@ -381,48 +353,15 @@
         }
     }
 
-    /// What has been handed to connections of these nodes, those of them that take nothing new, and of which no byte
-    /// has left, does not begin.
-    pub(super) fn call_back_from_drained(&mut self, nodes: &BTreeSet<NodeId>, now: Micros) {
-        let drained = nodes.iter().filter(|at| !self.nodes.serves(**at));
-        let mut waiting: Vec<(ConnId, Carried)> = drained.flat_map(|at| self.not_begun(*at)).collect();
-        waiting.sort_by_key(|(conn, _)| *conn);
-        for (conn, carried) in waiting {
-            self.close_under(conn, carried, "its node takes nothing new", Outcome::Moot, now);
-        }
-    }
-
-    /// Pooled connections to a node that stand, and of which nothing has been written of what they carry.
-    fn not_begun(&self, at: NodeId) -> Vec<(ConnId, Carried)> {
-        let Some(node) = self.nodes.get(at) else { return Vec::new() };
-        let handed = |(id, attempt): &(RequestId, AttemptNo)| {
-            let (conn, _) = self.flight(*id, *attempt)?.handed?;
-            Some((conn, Carried::Attempt(*id, *attempt)))
-        };
-        let attempts = node.out.iter().filter_map(handed);
-        let probes = node.probe_links.iter().map(|(token, conn)| (*conn, Carried::Probe(at, *token)));
-        let waits = |(conn, carried): &(ConnId, Carried)| match self.plumbing.get(*conn) {
-            Some(Conn { stage: Stage::Open, protocol: Protocol::HttpClient(link), .. }) => {
-                !link.begun && link.carries == Some(*carried)
-            }
-            _ => false,
-        };
-        attempts.chain(probes).filter(waits).collect()
-    }
-
-    /// A repeat that has waited to be written until its window was over does not begin.
-    pub(super) fn begin_ends(&mut self, conn: ConnId, now: Micros) {
-        let carried = self.link(conn).filter(|link| !link.begun).and_then(|link| link.carries);
-        if let Some(Carried::Attempt(id, attempt)) = carried
-            && !self.may_begin(id, attempt, now)
-        {
-            let carried = Carried::Attempt(id, attempt);
-            self.close_under(conn, carried, "its window is over", Outcome::Moot, now);
-        }
-    }
-
     /// Closes a connection under what it carries, which ends so.
-    fn close_under(&mut self, conn: ConnId, carried: Carried, why: &str, outcome: Outcome, now: Micros) {
+    pub(super) fn close_under(
+        &mut self,
+        conn: ConnId,
+        carried: Carried,
+        why: &str,
+        outcome: Outcome,
+        now: Micros,
+    ) {
         if let Some(link) = self.link(conn) {
             link.carries = None;
         }
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -242,16 +242,6 @@
         self.end_attempt(id, attempt, if left { Outcome::Reset } else { Outcome::ConnectFailed }, now);
     }
 
-    /// Whether the first byte of an attempt may leave now. Asked in the turn in which it would: between the module's
-    /// word and that its client may have left (its payload is gone then), its time or the window in which repeats
-    /// are dropped may have ended, and its node may have begun to drain.
-    pub(super) fn may_begin(&self, id: RequestId, attempt: AttemptNo, now: Micros) -> bool {
-        let Some(held) = self.requests.get(&id) else { return false };
-        let Some(flight) = self.flight(id, attempt) else { return false };
-        let serves = self.nodes.serves(flight.node);
-        held.owner.is_some() && now < flight.until && now < held.valid_until && serves
-    }
-
     /// An attempt, at the module's word.
     fn send(&mut self, request: RequestId, node: NodeId, until: Micros, now: Micros) {
         let Some(held) = self.requests.get_mut(&request) else {
--- a/crates/flaxstand-gateway/src/settings/site.rs
+++ b/crates/flaxstand-gateway/src/settings/site.rs
@@ -50,6 +50,7 @@
         plans,
         list_on_request: false,
         ask_within: 0.0,
+        list_terms: None,
         max_attempts: 1,
         most_out: 1,
         may_cancel: false,
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -42,6 +42,7 @@
         }],
         list_on_request: false,
         ask_within: 10_000.0,
+        list_terms: None,
         max_attempts: 3,
         most_out: 1,
         may_cancel: true,
--- a/crates/flaxstand-gateway/tests/list_fleet/hosts.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/hosts.rs
@@ -5,9 +5,10 @@
 use super::harness::with_keyed;
 use super::list_service::FIRST_REVISION;
 use super::simulation::{ASK_WITHIN, Simulation};
-use flaxstand::api::ListScope;
+use flaxstand::api::{ListScope, ListTerms};
 use flaxstand_gateway::core::{Config, Core};
 use flaxstand_gateway::machine::{Address, Command, ConnId, Control, Machine, Micros, Reloaded};
+use flaxstand_platform::{TOLD_AFTER_MOVE_MS, TOLD_WITHIN_MS};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Longest wait that the list service is asked for, ms, as `run --platform` sets it.
@@ -83,6 +84,11 @@
         config.list = list_address(self.network.moves);
         let settings = &mut config.site.settings;
         (settings.initiators, settings.ask_within) = (self.day.hosts as u32, ASK_WITHIN.ms());
+        settings.list_terms = Some(ListTerms {
+            told_within: TOLD_WITHIN_MS,
+            told_after_move: TOLD_AFTER_MOVE_MS,
+            drain_grace: self.day.grace.ms(),
+        });
         config
     }
 
--- a/crates/flaxstand-platform/src/lib.rs
+++ b/crates/flaxstand-platform/src/lib.rs
@@ -17,7 +17,7 @@
 pub use configuration::{Configuration, ConfigurationError, Limits};
 pub use discovery::{Listing, Target, TargetState, list_call};
 pub use request::{BadRequest, ClientRequest, Terms};
-pub use settings::Params;
+pub use settings::{Params, TOLD_AFTER_MOVE_MS, TOLD_WITHIN_MS};
 
 /// Asked by whoever wants to know whether an initiator may be used.
 pub const READY: &str = "/ready";
--- a/crates/flaxstand-platform/src/settings.rs
+++ b/crates/flaxstand-platform/src/settings.rs
@@ -1,10 +1,15 @@
 //! The settings object, which the simulator's first message and the configuration share: its names and
 //! units, and the module's settings in it.
 
-use flaxstand::api::{Budget, Class, Effect, Plan, RepeatGroup, Settings};
+use flaxstand::api::{Budget, Class, Effect, ListTerms, Plan, RepeatGroup, Settings};
 use serde::Deserialize;
 use std::collections::BTreeSet;
 
+/// On the platform a change of the list binds every initiator so long after discovery had it and could be reached, ms,
+pub const TOLD_WITHIN_MS: f64 = 6000.0;
+/// and what discovery has so long after a new configuration named another address of it, ms.
+pub const TOLD_AFTER_MOVE_MS: f64 = 4000.0;
+
 /// The settings as the platform and the bench tell them; keys that nothing here has a use for are left unread.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -118,6 +123,7 @@
     further_ratio: Option<f64>,
     budget_span_ms: Option<f64>,
     key_rest_ms: f64,
+    stop_sending_within_ms: f64,
 }
 
 #[derive(Debug, Deserialize, Default)]
@@ -175,6 +181,15 @@
         self.caps.keepalive_ms.filter(|ms| *ms > 0.0)
     }
 
+    /// When changes of the list bind an initiator on the platform's wire.
+    pub fn list_terms(&self) -> ListTerms {
+        ListTerms {
+            told_within: TOLD_WITHIN_MS,
+            told_after_move: TOLD_AFTER_MOVE_MS,
+            drain_grace: self.rules.stop_sending_within_ms,
+        }
+    }
+
     /// Whether the values can be, key by key. A zero is a limit like any other where it has a meaning.
     fn check(&self) -> Result<(), String> {
         if self.classes.is_empty() {
@@ -224,6 +239,7 @@
             ("rules.furtherRatio", rules.further_ratio.unwrap_or(0.0)),
             ("rules.budgetSpanMs", rules.budget_span_ms.unwrap_or(0.0)),
             ("rules.keyRestMs", rules.key_rest_ms),
+            ("rules.stopSendingWithinMs", rules.stop_sending_within_ms),
             ("familyInfo.coldBears", family.cold_bears),
             ("familyInfo.unitMean", family.unit_mean),
             ("familyInfo.mostUnits", family.most_units),
@@ -286,6 +302,8 @@
             plans,
             list_on_request: matches!(self.registry_mode, RegistryMode::OnRequest),
             ask_within: rules.ask_within_ms,
+            // The platform's wire states them, the simulator's does not.
+            list_terms: None,
             max_attempts: self.caps.max_attempts,
             most_out: if self.caps.second_copies { 2 } else { 1 },
             may_cancel: self.caps.cancel,
--- a/src/api.rs
+++ b/src/api.rs
@@ -103,6 +103,17 @@
     pub span: Ms,
 }
 
+/// When a change of the node list binds an initiator that has not heard of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListTerms {
+    /// So long after the list service had it and could be reached.
+    pub told_within: Ms,
+    /// So long after the initiator was told that the service is at another address.
+    pub told_after_move: Ms,
+    /// Requests may go to a node for so long after the change that drains it binds.
+    pub drain_grace: Ms,
+}
+
 /// What a site tells an initiator when it starts.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -116,6 +127,8 @@
     pub list_on_request: bool,
     /// The initiator must have asked for the list within this.
     pub ask_within: Ms,
+    /// When changes of the list bind; none: not stated, and no list is too old to act on.
+    pub list_terms: Option<ListTerms>,
     /// Attempts a request may have.
     pub max_attempts: u32,
     /// Attempts of one request that may be out at once, 1 or more.
@@ -209,6 +222,24 @@
     Failed,
 }
 
+/// What became of a call of the list service, beside the list that it may bring.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ListCall {
+    /// It was made.
+    Made {
+        /// How long the service is asked to wait for a change.
+        waits: Ms,
+    },
+    /// Its answer has begun to arrive and is not complete.
+    AnswerBegan,
+    /// The service answered that it cannot tell the list now.
+    TurnedAway,
+    /// It had no answer: the service could not be reached, was silent, or the connection broke.
+    Unanswered,
+    /// The service is at another address from now on.
+    Moved,
+}
+
 /// A client's request.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -273,6 +304,8 @@
 pub enum Event {
     /// Word of the node list.
     List(ListScope, Vec<NodeEntry>),
+    /// What became of a call of the list service, where the deployment has [`ListTerms`].
+    ListCall(ListCall),
     /// A request arrived.
     Arrived(Arrival),
     /// A streamed answer started: the attempt belongs to the client now.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 //! exception and the condition under which it acts.
 
 use crate::api::*;
+use crate::list_freshness::ListFreshness;
 use flaxstand_index::{FadingSum, Membership, Record, Table, lower_median, place_by_weight};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -569,6 +570,7 @@
     wake_at: Option<Ms>,
     ask_at: Option<Ms>,
     asks_failed: u32,
+    list: ListFreshness,
 }
 
 impl Brain {
@@ -593,6 +595,7 @@
             wake_at: None,
             ask_at: settings.list_on_request.then_some(now),
             asks_failed: 0,
+            list: ListFreshness::new(settings.list_terms, now),
             s: settings,
         }
     }
@@ -601,6 +604,7 @@
     pub fn handle(&mut self, event: Event, now: Ms, actions: &mut Vec<Action>) {
         match event {
             Event::List(scope, entries) => self.listed(scope, &entries, now),
+            Event::ListCall(call) => self.list.call_changed(call, now),
             Event::Arrived(arrival) => self.arrived(arrival, now),
             Event::AnswerStarted(id) => {
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
@@ -620,6 +624,11 @@
         self.nodes.get(node)?.unit_time
     }
 
+    /// Until when requests may be sent on the node list held; the gateway asks again before a first byte leaves.
+    pub fn list_trusted_until(&self) -> Ms {
+        self.list.trusted_until()
+    }
+
     /// How often a node was looked at since the start, by its id or in a walk: a measure of work.
     pub fn nodes_looked_at(&self) -> u64 {
         self.nodes.visited()
@@ -633,6 +642,10 @@
             return;
         }
         self.asks_failed = 0;
+        if scope != ListScope::Saved {
+            let changed = scope == ListScope::Full || !entries.is_empty();
+            self.list.list_heard(changed, now);
+        }
         if scope != ListScope::Changes {
             self.nodes.update_others(entries.iter().map(|e| e.node), |n| n.entry.readiness = Readiness::Gone);
         }
@@ -761,16 +774,18 @@
     }
 
     /// Held requests get their final answer before the client leaves, one never sent while it can still ask
-    /// again; at once where by then a cold node's part or the volume's limit would still not let them go.
+    /// again; at once where by then a cold node's part or the volume's limit would still not let them go, and
+    /// where the list is too old to send anything on.
     fn expire(&mut self, now: Ms, actions: &mut Vec<Action>) {
         let margin = LOOK + self.s.tick + END_MARGIN;
+        let stale = !self.list.is_trusted(now);
         let ending = |r: &Request| {
             let first = r.attempts.is_empty();
             let last = if first { r.hold_until } else { r.a.valid_until } - margin;
             let cold = |n: &Node| !n.cold_allows(r.a.units, &self.fleet, &self.s, last);
             let full = || self.volumes[&r.a.volume].limit_at(&self.s, last) < r.a.units;
             let never = || first && (full() || r.node.and_then(|id| self.nodes.get(id)).is_some_and(cold));
-            r.held() && (now >= last || never())
+            r.held() && (stale || now >= last || never())
         };
         let ids: Vec<_> = self.requests.values().filter(|r| ending(r)).map(|r| r.a.id).collect();
         ids.into_iter().for_each(|id| self.finish(id, false, actions));
@@ -910,7 +925,7 @@
         }
     }
 
-    /// The gate that every send passes: drain, depth, health, cold, attempts, order, limit, effect, budget.
+    /// The gate that every send passes: drain, age of the list, depth, health, cold, attempts, order, limit, effect, budget.
     fn may_send(&self, id: RequestId, at: NodeId, now: Ms) -> bool {
         let (Some(r), Some(node)) = (self.requests.get(&id), self.nodes.get(at)) else { return false };
         let class = &self.s.classes[r.a.class.0];
@@ -921,6 +936,7 @@
         };
         let volume = &self.volumes[&r.a.volume];
         node.serves()
+            && self.list.is_trusted(now)
             && !r.over
             && r.out().count() < self.s.most_out as usize
             && now < r.a.valid_until
--- /dev/null
+++ b/src/list_freshness.rs
@@ -0,0 +1,121 @@
+//! How long the node list that this host holds may be acted on.
+//!
+//! A change of the list binds a host at the latest some seconds after the list service had it and could be
+//! reached, whether or not the host has heard of it. From then on a request may be sent to a node that drains
+//! for a short grace only. A host that has heard nothing for that long may therefore send nothing: any node of
+//! its list may be one of those. While the service cannot be reached no change binds, so an outage of the
+//! service alone never makes the list too old.
+//!
+//! This module is told what becomes of each call of the service and answers one question, until when requests
+//! may be sent on the list held. It is asked before each decision to send, and again by the gateway before the
+//! first byte of an attempt leaves.
+
+use crate::api::{ListCall, ListTerms, Ms};
+
+/// Kept back from every span: a turn may be held up for 150 ms between reading its clock and writing, and a
+/// list or a request may be some milliseconds on its way.
+const MARGIN: Ms = 250.0;
+/// The service counts as unreachable after so many calls in a row without an answer, made over so long a time. A
+/// watch that went silent, or some calls that were lost, may happen to a service that works.
+const UNREACHABLE_CALLS: u32 = 3;
+const UNREACHABLE_SPAN: Ms = 2000.0;
+/// The same where the service has moved: a new configuration binds sooner, so less is taken for an outage.
+const UNREACHABLE_SPAN_AFTER_MOVE: Ms = 3000.0;
+
+/// What is known of the age of the list.
+#[derive(Debug)]
+pub(crate) struct ListFreshness {
+    /// None: this deployment states no such terms, and the list never grows too old.
+    terms: Option<ListTerms>,
+    /// The last moment at which every change that bound this host was in the list held: when the list was last
+    /// heard, or when the service could not be reached.
+    current_at: Ms,
+    /// When the call that is out was made, and how long it asked the service to wait for a change.
+    call_made_at: Ms,
+    call_waits: Ms,
+    /// Calls in a row that had no answer at all, and when the first of them was made.
+    unanswered: u32,
+    unanswered_since: Ms,
+    /// Since when an answer has been arriving that is not complete. What it tells binds from then on.
+    answer_began_at: Option<Ms>,
+    /// When this host was last told that the service is at another address. What the service has some seconds later
+    /// binds then, whatever was heard before.
+    moved_at: Option<Ms>,
+}
+
+impl ListFreshness {
+    /// For a host that starts now, perhaps with a saved list.
+    pub(crate) fn new(terms: Option<ListTerms>, now: Ms) -> Self {
+        ListFreshness {
+            terms,
+            current_at: now,
+            call_made_at: now,
+            call_waits: 0.0,
+            unanswered: 0,
+            unanswered_since: now,
+            answer_began_at: None,
+            moved_at: None,
+        }
+    }
+
+    /// The service told the list, or that nothing has changed. When it wrote the answer is not known, which may have
+    /// been on its way for long: at the earliest when the call was made, or, if nothing changed, when its wait ended.
+    pub(crate) fn list_heard(&mut self, changed: bool, now: Ms) {
+        let waited = if changed { 0.0 } else { self.call_waits };
+        let written_at = (self.call_made_at + waited).min(now);
+        self.current_at = self.current_at.max(written_at);
+        self.answer_began_at = None;
+        self.unanswered = 0;
+    }
+
+    /// Something became of a call.
+    pub(crate) fn call_changed(&mut self, call: ListCall, now: Ms) {
+        match call {
+            ListCall::Made { waits } => {
+                self.call_made_at = now;
+                self.call_waits = waits;
+            }
+            ListCall::AnswerBegan => {
+                self.answer_began_at.get_or_insert(now);
+            }
+            ListCall::TurnedAway => self.unanswered = 0,
+            ListCall::Unanswered => self.call_unanswered(),
+            ListCall::Moved => {
+                self.moved_at = Some(now);
+                self.unanswered = 0;
+            }
+        }
+    }
+
+    /// Nobody answered. After a row of such calls the service was unreachable when the last of them was made.
+    fn call_unanswered(&mut self) {
+        if self.unanswered == 0 {
+            self.unanswered_since = self.call_made_at;
+        }
+        self.unanswered = self.unanswered.saturating_add(1);
+        let span = self.call_made_at - self.unanswered_since;
+        if self.unanswered < UNREACHABLE_CALLS || span < UNREACHABLE_SPAN {
+            return;
+        }
+        self.current_at = self.current_at.max(self.call_made_at);
+        if span >= UNREACHABLE_SPAN_AFTER_MOVE {
+            self.moved_at = self.moved_at.map(|at| at.max(self.call_made_at));
+        }
+    }
+
+    /// Until when requests may be sent on the list held. It moves back where an answer begins to arrive, or the
+    /// service moves.
+    pub(crate) fn trusted_until(&self) -> Ms {
+        let Some(terms) = self.terms else { return Ms::INFINITY };
+        let unheard = self.current_at + terms.told_within;
+        let moved = self.moved_at.map(|at| at + terms.told_after_move);
+        let moved = moved.filter(|binds| self.current_at < *binds).unwrap_or(Ms::INFINITY);
+        let arriving = self.answer_began_at.unwrap_or(Ms::INFINITY);
+        unheard.min(moved).min(arriving) + terms.drain_grace - MARGIN
+    }
+
+    /// Whether requests may be sent on the list held now.
+    pub(crate) fn is_trusted(&self, now: Ms) -> bool {
+        now < self.trusted_until()
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,7 @@
         plans: vec![plan(0.0)],
         list_on_request: false,
         ask_within: 10_000.0,
+        list_terms: None,
         max_attempts: 3,
         most_out: 1,
         may_cancel: true,
--- /dev/null
+++ b/tests/list_age.rs
@@ -0,0 +1,190 @@
+//! For how long the module acts on the list of nodes that it holds, and what it does when that is over.
+
+mod common;
+
+use common::*;
+use flaxstand::api::*;
+
+const TERMS: ListTerms = ListTerms { told_within: 6000.0, told_after_move: 4000.0, drain_grace: 1000.0 };
+/// The longest wait of a call in these tests.
+const WAIT: Ms = 2000.0;
+/// A host has to stop so long before the last moment at the least: a turn may be held up.
+const HELD_UP: Ms = 150.0;
+
+fn host() -> Host {
+    Host::new(Settings { list_terms: Some(TERMS), ..settings() }, 2)
+}
+
+fn call(host: &mut Host, call: ListCall) {
+    host.tell(Event::ListCall(call));
+    host.tell(Event::Decide);
+}
+
+/// A call that waits is answered when its wait ends: nothing has changed.
+fn quiet_call(host: &mut Host) {
+    call(host, ListCall::Made { waits: WAIT });
+    host.pass(WAIT);
+    host.list(ListScope::Changes, Vec::new());
+}
+
+/// For how long the host goes on sending from now on, if it hears nothing else, in steps of 10 ms.
+fn sends_for(host: &mut Host, mut meanwhile: impl FnMut(&mut Host, Ms)) -> Ms {
+    let start = host.now;
+    for id in 1000.. {
+        host.take();
+        host.arrive(arrival(id, Some(0), host.now + 800.0));
+        let did = host.take();
+        if refused(&did, id) {
+            return host.now - start;
+        }
+        let sent = |action: &Action| matches!(action, Action::Send { request, .. } if request.0 == id);
+        assert!(did.iter().any(sent), "{did:?}");
+        host.end(id, 0, Outcome::Served, 1.0);
+        host.pass(10.0);
+        meanwhile(host, host.now - start);
+        if host.now - start > 60_000.0 {
+            return Ms::INFINITY;
+        }
+    }
+    unreachable!()
+}
+
+/// The last moment, counted from when the service last told the list, at which a send to a node that has drained
+/// since is within the grace.
+const LAST: Ms = TERMS.told_within + TERMS.drain_grace;
+
+#[test]
+fn a_list_is_acted_on_until_a_change_that_was_not_heard_binds() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: WAIT });
+    let sends = sends_for(&mut host, |_, _| {});
+    assert!((LAST - 500.0..=LAST - HELD_UP).contains(&sends), "{sends}");
+}
+
+#[test]
+fn where_no_terms_are_stated_no_list_is_too_old() {
+    let mut host = Host::new(settings(), 2);
+    quiet_call(&mut host);
+    assert_eq!(sends_for(&mut host, |_, _| {}), Ms::INFINITY);
+}
+
+#[test]
+fn calls_that_are_turned_away_show_a_service_that_can_be_reached() {
+    let mut host = host();
+    quiet_call(&mut host);
+    let sends = sends_for(&mut host, |host, _| {
+        call(host, ListCall::Made { waits: 0.0 });
+        call(host, ListCall::TurnedAway);
+    });
+    assert!(sends <= LAST - HELD_UP, "{sends}");
+}
+
+#[test]
+fn an_outage_of_the_list_service_stops_no_sends() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: 0.0 });
+    let mut made = 0.0;
+    let sends = sends_for(&mut host, |host, passed| {
+        if passed - made >= 1500.0 {
+            made = passed;
+            call(host, ListCall::Unanswered);
+            call(host, ListCall::Made { waits: 0.0 });
+        }
+    });
+    assert_eq!(sends, Ms::INFINITY);
+}
+
+#[test]
+fn after_an_outage_changes_bind_as_ever() {
+    let mut host = host();
+    quiet_call(&mut host);
+    for _ in 0..10 {
+        call(&mut host, ListCall::Made { waits: 0.0 });
+        host.pass(1500.0);
+        call(&mut host, ListCall::Unanswered);
+    }
+    // It may have come back right after the last call was made.
+    let sends = sends_for(&mut host, |host, _| {
+        call(host, ListCall::Made { waits: 0.0 });
+        call(host, ListCall::TurnedAway);
+    });
+    assert!(sends <= LAST - 1500.0 - HELD_UP, "{sends}");
+}
+
+#[test]
+fn a_silent_watch_and_a_lost_call_are_no_outage() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: WAIT });
+    let mut lost = 0;
+    let sends = sends_for(&mut host, |host, passed| {
+        let due = [3000.0, 4200.0];
+        if due.get(lost).is_some_and(|due| passed >= *due) {
+            lost += 1;
+            call(host, ListCall::Unanswered);
+            call(host, ListCall::Made { waits: 0.0 });
+        }
+    });
+    assert_eq!(lost, 2);
+    assert!(sends <= LAST - HELD_UP, "{sends}");
+}
+
+#[test]
+fn what_an_answer_tells_binds_from_its_first_byte_on() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: WAIT });
+    host.pass(100.0);
+    call(&mut host, ListCall::AnswerBegan);
+    let sends = sends_for(&mut host, |_, _| {});
+    assert!((500.0..=TERMS.drain_grace - HELD_UP).contains(&sends), "{sends}");
+    // The rest of it comes: service goes on at once.
+    host.list(ListScope::Changes, vec![entry(1, Readiness::Draining, None)]);
+    host.arrive(arrival(1, Some(0), host.now + 800.0));
+    assert_eq!(host.sends(), [(1, 0)]);
+}
+
+#[test]
+fn an_answer_that_was_long_on_its_way_tells_what_was_so_when_it_was_asked_for() {
+    let mut host = host();
+    call(&mut host, ListCall::Made { waits: 0.0 });
+    host.pass(1500.0);
+    host.list(ListScope::Changes, Vec::new());
+    call(&mut host, ListCall::Made { waits: WAIT });
+    let sends = sends_for(&mut host, |_, _| {});
+    assert!(sends <= LAST - 1500.0 - HELD_UP, "{sends}");
+}
+
+#[test]
+fn a_service_that_moves_is_heard_there_before_what_it_has_binds() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Moved);
+    let last = TERMS.told_after_move + TERMS.drain_grace;
+    // An answer from before that moment does not hold beyond it.
+    let sends = sends_for(&mut host, |host, passed| {
+        if passed < 3000.0 {
+            call(host, ListCall::Made { waits: 0.0 });
+            host.list(ListScope::Changes, Vec::new());
+        }
+    });
+    assert!((last - 500.0..=last - HELD_UP).contains(&sends), "{sends}");
+}
+
+#[test]
+fn what_is_held_when_the_list_becomes_too_old_is_refused_with_when_to_come_back() {
+    let mut host = host();
+    quiet_call(&mut host);
+    host.list(ListScope::Changes, vec![entry(0, Readiness::Draining, None)]);
+    call(&mut host, ListCall::Made { waits: WAIT });
+    host.pass(LAST - 900.0);
+    host.take();
+    // Its shard has no node that takes work: it is held.
+    host.arrive(arrival(1, Some(0), host.now + 20_000.0));
+    assert_eq!(host.take(), []);
+    host.pass(900.0);
+    let advice = settings().max_retry_after;
+    assert_eq!(host.take(), [Action::Refuse { request: RequestId(1), retry_after: advice }]);
+}
--- a/tests/plain/brain.rs
+++ b/tests/plain/brain.rs
@@ -589,6 +589,8 @@
     pub fn handle(&mut self, event: Event, now: Ms, actions: &mut Vec<Action>) {
         match event {
             Event::List(scope, entries) => self.listed(scope, &entries, now),
+            // It knows no terms of the list: equal decisions are asked for where none are stated.
+            Event::ListCall(_) => {}
             Event::Arrived(arrival) => self.arrived(arrival, now),
             Event::AnswerStarted(id) => {
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
