Two new configurations in a row each bind at their own time

Cause: a second move of the list service within 4 s replaced the first, and what bound 4 s after the first was never asked for; with moves 2.5 s apart it did not bind at all.

Change: both keep the moves that the list held does not cover yet, 16 at most.

--- a/crates/flaxstand-gateway/src/core/list_calls.rs
+++ b/crates/flaxstand-gateway/src/core/list_calls.rs
@@ -12,10 +12,11 @@
 use super::node_table::NodeName;
 use super::plumbing::{Conn, Protocol, Timer};
 use crate::machine::{ConnId, Micros};
-use flaxstand::api::{Event, ListCall, ListScope, Readiness};
+use flaxstand::api::{Event, ListCall, ListScope, ListTerms, Readiness};
 use flaxstand_http::{Answer, Answers, write_request};
 use flaxstand_platform::{Listing, Target, TargetState, list_call};
 use rand_core::RngCore as _;
+use std::collections::VecDeque;
 use tracing::{info, warn};
 
 /// A call that may not wait is given up when it had no answer for this long. It grows with each call in a row that
@@ -35,6 +36,8 @@
 /// the longest, and shrinks by a quarter with each call that is answered.
 const SPACING_FIRST: Micros = Micros(100_000);
 const SPACING_LONGEST: Micros = Micros(1_000_000);
+/// Moves of the service whose moments are remembered; of more the earliest and the last.
+const MOVES_MOST: usize = 16;
 /// Zones that are told apart; targets of any more count to the last.
 const ZONES_MOST: usize = 64;
 /// Longest answer of the list service, bytes: 32,768 nodes of some 500 bytes each.
@@ -80,8 +83,8 @@
     /// Least time from one call to the next.
     spacing: Micros,
     made_at: Micros,
-    /// When what the service has binds this host, after the service moved: a wait for changes ends then.
-    binds_at: Option<Micros>,
+    /// When what the service has binds this host, after each of its last moves: a wait for changes ends then.
+    binds_at: VecDeque<Micros>,
     /// By when the connection that is coming up has to stand.
     dial_by: Option<Micros>,
     /// Of the answer that is arriving.
@@ -96,6 +99,18 @@
         Micros(1_000_000)
     }
 
+    /// The service is at another address: what was learnt of its calls holds no longer.
+    fn moved(&mut self, terms: Option<ListTerms>, now: Micros) {
+        let mut binds_at = std::mem::take(&mut self.binds_at);
+        if let Some(terms) = terms {
+            if binds_at.len() >= MOVES_MOST {
+                binds_at.pop_back();
+            }
+            binds_at.push_back(now.after(Micros::from_ms(terms.told_after_move)));
+        }
+        *self = ListCalls { binds_at, ..ListCalls::default() };
+    }
+
     fn was_answered(&mut self) {
         self.answered = true;
         self.unanswered = 0;
@@ -158,14 +173,14 @@
         let drawn = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
         let part = WAIT_LEAST + (1.0 - WAIT_LEAST) * drawn;
         let wait = Micros::from_ms(self.config.site.waits.watch.ms() * part);
-        match self.list.calls.binds_at {
-            None => wait,
-            Some(binds_at) if now < binds_at => wait.min(binds_at.since(now)),
+        let binds_at = &mut self.list.calls.binds_at;
+        let listed = binds_at.len();
+        while binds_at.pop_front_if(|at| *at <= now).is_some() {}
+        match binds_at.front() {
             // What the service has now binds: it is asked for once without a wait.
-            Some(_) => {
-                self.list.calls.binds_at = None;
-                Micros(0)
-            }
+            _ if binds_at.len() < listed => Micros(0),
+            Some(binds_at) => wait.min(binds_at.since(now)),
+            None => wait,
         }
     }
 
@@ -352,9 +367,7 @@
             self.plumbing.drop_quietly(conn);
         }
         self.stop_looking_for_silence();
-        let terms = self.config.site.settings.list_terms;
-        let binds_at = terms.map(|terms| now.after(Micros::from_ms(terms.told_after_move)));
-        self.list.calls = ListCalls { binds_at, ..ListCalls::default() };
+        self.list.calls.moved(self.config.site.settings.list_terms, now);
         self.list.revision = None;
         self.events.push_back(Event::ListCall(ListCall::Moved));
         self.call_list(now);
--- a/crates/flaxstand-gateway/tests/crossings.rs
+++ b/crates/flaxstand-gateway/tests/crossings.rs
@@ -138,10 +138,13 @@
         let new: Address = "127.0.0.1:2".parse().unwrap();
         w.dials.insert(new.clone(), Dial::Deaf);
         w.busy = 2;
+        w.answers_at_once = true;
         let began = w.now;
         let reloaded = Reloaded { bounds: platform().bounds, list: new.clone() };
         w.core.control(Control::Reload(reloaded), w.now);
-        w.run(10_000);
+        while w.listed_at <= began && w.now < began.after(ms(10_000)) {
+            w.run(1);
+        }
         assert_eq!(w.busy, 0);
         assert!(w.listed_at > began, "seed {seed}: the new one is called until it answers");
         let took = w.listed_at.since(began);
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -197,6 +197,8 @@
     pub list_up: bool,
     /// On the platform: calls for the whole list that are turned away before one is answered; when the last was.
     pub busy: u32,
+    /// On the platform: calls for changes that may not wait are answered at once too, or turned away.
+    pub answers_at_once: bool,
     pub listed_at: Micros,
     /// Which start a node says it is, where not the first.
     pub starts: BTreeMap<u64, u64>,
@@ -284,6 +286,7 @@
             revision: 1,
             list_up,
             busy: 0,
+            answers_at_once: false,
             listed_at: now,
             starts: BTreeMap::new(),
             brought: Vec::new(),
@@ -378,13 +381,15 @@
         if self.wire == Wire::Platform {
             let text = String::from_utf8_lossy(bytes);
             self.heard.entry(conn).or_default().push_str(&text);
-            if text.starts_with("GET /v1/endpoints HTTP") {
+            let whole = text.starts_with("GET /v1/endpoints HTTP");
+            let at_once = text.starts_with("GET /v1/endpoints?") && text.contains("timeout_ms=0 ");
+            if whole || at_once && self.answers_at_once {
                 if self.busy > 0 {
                     self.busy -= 1;
                     return self.answer(conn, "503 Busy", "");
                 }
                 self.listed_at = self.now;
-                let list = self.listing(true);
+                let list = self.listing(whole);
                 self.answer(conn, "200 OK", &list);
             }
             return;
--- a/src/list_freshness.rs
+++ b/src/list_freshness.rs
@@ -11,6 +11,7 @@
 //! first byte of an attempt leaves.
 
 use crate::api::{ListCall, ListTerms, Ms};
+use std::collections::VecDeque;
 
 /// Kept back from every span: a turn may be held up for 150 ms between reading its clock and writing, and a
 /// list or a request may be some milliseconds on its way.
@@ -21,6 +22,9 @@
 const UNREACHABLE_SPAN: Ms = 2000.0;
 /// The same where the service has moved: a new configuration binds sooner, so less is taken for an outage.
 const UNREACHABLE_SPAN_AFTER_MOVE: Ms = 3000.0;
+/// Moves that are remembered until what the service has some seconds later is known. Of more than so many within
+/// these seconds the earliest and the last count.
+const MOVES_MOST: usize = 16;
 
 /// What is known of the age of the list.
 #[derive(Debug)]
@@ -38,9 +42,9 @@
     unanswered_since: Ms,
     /// Since when an answer has been arriving that is not complete. What it tells binds from then on.
     answer_began_at: Option<Ms>,
-    /// When this host was last told that the service is at another address. What the service has some seconds later
-    /// binds then, whatever was heard before.
-    moved_at: Option<Ms>,
+    /// When this host was told that the service is at another address, in order. What the service has some seconds
+    /// later binds then, whatever was heard before; a move is forgotten once the list held is from after that.
+    moves: VecDeque<Ms>,
 }
 
 impl ListFreshness {
@@ -54,7 +58,7 @@
             unanswered: 0,
             unanswered_since: now,
             answer_began_at: None,
-            moved_at: None,
+            moves: VecDeque::new(),
         }
     }
 
@@ -66,6 +70,7 @@
         self.current_at = self.current_at.max(written_at);
         self.answer_began_at = None;
         self.unanswered = 0;
+        self.forget_moves();
     }
 
     /// Something became of a call.
@@ -81,8 +86,8 @@
             ListCall::TurnedAway => self.unanswered = 0,
             ListCall::Unanswered => self.call_unanswered(),
             ListCall::Moved => {
-                self.moved_at = Some(now);
                 self.unanswered = 0;
+                self.moved(now);
             }
         }
     }
@@ -99,17 +104,29 @@
         }
         self.current_at = self.current_at.max(self.call_made_at);
         if span >= UNREACHABLE_SPAN_AFTER_MOVE {
-            self.moved_at = self.moved_at.map(|at| at.max(self.call_made_at));
+            self.moves.iter_mut().for_each(|moved_at| *moved_at = moved_at.max(self.call_made_at));
         }
     }
 
+    fn moved(&mut self, now: Ms) {
+        if self.moves.len() >= MOVES_MOST {
+            self.moves.pop_back();
+        }
+        self.moves.push_back(now);
+    }
+
+    fn forget_moves(&mut self) {
+        let Some(terms) = self.terms else { return };
+        let known = |moved_at: &mut Ms| *moved_at + terms.told_after_move <= self.current_at;
+        while self.moves.pop_front_if(known).is_some() {}
+    }
+
     /// Until when requests may be sent on the list held. It moves back where an answer begins to arrive, or the
     /// service moves.
     pub(crate) fn trusted_until(&self) -> Ms {
         let Some(terms) = self.terms else { return Ms::INFINITY };
         let unheard = self.current_at + terms.told_within;
-        let moved = self.moved_at.map(|at| at + terms.told_after_move);
-        let moved = moved.filter(|binds| self.current_at < *binds).unwrap_or(Ms::INFINITY);
+        let moved = self.moves.front().map_or(Ms::INFINITY, |at| at + terms.told_after_move);
         let arriving = self.answer_began_at.unwrap_or(Ms::INFINITY);
         unheard.min(moved).min(arriving) + terms.drain_grace - MARGIN
     }
--- a/tests/list_age.rs
+++ b/tests/list_age.rs
@@ -173,6 +173,32 @@
     assert!((last - 500.0..=last - HELD_UP).contains(&sends), "{sends}");
 }
 
+#[test]
+fn a_service_that_moves_twice_has_to_be_heard_after_the_first_move_too() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Moved);
+    let last = TERMS.told_after_move + TERMS.drain_grace;
+    let mut moved = false;
+    let sends = sends_for(&mut host, |host, passed| {
+        if passed >= 2000.0 && !moved {
+            moved = true;
+            call(host, ListCall::Moved);
+        }
+        if passed < 3000.0 {
+            call(host, ListCall::Made { waits: 0.0 });
+            host.list(ListScope::Changes, Vec::new());
+        }
+    });
+    assert!(moved && sends <= last - HELD_UP, "{sends}");
+    // It is heard after both: nothing more is asked for.
+    host.pass(3000.0);
+    call(&mut host, ListCall::Made { waits: 0.0 });
+    host.list(ListScope::Changes, Vec::new());
+    let sends = sends_for(&mut host, |_, _| {});
+    assert!((LAST - 500.0..=LAST - HELD_UP).contains(&sends), "{sends}");
+}
+
 #[test]
 fn what_is_held_when_the_list_becomes_too_old_is_refused_with_when_to_come_back() {
     let mut host = host();
