Calls of the list name the revision held, at the start and after a move too

Cause (root of lists that were never heard): a new process, and one with a new configuration, asked for the whole list (`ListPeer::new` with no revision although `known` has one; `list_moved` dropped it). The list service works through calls one after another, a whole list of 3,200 targets costs it as much as some 80 calls for changes, and calls behind it are turned away for as long; six hosts keep it from answering anybody.

Ruled out: that the revisions count anew elsewhere.

Change: the list that a process is started with, and the one held when the service moves, name their revision; the first call there does not wait.

--- a/crates/flaxstand-gateway/src/core/list_calls.rs
+++ b/crates/flaxstand-gateway/src/core/list_calls.rs
@@ -296,6 +296,9 @@
     /// revision from now on: the service tells what has changed since, which costs it less than the whole.
     pub fn take_platform_list(&mut self, scope: ListScope, listing: &Listing, now: Micros) {
         let told: Vec<Told> = listing.targets.iter().map(|t| self.told(t)).collect();
+        if scope == ListScope::Saved && !told.is_empty() {
+            self.list.revision = Some(listing.rev);
+        }
         self.take_told(scope, listing.rev, told, now);
     }
 
@@ -368,7 +371,6 @@
         }
         self.stop_looking_for_silence();
         self.list.calls.moved(self.config.site.settings.list_terms, now);
-        self.list.revision = None;
         self.events.push_back(Event::ListCall(ListCall::Moved));
         self.call_list(now);
     }
