An answer of the list service that makes progress is waited for

A list of thousands of targets that came over some seconds was given up and begun anew for ever.

Change: an answer that has begun is given up when nothing came of it for 1.5 s, or when it comes slower than 8 KiB/s after its first 4 s; a list of 16 MiB is the longest. A call of the whole list may go unanswered for 4 to 16 s, others for 1 to 2 s: in an outage a call that is lost must be followed by the next before the list becomes too old. What is done meanwhile is the module's: what an answer tells binds from its first byte on. The list has its own bound on bytes.

--- a/crates/flaxstand-gateway/src/core/dispatch.rs
+++ b/crates/flaxstand-gateway/src/core/dispatch.rs
@@ -63,7 +63,7 @@
                 self.node_lost(conn, node, gone.stage, gone.outbox.written(), cause, now)
             }
             (Peer::Fellow(fellow), _) => self.fellow_lost(&fellow, cause, now),
-            (Peer::List, Protocol::ListClient(list)) => self.list_connection_lost(&list, cause, now),
+            (Peer::List, Protocol::ListClient(_)) => self.list_connection_lost(cause, now),
             (Peer::List, _) => self.list_lost(gone.stage, cause, now),
         }
     }
--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -102,8 +102,8 @@
     }
 
     pub(super) fn call_list(&mut self, now: Micros) {
-        if let Some(conn) = self.list.conn {
-            return self.call_list_on(conn, now);
+        if self.list.conn.is_some() {
+            return;
         }
         let (protocol, by) = match self.config.wire {
             Wire::Frames => {
--- a/crates/flaxstand-gateway/src/core/list_calls.rs
+++ b/crates/flaxstand-gateway/src/core/list_calls.rs
@@ -4,8 +4,8 @@
 //! Waits are short, so that a watch that fell silent is noticed before what it missed binds this host, and they
 //! differ, so that hosts that began together do not go on calling together. An answer that is arriving is waited
 //! for as long as it makes progress: a whole list of thousands of nodes from a busy service takes its time. The
-//! service works through calls one after another and pays for those it turns away too, so a call names the
-//! revision held wherever there is one, and calls are spaced out for as long as the service turns them away.
+//! service works through calls one after another, and pays for a whole list as for many calls: a call names the
+//! revision held wherever there is one.
 
 use super::Core;
 use super::list::Told;
@@ -32,10 +32,6 @@
 const SLOW_START: Micros = Micros(4_000_000);
 /// The least part of the longest wait that is asked for.
 const WAIT_LEAST: f64 = 0.6;
-/// Least time from one call to the next after the service turned one away. It doubles with each further one up to
-/// the longest, and shrinks by a quarter with each call that is answered.
-const SPACING_FIRST: Micros = Micros(100_000);
-const SPACING_LONGEST: Micros = Micros(1_000_000);
 /// Moves of the service whose moments are remembered; of more the earliest and the last.
 const MOVES_MOST: usize = 16;
 /// Zones that are told apart; targets of any more count to the last.
@@ -43,17 +39,15 @@
 /// Longest answer of the list service, bytes: 32,768 nodes of some 500 bytes each.
 const ANSWER_MOST: usize = 16 << 20;
 
-/// A connection to the list service.
+/// A connection to the list service. A call is out on it from when it stands.
 #[derive(Debug)]
 pub(super) struct ListConnection {
     reader: Answers,
-    /// A call is out on it.
-    pub(super) asked: bool,
 }
 
 impl ListConnection {
     fn new() -> Self {
-        ListConnection { reader: Answers::with_body_limit(ANSWER_MOST), asked: true }
+        ListConnection { reader: Answers::with_body_limit(ANSWER_MOST) }
     }
 }
 
@@ -80,8 +74,6 @@
     answered: bool,
     /// Calls in a row without an answer.
     unanswered: usize,
-    /// Least time from one call to the next.
-    spacing: Micros,
     made_at: Micros,
     /// When what the service has binds this host, after each of its last moves: a wait for changes ends then.
     binds_at: VecDeque<Micros>,
@@ -95,8 +87,7 @@
     /// How long a call may go without an answer, beyond what it asks the service to wait.
     fn patience(&self, whole_list: bool) -> Micros {
         let patience = if whole_list { PATIENCE_WHOLE_LIST } else { PATIENCE };
-        let _ = patience;
-        Micros(1_000_000)
+        patience[self.unanswered.min(patience.len() - 1)]
     }
 
     /// The service is at another address: what was learnt of its calls holds no longer.
@@ -152,8 +143,6 @@
         if let Some(by) = self.list.calls.dial_by.take() {
             self.plumbing.cancel(by, Timer::Dial(conn));
         }
-        let Some(list) = self.list_connection(conn) else { return };
-        list.asked = true;
         self.list.calls.progress = None;
         let wait = self.list_call_wait(now);
         self.list_call_made(wait, now);
@@ -184,29 +173,9 @@
         }
     }
 
-    /// The next call, on the connection of the last, once calls may follow.
-    fn call_list_again(&mut self, conn: ConnId, now: Micros) {
-        let from = self.list.calls.made_at.after(self.list.calls.spacing);
-        if now < from {
-            self.plumbing.at(from, Timer::ListCall);
-            return;
-        }
-        self.write_list_call(conn, now);
-    }
-
-    /// Calls may follow again: a connection that was kept is used.
-    pub(super) fn call_list_on(&mut self, conn: ConnId, now: Micros) {
-        if self.list_connection(conn).is_some_and(|list| !list.asked) {
-            self.call_list_again(conn, now);
-        }
-    }
-
     /// Bytes came from the list service.
     pub(super) fn list_received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
         let Some(list) = self.list_connection(conn) else { return };
-        if !list.asked {
-            return self.lost(conn, "bytes that nobody asked for", true, now);
-        }
         list.reader.push(bytes);
         match list.reader.take() {
             Ok(Some(answer)) => self.list_answered(conn, &answer, now),
@@ -228,8 +197,10 @@
                 progress.bytes += bytes;
             }
             None => {
-                calls.progress = Some(Progress { began: now, last: now, bytes });
+                let progress = Progress { began: now, last: now, bytes };
+                calls.progress = Some(progress);
                 self.events.push_back(Event::ListCall(ListCall::AnswerBegan));
+                self.look_for_silence(progress.due());
             }
         }
     }
@@ -259,18 +230,13 @@
         self.list.calls.progress = None;
         self.take_listing(&listing, now);
         if answer.keeps {
-            if let Some(list) = self.list_connection(conn) {
-                list.asked = false;
-            }
-            self.stop_looking_for_silence();
-            self.call_list_again(conn, now);
+            self.write_list_call(conn, now);
         } else {
             // It works, and only this connection ends: not a failure that the module should hear of.
             self.list.conn = None;
             self.stop_looking_for_silence();
             self.plumbing.drop_quietly(conn);
-            let from = self.list.calls.made_at.after(self.list.calls.spacing);
-            self.plumbing.at(from.max(now), Timer::ListCall);
+            self.call_list(now);
         }
     }
 
@@ -328,12 +294,9 @@
     }
 
     /// The connection broke, from the other end or for what came on it.
-    pub(super) fn list_connection_lost(&mut self, connection: &ListConnection, cause: &str, now: Micros) {
+    pub(super) fn list_connection_lost(&mut self, cause: &str, now: Micros) {
         self.list.conn = None;
-        if connection.asked {
-            self.list_call_ended(ListCall::Unanswered, cause, now);
-        }
-        // Else it rested between two calls; the next one opens another.
+        self.list_call_ended(ListCall::Unanswered, cause, now);
     }
 
     /// Closes a connection under its call, which ends so.
@@ -357,7 +320,7 @@
     /// A call has been out for long: it is given up, unless its answer is arriving.
     pub(super) fn list_call_overdue(&mut self, conn: ConnId, now: Micros) {
         match self.list.calls.progress.map(|progress| progress.due()) {
-            Some(_) if now < now => {}
+            Some(due) if now < due => self.look_for_silence(due),
             Some(_) => self.fail_list_call(conn, ListCall::Unanswered, "the list does not come whole", now),
             None => self.fail_list_call(conn, ListCall::Unanswered, "the list service is silent", now),
         }
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -197,6 +197,8 @@
     pub list_up: bool,
     /// On the platform: calls for the whole list that are turned away before one is answered; when the last was.
     pub busy: u32,
+    /// On the platform: calls for the whole list are the test's to answer.
+    pub leaves_calls: bool,
     /// On the platform: calls for changes that may not wait are answered at once too, or turned away.
     pub answers_at_once: bool,
     pub listed_at: Micros,
@@ -286,6 +288,7 @@
             revision: 1,
             list_up,
             busy: 0,
+            leaves_calls: false,
             answers_at_once: false,
             listed_at: now,
             starts: BTreeMap::new(),
@@ -383,7 +386,7 @@
             self.heard.entry(conn).or_default().push_str(&text);
             let whole = text.starts_with("GET /v1/endpoints HTTP");
             let at_once = text.starts_with("GET /v1/endpoints?") && text.contains("timeout_ms=0 ");
-            if whole || at_once && self.answers_at_once {
+            if whole && !self.leaves_calls || at_once && self.answers_at_once {
                 if self.busy > 0 {
                     self.busy -= 1;
                     return self.answer(conn, "503 Busy", "");
