A known node whose address can't be read takes nothing new

Cause: an entry with an address that can't be parsed was left out (`told_address` in core/list.rs kept only those that are gone), so a node that the list said to be draining stayed serving.

Change: a known node keeps the address it had and its state as told; one that is told as serving at an address that can't be read is held as draining, with a line in the log. Only a node that is not known yet is left out.

--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -253,9 +253,9 @@
         absent
     }
 
-    fn take_entry(&mut self, e: Told, now: Micros) -> Option<NodeEntry> {
+    fn take_entry(&mut self, mut e: Told, now: Micros) -> Option<NodeEntry> {
         let known = self.nodes.id_of(&e.name);
-        let address = self.told_address(&e, known)?;
+        let address = self.told_address(&mut e, known)?;
         let id = match known {
             Some(id) => id,
             None => self.insert_node(&e, &address)?,
@@ -284,16 +284,22 @@
         Some(NodeEntry { pace: e.pace, ..entry })
     }
 
-    /// Where an entry says that its node listens. What is gone needs no address any more.
-    fn told_address(&self, e: &Told, known: Option<NodeId>) -> Option<Address> {
-        match (e.address.parse(), known) {
-            (Ok(address), _) => Some(address),
-            (Err(_), Some(id)) if e.readiness == Readiness::Gone => Some(self.nodes.get(id)?.address.clone()),
-            (Err(cause), _) => {
-                warn!(node = %e.name, %cause, "a listed node is left out");
-                None
-            }
+    /// Where an entry says that its node listens. A known node whose address can't be read keeps the one it had, and
+    /// takes nothing new there: what it was told besides holds all the same.
+    fn told_address(&self, e: &mut Told, known: Option<NodeId>) -> Option<Address> {
+        let cause = match e.address.parse() {
+            Ok(address) => return Some(address),
+            Err(cause) => cause,
+        };
+        let Some(known) = known.and_then(|id| self.nodes.get(id)) else {
+            warn!(node = %e.name, %cause, "a listed node is left out");
+            return None;
+        };
+        if e.readiness == Readiness::Serving {
+            warn!(node = %e.name, %cause, "a listed node takes nothing new: its address can't be read");
+            e.readiness = Readiness::Draining;
         }
+        Some(known.address.clone())
     }
 
     fn insert_node(&mut self, e: &Told, address: &Address) -> Option<NodeId> {
