Read answers and requests incrementally: no parse of all that is held at each push

Cause: Answers::take and Requests::take parsed from the first byte held at every call. A chunked body was walked and copied whole at each push, so its cost grew with the square of the number of pieces; the head of an answer or a request was parsed again at each push of its body.

Ruled out: a head parser of our own that looks at each byte of an incomplete head once. The head is still parsed at each call until it is complete, so that every fault shows at the same byte as before.

Change: Answers keeps the parsed head and a state of its body: of known length, chunked with a decoder that goes on where it stopped, or until the connection closes. Requests keeps the parsed head. read.rs is split into answers.rs, requests.rs, framing.rs and chunked.rs. New: Answers::body_started, and bytes_examined on both readers, which the tests of the work count by. Chunk framing that is decoded is no longer held; len() counts it as before. A fault now stays: before, a fault in a size line that was too long could be followed by an answer.

Tests: drawn answers in drawn cuts against the former reader, kept in tests/whole_parse; counts of the work for 1 MiB in 10-byte pieces; the bounds of size lines and trailers to the byte. No test that stood before was changed.

--- a/crates/flaxstand-http/src/lib.rs
+++ b/crates/flaxstand-http/src/lib.rs
@@ -8,14 +8,18 @@
 //! - [`write_request`], [`write_answer`]: writers
 #![forbid(unsafe_code)]
 
+mod answers;
+mod chunked;
 mod fault;
+mod framing;
 mod message;
-mod read;
+mod requests;
 mod write;
 
+pub use answers::Answers;
 pub use fault::Fault;
 pub use message::{Answer, Fields, Request};
-pub use read::{Answers, Requests};
+pub use requests::Requests;
 pub use write::{reason, write_answer, write_request};
 
 /// Most bytes of a head, its empty line included.
--- /dev/null
+++ b/crates/flaxstand-http/tests/incremental.rs
@@ -0,0 +1,264 @@
+//! The incremental readers against a reader that parses all it holds at each call, and the work they do.
+
+mod whole_parse;
+
+use flaxstand_http::{Answer, Answers, BODY_MOST, FIELDS_MOST, Fault, HEAD_MOST, Requests};
+use proptest::prelude::*;
+use whole_parse::{PlainAnswer, WholeParseReader};
+
+const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn is_same(answer: &Answer, plain: &PlainAnswer) -> bool {
+    plain.fields.equals(answer)
+        && (answer.status, &answer.body, answer.keeps) == (plain.status, &plain.body, plain.keeps)
+}
+
+/// Passes the pieces to both readers and compares all that both of them tell, until the first fault.
+fn compare(pieces: &[&[u8]], body_most: usize) -> Result<(), TestCaseError> {
+    let mut reader = Answers::with_body_limit(body_most);
+    let mut reference = WholeParseReader::new(body_most);
+    for piece in pieces {
+        reader.push(piece);
+        reference.push(piece);
+        match (reader.take(), reference.take()) {
+            (Ok(Some(answer)), Ok(Some(plain))) => prop_assert!(is_same(&answer, &plain)),
+            (Ok(None), Ok(None)) => {}
+            (Err(fault), Err(expected)) => {
+                prop_assert_eq!(fault, expected);
+                prop_assert_eq!(reader.in_body(), reference.in_body());
+                prop_assert_eq!(reader.len(), reference.len());
+                prop_assert_eq!(reader.beginning(), reference.beginning());
+                reader.push(b"0\r\n\r\n");
+                prop_assert_eq!(reader.take(), Err(fault), "a fault stays");
+                return Ok(());
+            }
+            (taken, expected) => prop_assert!(false, "{taken:?} instead of {expected:?}"),
+        }
+        prop_assert_eq!(reader.in_body(), reference.in_body());
+        prop_assert_eq!(reader.len(), reference.len());
+        prop_assert_eq!(reader.is_empty(), reference.is_empty());
+        prop_assert_eq!(reader.beginning(), reference.beginning());
+    }
+    match (reader.end(), reference.end()) {
+        (Some(answer), Some(plain)) => prop_assert!(is_same(&answer, &plain)),
+        (None, None) => {}
+        (ended, expected) => prop_assert!(false, "{ended:?} instead of {expected:?}"),
+    }
+    prop_assert_eq!(reader.len(), reference.len());
+    Ok(())
+}
+
+/// Cuts the bytes after each of these lengths, which are used again and again.
+fn cut<'a>(bytes: &'a [u8], lengths: &[usize]) -> Vec<&'a [u8]> {
+    let (mut pieces, mut rest) = (Vec::new(), bytes);
+    for length in lengths.iter().cycle() {
+        let (piece, behind) = rest.split_at((*length).min(rest.len()));
+        pieces.push(piece);
+        rest = behind;
+        if rest.is_empty() {
+            break;
+        }
+    }
+    pieces
+}
+
+/// Short lengths, and some around the bound of a head.
+fn length_near_bound() -> impl Strategy<Value = usize> {
+    prop_oneof![8 => 0..20usize, 1 => HEAD_MOST - 60..HEAD_MOST + 20]
+}
+
+fn chunk() -> impl Strategy<Value = Vec<u8>> {
+    let extension = prop_oneof![
+        6 => Just(Vec::new()),
+        2 => prop::sample::select(vec!["  ", " ;a=b", ";x;y\t", " 1", ";\n", "\rx", "g"]).prop_map(|e| e.into()),
+        1 => length_near_bound().prop_map(|length| [b";", vec![b'e'; length].as_slice()].concat()),
+    ];
+    let end = prop_oneof![20 => Just("\r\n"), 1 => Just("\n"), 1 => Just("x\r\n"), 1 => Just("")];
+    (1..40usize, 0..3usize, extension, end).prop_map(|(size, zeros, extension, end)| {
+        let size_text = format!("{}{size:x}", "0".repeat(zeros * 7));
+        let data = vec![b'd'; size];
+        [size_text.as_bytes(), &extension, b"\r\n", &data, end.as_bytes()].concat()
+    })
+}
+
+fn trailers() -> impl Strategy<Value = Vec<u8>> {
+    prop_oneof![
+        4 => Just(b"\r\n".to_vec()),
+        1 => length_near_bound().prop_map(|n| format!("T: {}\r\n\r\n", "t".repeat(n)).into_bytes()),
+        1 => (0..FIELDS_MOST + 3).prop_map(|n| format!("{}\r\n", "T: t\r\n".repeat(n)).into_bytes()),
+        1 => Just(b"T\x00: t\r\n\r\n".to_vec()),
+    ]
+}
+
+fn chunked_answer() -> impl Strategy<Value = Vec<u8>> {
+    let last = prop::sample::select(vec!["0", "000", "", "0;x", "fffffffffffffffff", "10000"]);
+    (prop::collection::vec(chunk(), 0..12), last, trailers()).prop_map(|(chunks, last, trailers)| {
+        [CHUNKED_HEAD, &chunks.concat(), last.as_bytes(), b"\r\n", &trailers].concat()
+    })
+}
+
+fn plain_answer() -> impl Strategy<Value = Vec<u8>> {
+    let line = prop::sample::select(vec![
+        "HTTP/1.1 200 OK",
+        "HTTP/1.0 503 Full",
+        "HTTP/1.1 204 N",
+        "\r\nHTTP/1.1 404",
+    ]);
+    let fields = prop::sample::select(vec![
+        "Content-Length: 30\r\n",
+        "Content-Length: 0\r\nX: a\r\nx: b\r\n",
+        "Content-Length: 30\r\nConnection: close\r\n",
+        "Connection: x, Close\r\n",
+        "Content-Length: 30\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 1\r\nContent-Length: 1\r\n",
+        "Content-Length: 500\r\n",
+        "",
+    ]);
+    (line, fields, length_near_bound(), 0..60usize).prop_map(|(line, fields, padding, body)| {
+        format!("{line}\r\n{fields}P: {}\r\n\r\n{}", "p".repeat(padding), "b".repeat(body)).into_bytes()
+    })
+}
+
+fn interim() -> impl Strategy<Value = Vec<u8>> {
+    let texts =
+        vec!["", "HTTP/1.1 100 C\r\n\r\n", "HTTP/1.1 103 E\r\nLink: x\r\n\r\n\r\n", "HTTP/1.1 101 S\r\n\r\n"];
+    prop::collection::vec(prop::sample::select(texts), 0..3).prop_map(|all| all.concat().into_bytes())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(800))]
+
+    #[test]
+    fn every_cut_reads_as_a_parse_of_all_that_is_held(
+        answers in prop::collection::vec((interim(), prop_oneof![chunked_answer(), plain_answer()]), 1..3),
+        lengths in prop::collection::vec(prop_oneof![0..5usize, 1..30usize, 100..3000usize], 1..10),
+        flips in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..2),
+        limit in prop::sample::select(vec![0, 30, 100, 1000, 1 << 20]),
+    ) {
+        prop_assume!(lengths.iter().sum::<usize>() > 0);
+        let mut bytes: Vec<u8> = answers.into_iter().flat_map(|(ahead, answer)| [ahead, answer].concat()).collect();
+        for (at, byte) in flips {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        compare(&cut(&bytes, &lengths), limit)?;
+    }
+
+    #[test]
+    fn every_size_line_reads_as_a_parse_of_all_that_is_held(
+        line in prop::collection::vec(prop::sample::select(b"0123aAfFg ;\t\r\n\0".to_vec()), 0..25),
+        lengths in prop::collection::vec(1..4usize, 1..4),
+    ) {
+        let bytes = [CHUNKED_HEAD, &line, b"\r\n0\r\n\r\n"].concat();
+        compare(&cut(&bytes, &lengths), 1 << 20)?;
+    }
+}
+
+#[test]
+fn the_bounds_of_size_lines_and_trailers_hold_to_the_byte() {
+    for length in HEAD_MOST - 3..HEAD_MOST + 4 {
+        for (ahead, behind) in [("1;", "\r\nd\r\n0\r\n\r\n"), ("0\r\nT: ", "\r\n\r\n")] {
+            let bytes = [CHUNKED_HEAD, ahead.as_bytes(), &vec![b'x'; length - 6], behind.as_bytes()].concat();
+            let near_end = CHUNKED_HEAD.len() + HEAD_MOST - 10;
+            let (begin, end) = bytes.split_at(near_end);
+            let pieces: Vec<&[u8]> = std::iter::once(begin).chain(end.chunks(1)).collect();
+            compare(&pieces, 1 << 20).unwrap();
+        }
+    }
+}
+
+/// What a reader examined of an answer that came in pieces of this length.
+fn examined(bytes: &[u8], piece: usize, body: usize) -> u64 {
+    let mut reader = Answers::with_body_limit(2 << 20);
+    let mut pieces = bytes.chunks(piece).peekable();
+    while let Some(piece) = pieces.next() {
+        reader.push(piece);
+        let taken = reader.take().unwrap();
+        assert_eq!(taken.is_some(), pieces.peek().is_none());
+        assert!(taken.is_none_or(|answer| answer.body.len() == body && answer.keeps));
+    }
+    reader.bytes_examined()
+}
+
+#[test]
+fn the_work_for_a_chunked_body_grows_with_its_length_and_not_with_its_pieces() {
+    const BODY: usize = 1 << 20;
+    for chunk in [1, 10, 1000, 65_536, BODY] {
+        let mut bytes = CHUNKED_HEAD.to_vec();
+        for data in vec![b'd'; BODY].chunks(chunk) {
+            bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+            bytes.extend_from_slice(data);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\nT: trailer\r\n\r\n");
+        let few_pieces = examined(&bytes, bytes.len(), BODY);
+        assert!(few_pieces <= bytes.len() as u64);
+        let many_pieces = examined(&bytes, 10, BODY);
+        assert!(
+            many_pieces <= bytes.len() as u64 + 500,
+            "{many_pieces} of {} in chunks of {chunk}",
+            bytes.len()
+        );
+    }
+}
+
+#[test]
+fn a_head_is_not_parsed_again_while_its_body_arrives() {
+    let body = vec![b'b'; 1 << 20];
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    assert!(examined(&[head.as_bytes(), &body].concat(), 10, body.len()) <= 500);
+
+    let mut reader = Requests::default();
+    reader.push(
+        format!("PUT / HTTP/1.1\r\nX: {}\r\nContent-Length: {BODY_MOST}\r\n\r\n", "x".repeat(8000))
+            .as_bytes(),
+    );
+    for piece in [b'b'; BODY_MOST].chunks(10) {
+        assert_eq!(reader.take(), Ok(None));
+        reader.push(piece);
+    }
+    assert_eq!(reader.take().unwrap().unwrap().body, [b'b'; BODY_MOST]);
+    assert!(reader.bytes_examined() <= HEAD_MOST as u64);
+}
+
+#[test]
+fn a_body_has_started_with_its_first_byte_in_every_framing() {
+    for (head, first) in [
+        ("Content-Length: 2\r\n", "b"),
+        ("Transfer-Encoding: chunked\r\n", "2"),
+        ("Connection: close\r\n", "b"),
+    ] {
+        let head = format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n{head}\r\n");
+        let mut reader = Answers::default();
+        for byte in head.as_bytes() {
+            assert!(!reader.in_body() && !reader.body_started());
+            reader.push(&[*byte]);
+            assert_eq!(reader.take(), Ok(None));
+        }
+        assert!(reader.in_body() && !reader.body_started(), "{head}");
+        reader.push(first.as_bytes());
+        assert_eq!(reader.take(), Ok(None));
+        assert!(reader.in_body() && reader.body_started(), "{head}");
+
+        let mut reader = Answers::default();
+        reader.push(format!("{head}{first}").as_bytes());
+        assert_eq!(reader.take(), Ok(None));
+        assert!(reader.body_started(), "{head}");
+    }
+    let mut reader = Answers::default();
+    reader.push(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+    assert!(reader.take().unwrap().is_some());
+    assert!(!reader.in_body() && !reader.body_started());
+}
+
+#[test]
+fn a_fault_in_a_body_stays_and_leaves_no_answer() {
+    let mut reader = Answers::with_body_limit(4);
+    reader.push(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    assert_eq!(reader.take(), Ok(None));
+    reader.push(b"bodies");
+    assert_eq!(reader.take(), Err(Fault::BodyTooLong));
+    assert_eq!(reader.take(), Err(Fault::BodyTooLong));
+    assert!(reader.in_body());
+    assert_eq!(reader.end(), None);
+}
--- /dev/null
+++ b/crates/flaxstand-http/tests/whole_parse/mod.rs
@@ -0,0 +1,189 @@
+//! A plain reader of answers that parses all it holds at each call, as a reference for the incremental one.
+
+use flaxstand_http::{Answer, FIELDS_MOST, Fault, HEAD_MOST};
+
+/// An answer as plain values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainAnswer {
+    pub status: u16,
+    pub fields: PlainFields,
+    pub body: Vec<u8>,
+    pub keeps: bool,
+}
+
+/// Names and values of fields, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlainFields(Vec<(String, Vec<u8>)>);
+
+impl PlainFields {
+    fn all(&self, name: &str) -> Vec<&[u8]> {
+        let called = |field: &&(String, Vec<u8>)| field.0.eq_ignore_ascii_case(name);
+        self.0.iter().filter(called).map(|(_, value)| value.as_slice()).collect()
+    }
+
+    /// Whether the read answer has the same fields.
+    pub fn equals(&self, answer: &Answer) -> bool {
+        let same =
+            |(name, _): &(String, Vec<u8>)| self.all(name) == answer.fields.all(name).collect::<Vec<_>>();
+        self.0.iter().all(same)
+    }
+}
+
+/// Reads the answers of one connection.
+#[derive(Debug)]
+pub struct WholeParseReader {
+    bytes: Vec<u8>,
+    body_most: usize,
+    in_body: bool,
+    /// The head of an answer whose body ends with the connection, and where the body begins.
+    ends: Option<(u16, PlainFields, usize)>,
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    End,
+}
+
+impl WholeParseReader {
+    pub fn new(body_most: usize) -> Self {
+        WholeParseReader { bytes: Vec::new(), body_most, in_body: false, ends: None }
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    pub fn beginning(&self) -> String {
+        self.bytes.iter().take(160).flat_map(|b| b.escape_ascii()).map(char::from).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub fn in_body(&self) -> bool {
+        self.in_body
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    pub fn take(&mut self) -> Result<Option<PlainAnswer>, Fault> {
+        if let Some((.., at)) = self.ends {
+            let too_long = self.bytes.len() - at > self.body_most;
+            return if too_long { Err(Fault::BodyTooLong) } else { Ok(None) };
+        }
+        loop {
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+            let mut head = httparse::Response::new(&mut fields);
+            let body_at = match head.parse(&self.bytes)? {
+                httparse::Status::Complete(len) if len <= HEAD_MOST => len,
+                httparse::Status::Partial if self.bytes.len() <= HEAD_MOST => return Ok(None),
+                _ => return Err(Fault::HeadTooLong),
+            };
+            let status = head.code.unwrap_or_default();
+            if (102..200).contains(&status) || status == 100 {
+                self.bytes.drain(..body_at);
+                continue;
+            }
+            if !(200..600).contains(&status) {
+                return Err(Fault::Head(httparse::Error::Status));
+            }
+            let plain = |field: &httparse::Header<'_>| (field.name.to_owned(), field.value.to_vec());
+            let fields = PlainFields(head.headers.iter().map(plain).collect());
+            let keeps = head.version == Some(1) && !closes(&fields);
+            let framing = framing(status, keeps, &fields, self.body_most)?;
+            let Some((body, end)) = self.body(body_at, &framing)? else {
+                self.in_body = true;
+                self.ends = matches!(framing, Framing::End).then_some((status, fields, body_at));
+                return Ok(None);
+            };
+            let keeps = keeps && end == self.bytes.len();
+            *self = WholeParseReader::new(self.body_most);
+            return Ok(Some(PlainAnswer { status, fields, body, keeps }));
+        }
+    }
+
+    pub fn end(&mut self) -> Option<PlainAnswer> {
+        let (status, fields, at) = self.ends.take()?;
+        let body = self.bytes.split_off(at);
+        *self = WholeParseReader::new(self.body_most);
+        Some(PlainAnswer { status, fields, body, keeps: false })
+    }
+
+    fn body(&self, at: usize, framing: &Framing) -> Result<Option<(Vec<u8>, usize)>, Fault> {
+        match framing {
+            Framing::Length(length) => Ok(self.bytes.get(at..at + length).map(|b| (b.to_vec(), at + length))),
+            Framing::Chunked => dechunk(&self.bytes, at, self.body_most),
+            Framing::End => Ok(None),
+        }
+    }
+}
+
+fn closes(fields: &PlainFields) -> bool {
+    let words =
+        |value: &[u8]| value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(b"close"));
+    fields.all("connection").into_iter().any(words)
+}
+
+fn length(fields: &PlainFields, most: usize) -> Result<Option<usize>, Fault> {
+    let all = fields.all("content-length");
+    let Some(value) = all.first() else { return Ok(None) };
+    if all.len() > 1 || value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(Fault::Length);
+    }
+    let digits = value.iter().skip_while(|b| **b == b'0');
+    let most = most as u64 + 1;
+    let number = digits.fold(0u64, |n, b| n.saturating_mul(10).saturating_add(u64::from(b - b'0')).min(most));
+    if number == most { Err(Fault::BodyTooLong) } else { Ok(Some(number as usize)) }
+}
+
+fn framing(status: u16, keeps: bool, fields: &PlainFields, body_most: usize) -> Result<Framing, Fault> {
+    let encodings = fields.all("transfer-encoding");
+    let chunked = encodings.len() == 1
+        && std::str::from_utf8(encodings[0]).is_ok_and(|v| v.trim().eq_ignore_ascii_case("chunked"));
+    match (length(fields, body_most)?, !encodings.is_empty()) {
+        (Some(_), true) => Err(Fault::Encoding),
+        (Some(length), false) => Ok(Framing::Length(length)),
+        (None, true) if chunked => Ok(Framing::Chunked),
+        (None, true) => Err(Fault::Encoding),
+        (None, false) if status == 204 || status == 304 => Ok(Framing::Length(0)),
+        (None, false) if !keeps => Ok(Framing::End),
+        (None, false) => Err(Fault::NoLength),
+    }
+}
+
+/// The whole of a chunked body that begins there, and where it ends.
+fn dechunk(bytes: &[u8], mut at: usize, body_most: usize) -> Result<Option<(Vec<u8>, usize)>, Fault> {
+    let mut body = Vec::new();
+    loop {
+        let (line, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) if bytes.len() - at <= HEAD_MOST => return Ok(None),
+            _ => return Err(Fault::Chunk),
+        };
+        at += line;
+        if size == 0 {
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+            return match httparse::parse_headers(&bytes[at..], &mut fields)? {
+                httparse::Status::Complete((len, _)) => Ok(Some((body, at + len))),
+                httparse::Status::Partial if bytes.len() - at <= HEAD_MOST => Ok(None),
+                httparse::Status::Partial => Err(Fault::HeadTooLong),
+            };
+        }
+        if size > (body_most - body.len()) as u64 {
+            return Err(Fault::BodyTooLong);
+        }
+        let end = at + size as usize;
+        let Some(chunk) = bytes.get(at..end) else { return Ok(None) };
+        match bytes.get(end..end + 2) {
+            Some(b"\r\n") => {}
+            Some(_) => return Err(Fault::Chunk),
+            None => return Ok(None),
+        }
+        body.extend_from_slice(chunk);
+        at = end + 2;
+    }
+}
