Read a list of targets entry by entry: one unreadable entry no longer costs the list

Cause: a list was read whole, so that one entry with an unknown state, a null or a number out of range made all of it unreadable.

Ruled out: serde's RawValue, which needs each entry to be valid JSON. A rule on what may follow a string, to notice a misplaced quote: it failed lists for a comma replaced by a digit.

Change: read_listing reads each entry where it stands; only one that can't be read is scanned for its end by its quotes and brackets. Told are the names in such entries (all of them), the first 16 problems with index, name and cause, their count, and how many have no name that can be made out. An error of the whole list is typed and tells line and column. Entries that are JSON arrays are no longer taken for targets. Listing and Target are as they were; nothing calls read_listing yet.

Tests: tests/discovery.rs; the test that stood in the source moved there unchanged in what it asserts.

--- a/crates/flaxstand-platform/src/lib.rs
+++ b/crates/flaxstand-platform/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`ClientRequest`]: a client's request, checked
 //! - [`outcome_of`]: what a target's answer says of an attempt
-//! - [`Listing`]: the list of targets, whole or changes
+//! - [`Listing`]: the list of targets, whole or changes; [`read_listing`] reads it entry by entry
 //! - [`Configuration`], [`Params`]: the configuration and the settings in it
 #![forbid(unsafe_code)]
 
@@ -15,7 +15,10 @@
 
 pub use answer::outcome_of;
 pub use configuration::{Configuration, ConfigurationError, Limits};
-pub use discovery::{Listing, Target, TargetState, list_call};
+pub use discovery::{
+    EntryProblem, Listing, ListingError, ListingFault, PROBLEMS_MOST, ReadListing, Target, TargetState,
+    list_call, read_listing,
+};
 pub use request::{BadRequest, ClientRequest, Terms};
 pub use settings::Params;
 
