--- /dev/null
+++ b/crates/flaxstand-platform/tests/request.rs
@@ -0,0 +1,99 @@
+//! Clients' requests, and what can't be one.
+
+use flaxstand_http::{Request, Requests};
+use flaxstand_platform::{BadRequest, ClientRequest, Terms, field};
+
+const GOOD: [(&str, &str); 5] = [
+    (field::ID, "9b1f03aa5c7e2d41"),
+    (field::CLASS, "checkout"),
+    (field::PLAN, "gold"),
+    (field::TIMEOUT, "0.480"),
+    (field::PLACEMENT, "units=2,shard=5,hosts=3"),
+];
+
+fn request(first: &str, fields: &[(&str, &str)], body: &str) -> Request {
+    let fields: String = fields.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    let text = format!("{first} HTTP/1.1\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
+    let mut reader = Requests::default();
+    reader.push(text.as_bytes());
+    reader.take().unwrap().unwrap()
+}
+
+fn read(request: &Request) -> Result<ClientRequest<'_>, BadRequest> {
+    let (classes, plans) = (["other".into(), "checkout".into()], ["gold".into()]);
+    let terms = Terms { classes: &classes, plans: &plans, units: 8.0, hosts: 4 };
+    ClientRequest::read(request, &terms)
+}
+
+const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
+
+#[test]
+fn a_request_is_read_with_its_units() {
+    let r = request(&format!("PUT {PATH}?x=1"), &GOOD, "data");
+    let read = read(&r).unwrap();
+    assert_eq!((read.volume, read.extent), (0x3_b4d6_0021, 0x7f3a_9c21_e0b4_d655));
+    assert_eq!((read.class, read.plan, read.write, read.time_left), (1, 0, true, 480_000));
+    assert_eq!((read.units, read.shard, read.hosts, read.key), (2, Some(5), 3, None));
+}
+
+#[test]
+fn a_new_object_has_no_shard_and_a_key_is_passed_on() {
+    let with = |placement| {
+        let mut fields = GOOD.to_vec();
+        fields[4].1 = placement;
+        fields.push((field::KEY, "k1"));
+        request(&format!("PUT {PATH}"), &fields, "data")
+    };
+    let r = with("units=1,shard=-1,hosts=1");
+    assert_eq!(read(&r).map(|r| (r.shard, r.key)), Ok((None, Some("k1"))));
+    for bad in
+        ["", "units=1", "units=0,shard=1,hosts=1", "units=9,shard=1,hosts=1", "units=1,shard=-2,hosts=1"]
+    {
+        assert!(matches!(read(&with(bad)), Err(BadRequest::Field(field::PLACEMENT, _))), "{bad}");
+    }
+    for bad in [
+        "units=1,shard=1,hosts=5",
+        "units=1,shard=1,hosts=0",
+        "units=1,units=1,shard=1,hosts=1",
+        "units=1,shard=99999999999,hosts=1",
+    ] {
+        assert!(matches!(read(&with(bad)), Err(BadRequest::Field(field::PLACEMENT, _))), "{bad}");
+    }
+}
+
+#[test]
+fn what_can_not_be_is_told_by_its_field() {
+    let bad = [
+        (0, ""),
+        (0, "two words"),
+        (1, "nobody"),
+        (2, "tin"),
+        (3, "soon"),
+        (3, "-1"),
+        (3, "0"),
+        (3, "inf"),
+        (3, "NaN"),
+        (3, "1e3"),
+        (3, ""),
+    ];
+    for (at, value) in bad {
+        let mut fields = GOOD.to_vec();
+        fields[at].1 = value;
+        let r = request(&format!("PUT {PATH}"), &fields, "data");
+        assert!(matches!(read(&r), Err(BadRequest::Field(name, _)) if name == GOOD[at].0), "{value:?}");
+    }
+    for one in GOOD {
+        let mut fields = GOOD.to_vec();
+        fields.push(one);
+        let twice = request(&format!("PUT {PATH}"), &fields, "data");
+        assert!(read(&twice).is_err(), "{} twice", one.0);
+        fields.retain(|f| f.0 != one.0);
+        let missing = request(&format!("PUT {PATH}"), &fields, "data");
+        assert!(read(&missing).is_err(), "{} missing", one.0);
+    }
+    assert_eq!(read(&request(&format!("POST {PATH}"), &GOOD, "")), Err(BadRequest::Method));
+    assert_eq!(read(&request(&format!("GET {PATH}"), &GOOD, "data")), Err(BadRequest::Body));
+    for path in ["/", "/api/1/2", "/7f3a9c21e0b4d655", "/api/00000003b4d60021/7f3a9c21e0b4d65+"] {
+        assert_eq!(read(&request(&format!("GET {path}"), &GOOD, "")), Err(BadRequest::Path), "{path}");
+    }
+}
