Bound a body that ends with its connection also where it comes with its head

Cause: such a body was held against the limit only from the second call of Answers::take on. One that was pushed together with its head could be longer, and end() returned it whole.

Ruled out: judging it in end() only; a body beyond its bound is a fault as soon as it shows.

Change: the limit is checked at the first call too. The reference reader in tests/whole_parse does the same, and says that it differs there from the former reader.

Measured: cargo test of flaxstand-http, flaxstand-platform and flaxstand-gateway passes, the new test of this bound among them.

--- a/crates/flaxstand-http/src/answers.rs
+++ b/crates/flaxstand-http/src/answers.rs
@@ -205,10 +205,7 @@
         match body {
             Body::Length(length) => Ok(self.read_length(*length)),
             Body::Chunked(decoder) => self.read_chunks(decoder),
-            // The bytes that arrive with the head are judged by the next call.
-            Body::UntilClose if self.in_body() && self.unread.len() > self.body_most => {
-                Err(Fault::BodyTooLong)
-            }
+            Body::UntilClose if self.unread.len() > self.body_most => Err(Fault::BodyTooLong),
             Body::UntilClose => Ok(None),
         }
     }
--- a/crates/flaxstand-http/tests/incremental.rs
+++ b/crates/flaxstand-http/tests/incremental.rs
@@ -251,6 +251,14 @@
     assert!(!reader.in_body() && !reader.body_started());
 }
 
+#[test]
+fn a_body_until_close_that_comes_with_its_head_is_bounded_too() {
+    let mut reader = Answers::with_body_limit(4);
+    reader.push(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbodies");
+    assert_eq!(reader.take(), Err(Fault::BodyTooLong));
+    assert_eq!(reader.end(), None);
+}
+
 #[test]
 fn a_fault_in_a_body_stays_and_leaves_no_answer() {
     let mut reader = Answers::with_body_limit(4);
--- a/crates/flaxstand-http/tests/whole_parse/mod.rs
+++ b/crates/flaxstand-http/tests/whole_parse/mod.rs
@@ -96,9 +96,11 @@
             let keeps = head.version == Some(1) && !closes(&fields);
             let framing = framing(status, keeps, &fields, self.body_most)?;
             let Some((body, end)) = self.body(body_at, &framing)? else {
-                self.in_body = true;
                 self.ends = matches!(framing, Framing::End).then_some((status, fields, body_at));
-                return Ok(None);
+                // The one difference to the reader that this was: it judged these bytes at its next call.
+                let too_long = self.ends.is_some() && self.bytes.len() - body_at > self.body_most;
+                self.in_body = !too_long;
+                return if too_long { Err(Fault::BodyTooLong) } else { Ok(None) };
             };
             let keeps = keeps && end == self.bytes.len();
             *self = WholeParseReader::new(self.body_most);
