--- a/crates/flaxstand-gateway/tests/list_fleet/day.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/day.rs
@@ -27,6 +27,8 @@
     TurnAway(bool),
     /// What is open at the list service falls silent.
     WatchesFallSilent,
+    /// What is open at the list service is reset.
+    WatchesReset,
     /// The list service moves, and all hosts are told.
     Reload,
     /// A host's process ends at once.
--- a/crates/flaxstand-gateway/tests/list_fleet/drawn.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/drawn.rs
@@ -92,7 +92,7 @@
 /// One trouble of the list service or the hosts.
 fn draw_trouble(day: Day, quiet: f64, draw: &mut Draw) -> Day {
     let at = quiet + draw.between(-1.0, 4.0).max(-quiet);
-    match draw.below(6) {
+    match draw.below(8) {
         0 => {
             let outage = draw.pick(&[Outage::Silent, Outage::Refused, Outage::Reset]);
             let ends = at + draw.between(3.0, 9.0);
@@ -105,6 +105,11 @@
             day.step(seconds(at.max(1.0)), Step::Reload).step(seconds(again), Step::Reload)
         }
         4 => draw_restarts(day, at, draw),
+        5 => day.step(seconds(at), Step::WatchesReset),
+        6 => {
+            let ends = at + draw.between(2.0, 9.0);
+            day.step(seconds(at), Step::TurnAway(true)).step(seconds(ends), Step::TurnAway(false))
+        }
         _ => day,
     }
 }
--- a/crates/flaxstand-gateway/tests/list_fleet/drawn_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/drawn_tests.rs
@@ -10,12 +10,12 @@
 
 #[test]
 fn large_days_drawn() {
-    assert_all_hold((1..=12).map(drawn::large_day), LARGE_SERVED_LEAST);
+    assert_all_hold((1..=16).map(drawn::large_day), LARGE_SERVED_LEAST);
 }
 
 #[test]
 fn small_days_drawn() {
-    assert_all_hold((101..=140).map(drawn::small_day), SMALL_SERVED_LEAST);
+    assert_all_hold((101..=160).map(drawn::small_day), SMALL_SERVED_LEAST);
 }
 
 /// The same seed gives the same verdict.
--- a/crates/flaxstand-gateway/tests/list_fleet/fault_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/fault_tests.rs
@@ -70,10 +70,20 @@
     assert_holds(&drains(Day::quiet(21, 2, LARGE).style(style), 6.0));
 }
 
+const NONSENSE: Style = Style {
+    indented: false,
+    nonsense_entry: Some(r#"{"uid":7,"state":"unheard of"}"#),
+    drops_addresses: false,
+};
+
+#[test]
+fn a_list_of_changes_has_an_entry_without_sense() {
+    assert_holds(&drains(Day::quiet(22, 2, LARGE).style(NONSENSE), 6.0));
+}
+
 #[test]
 fn a_whole_list_has_an_entry_without_sense() {
-    let style = Style { nonsense_entry: Some(r#"{"uid":7,"state":"unheard of"}"#), ..Style::default() };
-    assert_holds(&drains(Day::quiet(22, 2, LARGE).style(style), 6.0));
+    assert_holds(&drains(Day::quiet(22, 2, LARGE).whole_lists_only().style(NONSENSE), 6.0));
 }
 
 #[test]
@@ -92,3 +102,20 @@
     let day = Day::quiet(25, 6, LARGE).lines_per_second(300.0).length(seconds(60.0));
     assert_holds(&drains(day.step(seconds(45.0), Step::WatchesFallSilent), 45.1));
 }
+
+#[test]
+fn open_watches_are_reset_right_before_the_drain() {
+    assert_holds(&drains(Day::quiet(26, 6, LARGE).step(seconds(9.9), Step::WatchesReset), 10.0));
+}
+
+#[test]
+fn turns_are_held_up_often() {
+    let day = Day { held_up: 0.1, ..Day::quiet(27, 2, LARGE) };
+    assert_holds(&drains(day, 6.0).grace(seconds(0.6)));
+}
+
+#[test]
+fn connections_to_targets_come_up_late() {
+    let day = Day { late_connections: 0.3, ..Day::quiet(28, 2, LARGE) };
+    assert_holds(&drains(day, 6.0).grace(seconds(0.6)));
+}
--- a/crates/flaxstand-gateway/tests/list_fleet/list_service.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/list_service.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Style {
     pub indented: bool,
-    /// An entry that makes no sense stands among the others of a whole list.
+    /// An entry that makes no sense stands behind the others.
     pub nonsense_entry: Option<&'static str>,
     /// The address of a target that drains or is removed can't be read.
     pub drops_addresses: bool,
@@ -289,7 +289,7 @@
             text.push_str(line);
             self.render_entry(&mut text, self.target(*id));
         }
-        if let Some(entry) = self.style.nonsense_entry.filter(|_| all) {
+        if let Some(entry) = self.style.nonsense_entry.filter(|_| !told.is_empty()) {
             text.push(',');
             text.push_str(entry);
         }
--- a/crates/flaxstand-gateway/tests/list_fleet/load_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/load_tests.rs
@@ -23,8 +23,18 @@
     assert_holds(&drains(Day::quiet(4, 6, LARGE).lines_per_second(400.0).length(seconds(60.0)), 45.0));
 }
 
+/// 530 KB in 1.6 s.
+const SLOW_BYTES_PER_SECOND: f64 = 330e3;
+
+#[test]
+fn one_host_hears_whole_lists_only_and_they_come_slowly() {
+    let day = Day::quiet(6, 1, LARGE).whole_lists_only().bytes_per_second(SLOW_BYTES_PER_SECOND);
+    assert_holds(&drains(day, 10.0).grace(seconds(2.0)));
+}
+
 #[test]
-fn one_host_hears_a_whole_list_that_comes_slowly() {
-    // 440 KB in 1.5 s.
-    assert_holds(&drains(Day::quiet(5, 1, LARGE).bytes_per_second(300e3), 0.2).grace(seconds(2.0)));
+fn one_host_has_just_started_and_lists_come_slowly() {
+    assert_holds(
+        &drains(Day::quiet(5, 1, LARGE).bytes_per_second(SLOW_BYTES_PER_SECOND), 0.2).grace(seconds(2.0)),
+    );
 }
--- a/crates/flaxstand-gateway/tests/list_fleet/main.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/main.rs
@@ -24,4 +24,5 @@
 mod outage_tests;
 mod simulation;
 mod targets;
+mod turnover_tests;
 mod verdicts;
--- a/crates/flaxstand-gateway/tests/list_fleet/network.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/network.rs
@@ -327,12 +327,9 @@
         self.network.outage = Some(outage);
         self.network.calls.clear();
         self.service.forget_all(self.now);
-        let open: Vec<HostConn> = self.network.links.keys().copied().collect();
-        for conn in open {
-            match outage {
-                Outage::Silent => self.silence(conn),
-                Outage::Refused | Outage::Reset => self.reset_link(conn),
-            }
+        match outage {
+            Outage::Silent => self.network.links.values_mut().for_each(|link| link.silent = true),
+            Outage::Refused | Outage::Reset => self.watches_reset(),
         }
     }
 
@@ -358,6 +355,12 @@
         }
     }
 
+    /// All connections to the list service are reset.
+    pub(super) fn watches_reset(&mut self) {
+        let open: Vec<HostConn> = self.network.links.keys().copied().collect();
+        open.into_iter().for_each(|conn| self.reset_link(conn));
+    }
+
     /// The list service moves: its old address takes nothing new, and closes what is open there a little later.
     pub(super) fn reload(&mut self) {
         self.network.moves += 1;
--- a/crates/flaxstand-gateway/tests/list_fleet/outage_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/outage_tests.rs
@@ -5,12 +5,38 @@
 use super::simulation::Simulation;
 use super::verdicts::{LARGE, assert_holds, drains, told};
 
-#[test]
-fn targets_drain_right_after_an_outage() {
+/// A quarter of the targets drains half a second after an outage.
+fn drains_right_after(outage: Outage) -> Day {
     let day = Day::quiet(41, 6, LARGE).lines_per_second(1000.0).length(seconds(45.0));
-    let day =
-        day.step(seconds(20.0), Step::OutageBegins(Outage::Reset)).step(seconds(28.0), Step::OutageEnds);
-    assert_holds(&drains(day, 28.5));
+    let day = day.step(seconds(20.0), Step::OutageBegins(outage)).step(seconds(28.0), Step::OutageEnds);
+    drains(day, 28.5)
+}
+
+#[test]
+fn targets_drain_right_after_an_outage_that_said_nothing() {
+    assert_holds(&drains_right_after(Outage::Silent));
+}
+
+#[test]
+fn targets_drain_right_after_an_outage_that_refused() {
+    assert_holds(&drains_right_after(Outage::Refused));
+}
+
+#[test]
+fn targets_drain_right_after_an_outage_that_reset() {
+    assert_holds(&drains_right_after(Outage::Reset));
+}
+
+#[test]
+fn the_list_service_moves_and_targets_drain_soon_after_an_outage() {
+    assert_holds(&drains_right_after(Outage::Reset).step(seconds(29.0), Step::Reload));
+}
+
+#[test]
+fn targets_drain_during_an_outage() {
+    let day = Day::quiet(44, 6, LARGE).lines_per_second(1000.0).length(seconds(45.0));
+    let day = day.step(seconds(20.0), Step::OutageBegins(Outage::Silent));
+    assert_holds(&drains(day.step(seconds(28.0), Step::OutageEnds), 22.0));
 }
 
 /// An outage of the service alone takes little from what is served.
--- a/crates/flaxstand-gateway/tests/list_fleet/simulation.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/simulation.rs
@@ -147,6 +147,7 @@
             Step::OutageEnds => self.outage_ends(),
             Step::TurnAway(turns_away) => self.service.turn_all_away(turns_away, self.now),
             Step::WatchesFallSilent => self.watches_fall_silent(),
+            Step::WatchesReset => self.watches_reset(),
             Step::Reload => self.reload(),
             Step::Kill(host) => self.kill_host(host),
             Step::Start { host, revisions_behind } => self.start_host(host, revisions_behind),
--- a/crates/flaxstand-gateway/tests/list_fleet/verdicts.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/verdicts.rs
@@ -8,10 +8,13 @@
 /// Most breaks of a day that are told one by one.
 const BREAKS_TOLD: usize = 4;
 
-/// The rule holds, and every request has its final answer.
+/// Least part served of the requests that could be, on a day of a test's own.
+const SERVED_LEAST: f64 = 0.6;
+
+/// The rule holds, every request has its final answer, and most are served.
 pub fn assert_holds(day: &Day) -> Verdict {
     let verdict = Simulation::play(day.clone());
-    assert!(verdict.holds(), "{}", told(day, &verdict));
+    assert!(verdict.holds() && verdict.share.part() >= SERVED_LEAST, "{}", told(day, &verdict));
     verdict
 }
 
