Gateway: two calls in a row at most fail without a byte in the fleet test

Change: after two calls of a host in a row without a byte of the service the next one meets no such fault; what the way breaks off is not told by it, with a test. What a host closes itself still counts from the first byte.

--- a/crates/flaxstand-gateway/tests/list_fleet/audit.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/audit.rs
@@ -255,6 +255,11 @@
         }
     }
 
+    /// The service, or the way, broke an answer off: what was to come in it is not told by it.
+    pub fn broken_off(&mut self, host: usize) {
+        self.lives[host].written.pop_if(|written| written.whole_at.is_none());
+    }
+
     /// From now on nothing is said on the host's open call.
     pub fn call_fell_silent(&mut self, host: usize, wait_ends: Micros, now: Micros) {
         self.lives[host].silent.push(SilentCall { since: now, wait_ends, closed: None });
--- a/crates/flaxstand-gateway/tests/list_fleet/audit_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/audit_tests.rs
@@ -46,6 +46,14 @@
     assert_eq!(told(&audit), Some((20.7, Reason::Written { whole_at: Some(seconds(21.4)) })));
 }
 
+#[test]
+fn an_answer_that_was_broken_off_on_the_way_tells_nothing() {
+    let mut audit = audit();
+    audit.writing(HOST, CHANGED.revision, seconds(20.7));
+    audit.broken_off(HOST);
+    assert_eq!(told(&audit), Some((26.0, Reason::Reachable)));
+}
+
 #[test]
 fn a_change_is_told_6_s_after_a_service_had_it_that_could_be_reached() {
     assert_eq!(told(&audit()), Some((26.0, Reason::Reachable)));
--- a/crates/flaxstand-gateway/tests/list_fleet/hosts.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/hosts.rs
@@ -30,6 +30,8 @@
     asked: BTreeMap<ConnId, usize>,
     pub list_bytes: u64,
     pub list_connections: usize,
+    /// Calls in a row that met a fault and no byte of the list service.
+    pub lifeless_calls: u32,
 }
 
 impl Host {
@@ -45,6 +47,7 @@
             asked: BTreeMap::new(),
             list_bytes: 0,
             list_connections: 0,
+            lifeless_calls: 0,
         }
     }
 
