--- a/crates/flaxstand-gateway/tests/list_fleet/growth_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/growth_tests.rs
@@ -18,7 +18,7 @@
 /// Length of the day, seconds.
 const LENGTH: f64 = 50.0;
 
-/// A day with drains, a silent watch, two reloads and a restart of every host.
+/// A day with drains, a silent watch, three reloads and a restart of every host.
 fn busy_day(targets: usize) -> Day {
     let day = Day::quiet(51, 4, targets).lines_per_second(1500.0).length(seconds(LENGTH));
     let all = day.percent(100);
@@ -30,7 +30,8 @@
         .step(seconds(20.0), Step::WatchesFallSilent)
         .step(seconds(24.0), Step::Drain(second))
         .step(seconds(30.0), Step::Reload)
-        .step(seconds(33.0), Step::Reload);
+        .step(seconds(33.0), Step::Reload)
+        .step(seconds(36.0), Step::Reload);
     restarts(day, 40.0, 0)
 }
 
--- a/crates/flaxstand-gateway/tests/list_fleet/load_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/load_tests.rs
@@ -1,6 +1,6 @@
 //! The work of the list alone: no fault, and a service that needs its time.
 
-use super::day::{Day, seconds};
+use super::day::{Day, Step, seconds};
 use super::verdicts::{LARGE, assert_holds, drains};
 
 #[test]
@@ -32,6 +32,15 @@
     assert_holds(&drains(day, 10.0).grace(seconds(2.0)));
 }
 
+/// A call that follows a failed one waits for nothing at the service; what it is told may take longer than a second all
+/// the same.
+#[test]
+fn a_watch_was_reset_and_whole_lists_come_slowly() {
+    let day = Day::quiet(7, 1, LARGE).whole_lists_only().bytes_per_second(SLOW_BYTES_PER_SECOND);
+    let day = day.length(seconds(40.0)).step(seconds(9.9), Step::WatchesReset);
+    assert_holds(&drains(day, 10.0).grace(seconds(2.0)));
+}
+
 #[test]
 fn one_host_has_just_started_and_lists_come_slowly() {
     assert_holds(
