Gateway: the fleet test's network in three modules; what falls silent midway tells nothing

Cause: one module held calls, faults and the delivery of answers, with a function of 40 lines for each piece. An answer that fell silent midway counted as told from its first byte, unlike one that was reset, and a reset could take back the answer of another connection.

Change: `faults`, `delivery` and `network`; an answer that is broken off, whichever way, is not told by it, and only the connection it was on takes it back.

--- a/crates/flaxstand-gateway/tests/list_fleet/day.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/day.rs
@@ -1,7 +1,7 @@
 //! A day: how large, how fast, and what happens when. Fixed by a test, or drawn from a seed.
 
+use super::faults::{Fault, FaultSpan, Outage};
 use super::list_service::{Speed, Style, TargetId};
-use super::network::{Fault, FaultSpan, Outage};
 use flaxstand_gateway::machine::Micros;
 
 /// The clock of every day begins here: other times of a day count from this.
--- a/crates/flaxstand-gateway/tests/list_fleet/drawn.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/drawn.rs
@@ -2,8 +2,8 @@
 
 use super::day::{Day, Step, seconds};
 use super::draw::Draw;
+use super::faults::{Fault, Outage};
 use super::list_service::{Speed, Style, TargetId};
-use super::network::{Fault, Outage};
 
 /// Graces of deployments, ms.
 const GRACES: [f64; 3] = [600.0, 1000.0, 2000.0];
--- a/crates/flaxstand-gateway/tests/list_fleet/fault_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/fault_tests.rs
@@ -1,8 +1,8 @@
 //! Faults of the way between hosts and the list service, one by one.
 
 use super::day::{Day, Step, seconds};
+use super::faults::Fault;
 use super::list_service::Style;
-use super::network::Fault;
 use super::verdicts::{LARGE, assert_holds, drains};
 
 /// Two hosts under a fast service; a quarter of the targets drains while a fault meets this part of the calls.
--- a/crates/flaxstand-gateway/tests/list_fleet/outage_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/outage_tests.rs
@@ -1,7 +1,7 @@
 //! The list service is down, or turns every call away.
 
 use super::day::{Day, START, Step, seconds};
-use super::network::Outage;
+use super::faults::Outage;
 use super::simulation::Simulation;
 use super::verdicts::{LARGE, assert_holds, drains, told};
 
