The look at the list's age is not asked for at the same moment again

Cause: `arm_list_trust` rounded the end of trust down to whole microseconds; the timer then fired at a moment at which the list was still trusted by a fraction of one, and was set to that moment again, without end (first_byte.rs).

--- a/crates/flaxstand-gateway/src/core/first_byte.rs
+++ b/crates/flaxstand-gateway/src/core/first_byte.rs
@@ -45,7 +45,8 @@
             return;
         }
         let trusted = self.list_is_trusted(now);
-        self.arm_list_trust(trusted.then(|| Micros::from_ms(until)));
+        // Rounded up: woken a moment early it would be found in trust, and looked at again at that same moment.
+        self.arm_list_trust(trusted.then(|| Micros::from_ms(until).after(Micros(1))));
         if trusted == self.list_trust.lost {
             self.list_trust.lost = !trusted;
             self.log_list_trust(trusted);
