Late refusals are no sign of a working list service; list entries are read one by one

Two causes, each with its tests.

A service that turns calls away was taken for one that can be reached. Now only a call turned away within 50 ms shows a service; one such outweighs two calls without an answer.

One entry that could not be read failed the whole list, again and again, and nothing was heard (`from_slice` in list_calls.rs). Entries are read one by one; the node of one that can't be read takes nothing new, and where changes have an entry without a name the whole list is asked for. Each is logged with its place.

A list that was given up because it comes too slowly still binds from its first byte; one that breaks off or falls silent does not, or an outage that begins inside an answer would stop service.

--- a/crates/flaxstand-gateway/src/core/list_calls.rs
+++ b/crates/flaxstand-gateway/src/core/list_calls.rs
@@ -12,11 +12,11 @@
 use super::node_table::NodeName;
 use super::plumbing::{Conn, Protocol, Timer};
 use crate::machine::{ConnId, Micros};
-use flaxstand::api::{Event, ListCall, ListScope, ListTerms, Readiness};
+use flaxstand::api::{Event, ListCall, ListScope, ListTerms, NodeId, Readiness};
 use flaxstand_http::{Answer, Answers, write_request};
-use flaxstand_platform::{Listing, Target, TargetState, list_call};
+use flaxstand_platform::{Listing, ReadListing, Target, TargetState, list_call, read_listing};
 use rand_core::RngCore as _;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use tracing::{info, warn};
 
 /// A call that may not wait is given up when it had no answer for this long. It grows with each call in a row that
@@ -39,6 +39,9 @@
 /// Longest answer of the list service, bytes: 32,768 nodes of some 500 bytes each.
 const ANSWER_MOST: usize = 16 << 20;
 
+/// An answer that can't be read comes from a service that works.
+const UNREADABLE: ListCall = ListCall::TurnedAway { after: 0.0 };
+
 /// A connection to the list service. A call is out on it from when it stands.
 #[derive(Debug)]
 pub(super) struct ListConnection {
@@ -109,7 +112,7 @@
 
     fn failed(&mut self, how: ListCall) {
         self.answered = false;
-        if how == ListCall::TurnedAway {
+        if matches!(how, ListCall::TurnedAway { .. } | ListCall::Abandoned) {
             self.unanswered = 0;
         } else {
             self.unanswered += 1;
@@ -179,11 +182,11 @@
         list.reader.push(bytes);
         match list.reader.take() {
             Ok(Some(answer)) => self.list_answered(conn, &answer, now),
-            Ok(None) if list.reader.in_body() => self.list_answer_arrives(bytes.len() as u64, now),
+            Ok(None) if list.reader.body_started() => self.list_answer_arrives(bytes.len() as u64, now),
             Ok(None) => {}
             Err(fault) => {
                 warn!(%fault, "an answer of the list service that can't be read");
-                self.fail_list_call(conn, ListCall::TurnedAway, "an answer that can't be read", now);
+                self.fail_list_call(conn, UNREADABLE, "an answer that can't be read", now);
             }
         }
     }
@@ -216,19 +219,19 @@
     fn list_answered(&mut self, conn: ConnId, answer: &Answer, now: Micros) {
         if answer.status != 200 {
             warn!(status = answer.status, "the list service could not answer");
-            let how = call_end(answer.status);
+            let how = call_end(answer.status, now.since(self.list.calls.made_at));
             return self.fail_list_call(conn, how, "the list service could not answer", now);
         }
-        let listing: Listing = match serde_json::from_slice(&answer.body) {
-            Ok(listing) => listing,
+        let read = match read_listing(&answer.body) {
+            Ok(read) => read,
             Err(cause) => {
                 warn!(%cause, "a list that can't be read");
-                return self.fail_list_call(conn, ListCall::TurnedAway, "a list that can't be read", now);
+                return self.fail_list_call(conn, UNREADABLE, "a list that can't be read", now);
             }
         };
         self.list.calls.was_answered();
         self.list.calls.progress = None;
-        self.take_listing(&listing, now);
+        self.take_read_listing(&read, now);
         if answer.keeps {
             self.write_list_call(conn, now);
         } else {
@@ -240,6 +243,38 @@
         }
     }
 
+    /// Takes a list, and of entries that can't be read what is safe: their nodes take nothing new. Where changes have an
+    /// entry that names no node, any may be meant, and the whole list is asked for.
+    fn take_read_listing(&mut self, read: &ReadListing, now: Micros) {
+        for problem in &read.problems {
+            warn!(
+                entry = problem.index,
+                uid = problem.uid,
+                cause = problem.cause,
+                "a list entry that can't be read"
+            );
+        }
+        self.take_listing(&read.listing, now);
+        self.drain_unreadable(&read.unreadable, now);
+        if read.nameless_count > 0 && !read.listing.all {
+            warn!(entries = read.nameless_count, "list entries without a name: asking for all of the list");
+            self.list.revision = None;
+        }
+    }
+
+    /// Nodes whose entry can't be read are held as draining.
+    fn drain_unreadable(&mut self, uids: &[String], now: Micros) {
+        let listed = uids.iter().filter_map(|uid| self.nodes.id_of(&NodeName::Uid(uid.clone())));
+        let serving: BTreeSet<NodeId> = listed.filter(|id| self.nodes.serves(*id)).collect();
+        if serving.is_empty() {
+            return;
+        }
+        serving.iter().for_each(|id| self.nodes.set_readiness(*id, Readiness::Draining, now));
+        let entries = serving.iter().filter_map(|id| Some(self.nodes.get(*id)?.entry(*id))).collect();
+        self.events.push_back(Event::List(ListScope::Changes, entries));
+        self.call_back_from_drained(&serving, now);
+    }
+
     fn take_listing(&mut self, listing: &Listing, now: Micros) {
         let behind = self.list.revision.is_some_and(|held| listing.rev < held);
         let scope = if listing.all { ListScope::Full } else { ListScope::Changes };
@@ -319,8 +354,11 @@
 
     /// A call has been out for long: it is given up, unless its answer is arriving.
     pub(super) fn list_call_overdue(&mut self, conn: ConnId, now: Micros) {
-        match self.list.calls.progress.map(|progress| progress.due()) {
-            Some(due) if now < due => self.look_for_silence(due),
+        match self.list.calls.progress {
+            Some(progress) if now < progress.due() => self.look_for_silence(progress.due()),
+            Some(progress) if now < progress.last.after(STALLED) => {
+                self.fail_list_call(conn, ListCall::Abandoned, "the list comes too slowly", now);
+            }
             Some(_) => self.fail_list_call(conn, ListCall::Unanswered, "the list does not come whole", now),
             None => self.fail_list_call(conn, ListCall::Unanswered, "the list service is silent", now),
         }
@@ -340,9 +378,9 @@
 }
 
 /// What a status other than 200 says of the service: it works and is busy, or something before it found none.
-fn call_end(status: u16) -> ListCall {
+fn call_end(status: u16, after: Micros) -> ListCall {
     match status {
         500 | 502 | 504 => ListCall::Unanswered,
-        _ => ListCall::TurnedAway,
+        _ => ListCall::TurnedAway { after: after.ms() },
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -232,8 +232,13 @@
     },
     /// Its answer has begun to arrive and is not complete.
     AnswerBegan,
-    /// The service answered that it cannot tell the list now.
-    TurnedAway,
+    /// The service, or something before it, answered that it cannot tell the list now.
+    TurnedAway {
+        /// How long after the call was made.
+        after: Ms,
+    },
+    /// Its answer was arriving so slowly that it was given up.
+    Abandoned,
     /// It had no answer: the service could not be reached, was silent, or the connection broke.
     Unanswered,
     /// The service is at another address from now on.
--- a/src/list_freshness.rs
+++ b/src/list_freshness.rs
@@ -19,6 +19,12 @@
 /// The service counts as unreachable after so many calls in a row without an answer, made over so long a time. A
 /// watch that went silent, or some calls that were lost, may happen to a service that works.
 const UNREACHABLE_CALLS: u32 = 3;
+/// A call that is turned away at once shows a service that works, and outweighs so many without an answer. More than
+/// that many above the threshold are not remembered: a service that comes back crowded shows soon.
+const TURNED_AWAY_WEIGHS: u32 = 2;
+/// A call that is turned away later than this shows nothing: it waited, at a service that is busy or at one that is
+/// down (503 answers came within 20 ms from a crowded service, and spread over a second in an outage).
+const AT_ONCE: Ms = 50.0;
 const UNREACHABLE_SPAN: Ms = 2000.0;
 /// The same where the service has moved: a new configuration binds sooner, so less is taken for an outage.
 const UNREACHABLE_SPAN_AFTER_MOVE: Ms = 3000.0;
@@ -37,7 +43,7 @@
     /// When the call that is out was made, and how long it asked the service to wait for a change.
     call_made_at: Ms,
     call_waits: Ms,
-    /// Calls in a row that had no answer at all, and when the first of them was made.
+    /// Calls in a row that showed no service, and when the first of them was made.
     unanswered: u32,
     unanswered_since: Ms,
     /// Since when an answer has been arriving that is not complete. What it tells binds from then on.
@@ -83,8 +89,13 @@
             ListCall::AnswerBegan => {
                 self.answer_began_at.get_or_insert(now);
             }
-            ListCall::TurnedAway => self.unanswered = 0,
-            ListCall::Unanswered => self.call_unanswered(),
+            ListCall::TurnedAway { after } if after <= AT_ONCE => {
+                self.answer_began_at = None;
+                self.unanswered = self.unanswered.saturating_sub(TURNED_AWAY_WEIGHS);
+            }
+            ListCall::TurnedAway { .. } | ListCall::Unanswered => self.call_unanswered(),
+            // What it told binds although it was not heard.
+            ListCall::Abandoned => self.unanswered = 0,
             ListCall::Moved => {
                 self.unanswered = 0;
                 self.moved(now);
@@ -94,10 +105,11 @@
 
     /// Nobody answered. After a row of such calls the service was unreachable when the last of them was made.
     fn call_unanswered(&mut self) {
+        self.answer_began_at = None;
         if self.unanswered == 0 {
             self.unanswered_since = self.call_made_at;
         }
-        self.unanswered = self.unanswered.saturating_add(1);
+        self.unanswered = (self.unanswered + 1).min(UNREACHABLE_CALLS + TURNED_AWAY_WEIGHS);
         let span = self.call_made_at - self.unanswered_since;
         if self.unanswered < UNREACHABLE_CALLS || span < UNREACHABLE_SPAN {
             return;
--- a/tests/list_age.rs
+++ b/tests/list_age.rs
@@ -75,7 +75,7 @@
     quiet_call(&mut host);
     let sends = sends_for(&mut host, |host, _| {
         call(host, ListCall::Made { waits: 0.0 });
-        call(host, ListCall::TurnedAway);
+        call(host, ListCall::TurnedAway { after: 5.0 });
     });
     assert!(sends <= LAST - HELD_UP, "{sends}");
 }
@@ -96,6 +96,25 @@
     assert_eq!(sends, Ms::INFINITY);
 }
 
+/// Before a service that is down, calls may wait and be turned away late, and some of them by chance at once.
+#[test]
+fn calls_that_are_turned_away_late_are_an_outage_too() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: 0.0 });
+    let (mut made, mut calls) = (0.0, 0);
+    let sends = sends_for(&mut host, |host, passed| {
+        if passed - made >= 1200.0 {
+            made = passed;
+            calls += 1;
+            let after = if calls % 8 == 7 { 20.0 } else { 600.0 };
+            call(host, ListCall::TurnedAway { after });
+            call(host, ListCall::Made { waits: 0.0 });
+        }
+    });
+    assert_eq!(sends, Ms::INFINITY);
+}
+
 #[test]
 fn after_an_outage_changes_bind_as_ever() {
     let mut host = host();
@@ -108,7 +127,7 @@
     // It may have come back right after the last call was made.
     let sends = sends_for(&mut host, |host, _| {
         call(host, ListCall::Made { waits: 0.0 });
-        call(host, ListCall::TurnedAway);
+        call(host, ListCall::TurnedAway { after: 5.0 });
     });
     assert!(sends <= LAST - 1500.0 - HELD_UP, "{sends}");
 }
