A list on frames that arrives slowly is heard instead of hung up on

Cause: only a whole frame counted as word of the list service. One whose whole list took longer than twice list-silence-ms was asked for it again while it was sending, hung up on, called anew, and never heard; the list held went stale, drains with it.

Ruled out: acting on the entries of a frame that is not whole.

Change: a frame that has begun, or of which at least 4 KiB a second came over a silence, is arriving; a stalled one is hung up on without being asked for again. The list frame's own bound (9.8 MB) ends any arrival.

--- a/crates/flaxstand-gateway/src/core/list.rs
+++ b/crates/flaxstand-gateway/src/core/list.rs
@@ -17,6 +17,20 @@
 
 /// On the platform a call of the list service that does not stand within this has failed.
 const LIST_DIAL: Micros = Micros(250_000);
+/// Bytes a second at which a frame of the list service has to arrive: 3,200 nodes may take 45 s, the longest list
+/// frame 40 minutes. A frame that falls behind over a whole silence is taken for silence.
+const FRAME_RATE_LEAST: u64 = 4096;
+
+/// How a frame of the list service comes on that is not whole yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FrameProgress {
+    /// There is none.
+    NoFrame,
+    /// Fast enough.
+    Arriving,
+    /// Not at all, or too slowly.
+    Stalled,
+}
 
 /// The list service.
 #[derive(Debug)]
@@ -32,6 +46,8 @@
     pub(super) save: SavePlan,
     /// When its silence is looked at next.
     silence_at: Option<Micros>,
+    /// Bytes received when the last look at its silence came within a frame that is not whole yet.
+    received_within_frame: Option<u64>,
     pub(super) backoff: Backoff,
 }
 
@@ -46,6 +62,7 @@
             asked: false,
             save: SavePlan::default(),
             silence_at: None,
+            received_within_frame: None,
             backoff,
         }
     }
@@ -119,7 +136,7 @@
             return Err((Parting::WrongPeer, text));
         }
         self.plumbing.is_at(conn, Stage::Open);
-        (self.list.heard_at, self.list.asked) = (now, false);
+        (self.list.heard_at, self.list.asked, self.list.received_within_frame) = (now, false, None);
         self.look_for_silence(now.after(self.config.site.waits.list_silence));
         self.plumbing.push(conn, &Frame::Watch);
         Ok(())
@@ -167,19 +184,41 @@
         let silence = self.config.site.waits.list_silence;
         let due = self.list.heard_at.after(silence);
         if now < due {
-            self.look_for_silence(due);
-        } else if self.list.asked {
-            self.hang_up(conn, Parting::Protocol, "the list service is silent", now);
-        } else {
-            self.list.asked = true;
-            self.plumbing.push(conn, &Frame::GetList);
-            self.look_for_silence(now.after(silence));
+            return self.look_for_silence(due);
+        }
+        match self.list_frame_progress(conn, silence) {
+            FrameProgress::Stalled => self.hang_up(conn, Parting::Protocol, "the list stalls", now),
+            // It is not asked for what it is about to tell.
+            FrameProgress::Arriving => self.look_for_silence(now.after(silence)),
+            FrameProgress::NoFrame if self.list.asked => {
+                self.hang_up(conn, Parting::Protocol, "the list service is silent", now);
+            }
+            FrameProgress::NoFrame => {
+                self.list.asked = true;
+                self.plumbing.push(conn, &Frame::GetList);
+                self.look_for_silence(now.after(silence));
+            }
+        }
+    }
+
+    /// What has come of a frame since the last look, a silence ago. One that has begun since is arriving.
+    fn list_frame_progress(&mut self, conn: ConnId, silence: Micros) -> FrameProgress {
+        let within_frame = match self.plumbing.get(conn).map(|c| &c.protocol) {
+            Some(Protocol::Frames(inbox)) if inbox.is_within_frame() => Some(inbox.received()),
+            _ => None,
+        };
+        let before = std::mem::replace(&mut self.list.received_within_frame, within_frame);
+        let least = silence.0 * FRAME_RATE_LEAST / 1_000_000;
+        match (before, within_frame) {
+            (_, None) => FrameProgress::NoFrame,
+            (Some(before), Some(received)) if received - before < least => FrameProgress::Stalled,
+            (_, Some(_)) => FrameProgress::Arriving,
         }
     }
 
     /// The list or its changes came.
     pub(super) fn listed(&mut self, conn: ConnId, list: &List<'_>, now: Micros) {
-        (self.list.heard_at, self.list.asked) = (now, false);
+        (self.list.heard_at, self.list.asked, self.list.received_within_frame) = (now, false, None);
         let scope = match (list.extent, self.list.revision) {
             (Extent::Full, _) => ListScope::Full,
             (Extent::Changes, Some(held)) if list.revision <= held => {
--- a/crates/flaxstand-proto/src/link.rs
+++ b/crates/flaxstand-proto/src/link.rs
@@ -8,12 +8,23 @@
 pub struct Inbox {
     partial: Vec<u8>,
     limit: BodyLimit,
+    received: u64,
 }
 
 impl Inbox {
     /// An inbox for a connection to the list service, which may tell long lists.
     pub fn of_list_service() -> Self {
-        Inbox { partial: Vec::new(), limit: BodyLimit::NodeList }
+        Inbox { limit: BodyLimit::NodeList, ..Inbox::default() }
+    }
+
+    /// Bytes ever received.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// Whether a frame has begun and is not whole yet.
+    pub fn is_within_frame(&self) -> bool {
+        !self.partial.is_empty()
     }
 
     /// Hands every whole frame among what was kept and `bytes` to `each`, in order, until it says to stop;
@@ -22,6 +33,7 @@
     /// # Errors
     /// The first frame that is none; nothing after it is read.
     pub fn feed(&mut self, bytes: &[u8], mut each: impl FnMut(Frame<'_>) -> bool) -> Result<(), FrameError> {
+        self.received += bytes.len() as u64;
         // The usual read ends with a whole frame: then nothing is copied.
         let mut joined = std::mem::take(&mut self.partial);
         let source = if joined.is_empty() {
--- a/crates/flaxstand-proto/tests/frames.rs
+++ b/crates/flaxstand-proto/tests/frames.rs
@@ -193,6 +193,18 @@
     assert!(Inbox::default().feed(&stream[..65_536], |_| true).is_err(), "not from a client or a node");
 }
 
+#[test]
+fn an_inbox_tells_how_much_came_and_whether_a_frame_is_on_its_way() {
+    let probe = bytes_of(&Frame::Probe { token: 7 });
+    let mut inbox = Inbox::default();
+    assert!(!inbox.is_within_frame());
+    for (at, byte) in probe.iter().enumerate() {
+        inbox.feed(&[*byte], |_| true).unwrap();
+        assert_eq!(inbox.received(), at as u64 + 1);
+        assert_eq!(inbox.is_within_frame(), at + 1 < probe.len());
+    }
+}
+
 #[test]
 fn an_outbox_knows_which_frames_left_in_full() {
     let mut outbox = Outbox::default();
