--- /dev/null
+++ b/crates/flaxstand-gateway/tests/harness/line_counter.rs
@@ -0,0 +1,43 @@
+//! Counts what each thread logs at the level that a process logs at by default.
+
+use std::cell::Cell;
+use std::sync::Once;
+use tracing::span::{Attributes, Id, Record};
+use tracing::{Event, Level, Metadata, Subscriber};
+
+thread_local! {
+    static LINES: Cell<u64> = const { Cell::new(0) };
+}
+
+/// One for all threads: subscribers that come and go would change what others see.
+struct LineCounter;
+
+impl Subscriber for LineCounter {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        *metadata.level() <= Level::INFO
+    }
+
+    fn event(&self, _: &Event<'_>) {
+        LINES.set(LINES.get() + 1);
+    }
+
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+    fn enter(&self, _: &Id) {}
+    fn exit(&self, _: &Id) {}
+}
+
+/// Lines that this thread logs during a call.
+pub fn lines_of(call: impl FnOnce()) -> u64 {
+    static INSTALL: Once = Once::new();
+    INSTALL.call_once(|| {
+        tracing::subscriber::set_global_default(LineCounter).expect("no other subscriber in this process");
+    });
+    let before = LINES.get();
+    call();
+    LINES.get() - before
+}
