List costs: whole lists at 30, 3,200 and 25,000; the tests' site is reused

Cause: examples/list_costs.rs repeated the settings of the tests' harness, and told what a change costs, but not what a whole list costs in its one turn.

Change: the example takes its site from tests/harness by path, and measures a whole list on both wires, its reading with a length and in chunks, and the reading of a settings file with as many known targets.

--- a/crates/flaxstand-gateway/examples/list_costs.rs
+++ b/crates/flaxstand-gateway/examples/list_costs.rs
@@ -3,12 +3,18 @@
 //!
 //! `cargo run --release -p flaxstand-gateway --example list_costs`
 
-use flaxstand::api::{Class, Effect, ListScope, Plan, Settings};
-use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Waits, Wire};
+#[path = "../tests/harness/mod.rs"]
+mod harness;
+
+use flaxstand::api::ListScope;
+use flaxstand_gateway::core::{Bounds, Config, Core, Policy, Wire};
 use flaxstand_gateway::machine::{Command, ConnId, Machine, Micros};
-use flaxstand_platform::{Listing, Target, TargetState};
+use flaxstand_http::Answers;
+use flaxstand_platform::{Configuration, Listing, Target, TargetState};
 use flaxstand_proto::{Entry, Extent, Frame, List, Role, State, VERSION, Welcome, encode};
+use harness::{entry, ms, on_platform};
 use rustix::time::{ClockId, clock_gettime};
+use std::fmt::Write as _;
 
 /// How many nodes are listed.
 const LISTED: [u64; 4] = [100, 1_000, 3_000, 25_000];
@@ -18,6 +24,12 @@
 const SWEEPS: u64 = 50;
 /// Client connections held besides, on the platform's wire.
 const CLIENTS: usize = 6_100;
+/// Sizes at which whole lists are told.
+const WHOLE_LISTS: [u64; 3] = [30, 3_200, 25_000];
+/// Bytes that one read brings where a list comes in many: a segment of TCP.
+const SEGMENT: usize = 1_448;
+/// Bytes of a chunk where a list comes in chunks.
+const CHUNK: usize = 16 * 1_024;
 /// Entries that one frame of the wire may hold.
 const ENTRIES_A_FRAME: u64 = 32_768;
 
@@ -32,6 +44,102 @@
     println!("| listed | a change, µs | a sweep, µs |");
     println!("| --- | --- | --- |");
     LISTED.into_iter().for_each(platform_change);
+    println!("a whole list, told to a core that holds none, µs in one turn; reads are of {SEGMENT} bytes");
+    println!(
+        "| listed | frames, read and taken | platform, taken | read with a length | read in chunks | settings read anew |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    WHOLE_LISTS.into_iter().for_each(whole_list);
+}
+
+/// Processor time that a call takes, microseconds.
+fn spent(call: impl FnOnce()) -> f64 {
+    let began = processor_time();
+    call();
+    processor_time() - began
+}
+
+fn whole_list(listed: u64) {
+    let text = listing_text(listed);
+    let frames = spent_on_a_whole_frame(listed);
+    let platform = spent_on_a_whole_listing(listed, &text);
+    let with_length = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+    let mut chunked = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for chunk in text.as_bytes().chunks(CHUNK) {
+        let chunk = std::str::from_utf8(chunk).expect("the list is ASCII");
+        let _ = write!(chunked, "{:x}\r\n{chunk}\r\n", chunk.len());
+    }
+    chunked.push_str("0\r\n\r\n");
+    let read = [with_length, chunked].map(|answer| spent_on_reading(&answer));
+    let settings = settings_text(&text);
+    let reload = spent(|| drop(Configuration::read(&settings).expect("settings")));
+    println!("| {listed} | {frames:.0} | {platform:.0} | {:.0} | {:.0} | {reload:.0} |", read[0], read[1]);
+}
+
+fn spent_on_a_whole_frame(listed: u64) -> f64 {
+    let now = ms(1_000_000);
+    let (mut core, list) = watching(listed, now);
+    let addresses: Vec<String> = (0..listed).map(address).collect();
+    let told = (0..listed).zip(&addresses);
+    let entries = told.map(|(node, address)| entry(node, State::Serving, node as u32, address)).collect();
+    let mut bytes = Vec::new();
+    encode(&Frame::List(List { extent: Extent::Full, since: 1, revision: 1, entries }), &mut bytes);
+    spent(|| {
+        bytes.chunks(SEGMENT).for_each(|piece| core.received(list, piece, now));
+        core.settle(now);
+    })
+}
+
+fn spent_on_a_whole_listing(listed: u64, text: &str) -> f64 {
+    let now = ms(1_000_000);
+    let mut core = Core::new(config(Wire::Platform, listed), None, now).expect("no saved list");
+    core.settle(now);
+    spent(|| {
+        let listing: Listing = serde_json::from_str(text).expect("a list");
+        core.take_platform_list(ListScope::Full, &listing, now);
+        core.settle(now);
+    })
+}
+
+fn spent_on_reading(answer: &str) -> f64 {
+    const BODY_MOST: usize = 16 << 20;
+    let mut reader = Answers::with_body_limit(BODY_MOST);
+    spent(|| {
+        let mut whole = None;
+        for piece in answer.as_bytes().chunks(SEGMENT) {
+            reader.push(piece);
+            whole = whole.or(reader.take().expect("an answer"));
+        }
+        assert!(whole.is_some(), "the answer is whole");
+    })
+}
+
+/// The whole list in the platform's words.
+fn listing_text(listed: u64) -> String {
+    let mut text = String::from(r#"{"rev":1,"all":true,"targets":["#);
+    for target in 0..listed {
+        let (comma, address) = (if target > 0 { "," } else { "" }, address(target));
+        let _ = write!(
+            text,
+            r#"{comma}{{"uid":"storage-node-{target:05}","endpoint":"{address}","az":"zone-{}","model":"m2","pod_group":{target},"state":"up","capacity_hint":1.0,"boot_ms":0}}"#,
+            target % 3
+        );
+    }
+    text + "]}"
+}
+
+/// The file that is read at the start and at each reload, with this list as the known one.
+fn settings_text(known: &str) -> String {
+    let class = r#"{"name":"read","aimMs":200,"deadlineMs":1000,"worth":1,"semantics":"repeatable"}"#;
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:8000","discovery":"127.0.0.1:8500","seed":"8c1f",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":128}},"known":{known},
+        "settings":{{"balancers":3,"registryMode":"on_request","tickMs":2.0,"classes":[{class}],
+        "grades":[{{"name":"plan","price":1.0}}],
+        "caps":{{"maxAttempts":2,"dialTimeoutMs":250.0,"keepaliveMs":6000.0}},
+        "rules":{{"askWithinMs":10000.0,"coldFrom":0.2,"coldMs":5000.0,"fallMs":1000.0,"fallMultiple":2.0}},
+        "familyInfo":{{"unitMean":1.0,"mostUnits":8}}}}}}"#
+    )
 }
 
 /// Processor time of the process so far, microseconds.
@@ -40,14 +148,20 @@
     time.tv_sec as f64 * 1e6 + time.tv_nsec as f64 / 1e3
 }
 
-fn frames_change(listed: u64) {
-    let mut now = Micros(1_000_000_000);
+/// A core on frames that watches the list, and the connection to its service.
+fn watching(listed: u64, now: Micros) -> (Core, ConnId) {
     let mut core = Core::new(config(Wire::Frames, listed), None, now).expect("no saved list");
     core.settle(now);
     let list = called(&core.take_commands());
     core.connected(list, now);
     let welcome = Welcome { version: VERSION, role: Role::List, id: 0, epoch: 0, name: "measured" };
     tell(&mut core, list, &Frame::Welcome(welcome), now);
+    (core, list)
+}
+
+fn frames_change(listed: u64) {
+    let mut now = Micros(1_000_000_000);
+    let (mut core, list) = watching(listed, now);
     let nodes: Vec<u64> = (0..listed).collect();
     let mut revision = 0;
     for (part, nodes) in nodes.chunks(ENTRIES_A_FRAME as usize).enumerate() {
@@ -149,21 +263,10 @@
     now: Micros,
 ) {
     let addresses: Vec<String> = nodes.iter().map(|node| address(*node)).collect();
-    let mut entries = Vec::new();
-    for (node, address) in nodes.iter().zip(&addresses) {
-        let (node, shard) = (*node, *node as u32);
-        entries.push(Entry {
-            node,
-            incarnation: 1,
-            state,
-            age: None,
-            shard,
-            zone: 0,
-            size: 100,
-            pace: None,
-            address,
-        });
-    }
+    let told = nodes.iter().zip(&addresses);
+    let entries = told
+        .map(|(node, address)| Entry { size: 100, ..entry(*node, state, *node as u32, address) })
+        .collect();
     let since = *revision;
     *revision += 1;
     tell(core, conn, &Frame::List(List { extent, since, revision: *revision, entries }), now);
@@ -186,60 +289,15 @@
     format!("10.{}.{}.{}:9000", node >> 16, (node >> 8) & 255, node & 255)
 }
 
+/// The tests' site with the baseline as its decider, as one of many initiators.
 fn config(wire: Wire, listed: u64) -> Config {
-    let class = Class {
-        aim: 200.0,
-        aim_stretch: 0.0,
-        deadline: 1000.0,
-        late_value: 0.2,
-        worth: 1.0,
-        effect: Effect::Repeatable,
-        in_order: false,
+    let mut config = match wire {
+        Wire::Frames => harness::config(),
+        Wire::Platform => on_platform(2_500),
     };
-    let plan = Plan { base_rate: 100.0, reserve_rate: 100.0, limit_rate: 0.0, limit_burst: 0.0, price: 1.0 };
-    let settings = Settings {
-        initiators: 4_600,
-        classes: vec![class],
-        plans: vec![plan],
-        list_on_request: wire == Wire::Platform,
-        ask_within: 10_000.0,
-        max_attempts: 3,
-        most_out: 1,
-        may_cancel: true,
-        may_probe: false,
-        max_retry_after: 300.0,
-        cold_from: 0.2,
-        cold_time: 5000.0,
-        fall_multiple: 4.0,
-        fall_time: 1000.0,
-        cold_bears: 4.0,
-        key_rest: 0.0,
-        budget: None,
-        unit_mean: 1.0,
-        unit_most: 4.0,
-        share_worth: 0.3,
-        spare_worth: 0.1,
-        tick: 1.0,
-    };
-    let bounds = Bounds { nodes: listed as usize, clients: CLIENTS, ..Bounds::default() };
-    Config {
-        name: "measured".into(),
-        index: 0,
-        epoch: 1,
-        calendar: 0,
-        seed: 3,
-        list: "127.0.0.1:1".parse().expect("an address"),
-        site: Site {
-            settings,
-            classes: vec![ClassInfo { name: "read".into(), stream: false, buffered: false }],
-            plans: vec!["plan".into()],
-            waits: Waits { list_silence: Micros(3_600_000_000), ..Waits::default() },
-            write_back: None,
-            storm: None,
-        },
-        bounds,
-        policy: Policy::Pipe,
-        wire,
-        agreeing: None,
-    }
+    config.policy = Policy::Pipe;
+    config.bounds = Bounds { nodes: listed as usize, clients: CLIENTS, ..Bounds::default() };
+    config.site.settings.initiators = 4_600;
+    config.site.waits.list_silence = ms(3_600_000);
+    config
 }
