Bounds that a long list could meet are probed at 30, 3,200 and 25,000 nodes

Change: tests/list_bounds.rs holds that a list of each size fits what answers may hold in the smallest process (16 MB), that what is only listed has neither timer nor connection, that a whole list logs a line for each new node and one when it is told again, and that a reload walks no nodes and leaves a frame that is on its way alone. tests/frames_long_lists.rs also sends 25,000 nodes over a socket through the driver, over five silences.

--- a/crates/flaxstand-gateway/tests/frames_long_lists.rs
+++ b/crates/flaxstand-gateway/tests/frames_long_lists.rs
@@ -3,9 +3,14 @@
 
 mod harness;
 
-use flaxstand_gateway::machine::ConnId;
-use flaxstand_proto::{Code, Extent, Frame, List, State};
+use flaxstand_gateway::core::{Core, SavedList};
+use flaxstand_gateway::driver::{Driver, Options, clock};
+use flaxstand_gateway::machine::{Address, ConnId, Micros};
+use flaxstand_proto::{Code, Extent, Frame, List, Role, State, VERSION, Welcome};
 use harness::{READ, Said, World, address, bytes_of, config, entry};
+use std::io::Write as _;
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
 
 /// Time between two pieces of a frame.
 const STEP_MS: u64 = 100;
@@ -179,3 +184,58 @@
     assert!(!world.closed.contains(&list));
     assert!(world.dialled.iter().all(|(_, called)| *called != address(KNOWN).parse().expect("an address")));
 }
+
+/// Tells a watcher the whole list over a socket, in pieces over so long. Returns how often it was called.
+fn serve_slowly(listener: &TcpListener, list: &[u8], over: Duration) -> usize {
+    const PIECES: u32 = 50;
+    listener.set_nonblocking(true).expect("a listener that does not wait");
+    let mut stream = accepted_within(listener, Duration::from_secs(10)).expect("the list service is called");
+    stream.set_nonblocking(false).expect("a stream that waits");
+    let welcome = Welcome { version: VERSION, role: Role::List, id: 0, epoch: 1, name: "slow" };
+    stream.write_all(&bytes_of(&Frame::Welcome(welcome))).expect("it is read");
+    for piece in list.chunks(list.len().div_ceil(PIECES as usize)) {
+        std::thread::sleep(over / PIECES);
+        if stream.write_all(piece).is_err() {
+            break;
+        }
+    }
+    let again = accepted_within(listener, Duration::from_millis(300));
+    1 + usize::from(again.is_some())
+}
+
+fn accepted_within(listener: &TcpListener, most: Duration) -> Option<TcpStream> {
+    let began = Instant::now();
+    while began.elapsed() < most {
+        if let Ok((stream, _)) = listener.accept() {
+            return Some(stream);
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    None
+}
+
+/// The same over sockets: the driver reads it in many turns, and the core saves it whole.
+#[test]
+fn a_list_of_25_000_nodes_over_five_silences_comes_through_the_driver() {
+    const SILENCE: Duration = Duration::from_millis(400);
+    let saved = std::env::temp_dir().join(format!("flaxstand-long-list-{}", std::process::id()));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut site = config();
+    site.list = Address::Tcp(listener.local_addr().expect("an address"));
+    site.site.waits.list_silence = Micros(SILENCE.as_micros() as u64);
+    let options = Options { saved: Some(saved.clone()), ..Options::default() };
+    // It runs until the test's process ends.
+    std::thread::spawn(move || {
+        let core = Core::new(site, None, clock()).expect("no saved list");
+        Driver::new(core, options).expect("a driver").run()
+    });
+    let calls = serve_slowly(&listener, &whole_list(25_000, State::Serving), 5 * SILENCE);
+    assert_eq!(calls, 1, "it is not called anew while it answers");
+    let began = Instant::now();
+    while !saved.exists() && began.elapsed() < Duration::from_secs(10) {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let bytes = std::fs::read(&saved).expect("the list is saved");
+    std::fs::remove_file(&saved).expect("it is there");
+    assert_eq!(SavedList::read(&bytes).expect("a saved list").entries.len(), 25_000);
+}
--- /dev/null
+++ b/crates/flaxstand-gateway/tests/list_bounds.rs
@@ -0,0 +1,135 @@
+//! Bounds and timers that a long list could meet, at 30, 3,200 and 25,000 nodes: docs/list-bounds.md has the table.
+
+mod harness;
+#[path = "harness/line_counter.rs"]
+mod line_counter;
+
+use flaxstand_gateway::core::{Bounds, Config};
+use flaxstand_gateway::machine::{Control, Machine as _, Reloaded};
+use flaxstand_proto::{Extent, Frame, List, State};
+use harness::*;
+use line_counter::lines_of;
+use std::fmt::Write as _;
+
+const SIZES: [u64; 3] = [30, 3_200, 25_000];
+/// Bytes that one read brings.
+const PIECE: usize = 65_536;
+/// What answers on their way may hold in the smallest process that the platform's settings allow: a quarter of 16 MB.
+const ANSWER_BYTES: usize = 4 << 20;
+
+fn target_address(target: u64) -> String {
+    format!("10.{}.{}.{}:7000", target >> 16, (target >> 8) & 255, target & 255)
+}
+
+/// The whole list in the platform's words, with all fields that it tells.
+fn whole_listing(targets: u64, revision: u64) -> String {
+    let mut text = format!(r#"{{"rev":{revision},"all":true,"targets":["#);
+    for target in 0..targets {
+        let (comma, address) = (if target > 0 { "," } else { "" }, target_address(target));
+        let _ = write!(
+            text,
+            r#"{comma}{{"uid":"storage-node-{target:05}","endpoint":"{address}","az":"zone-{}","model":"m2","pod_group":{target},"state":"up","capacity_hint":1.0,"boot_ms":0}}"#,
+            target % 3
+        );
+    }
+    text + "]}"
+}
+
+fn platform_config() -> Config {
+    let mut config = on_platform(2_500);
+    config.bounds.answer_bytes = ANSWER_BYTES;
+    config
+}
+
+/// The list service's answer comes in pieces within one moment.
+fn tell_listing(world: &mut World, text: &str) {
+    let list = world.list_conn();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+    for piece in answer.as_bytes().chunks(PIECE) {
+        world.says(list, piece);
+    }
+    world.run(5);
+}
+
+/// The whole list on frames.
+fn whole_frame(nodes: u64, revision: u64) -> Vec<u8> {
+    let addresses: Vec<String> = (0..nodes).map(target_address).collect();
+    let told = (0..nodes).zip(&addresses);
+    let entries = told.map(|(node, address)| entry(node, State::Serving, node as u32, address)).collect();
+    bytes_of(&Frame::List(List { extent: Extent::Full, since: revision, revision, entries }))
+}
+
+#[test]
+fn a_list_of_each_size_fits_the_bounds_of_the_smallest_process_on_the_platform() {
+    for targets in SIZES {
+        let mut world = World::new(platform_config(), 0);
+        let list = world.list_conn();
+        tell_listing(&mut world, &whole_listing(targets, 2));
+        assert!(!world.closed.contains(&list), "{targets} targets");
+        assert_eq!(world.core.footprint().nodes as u64, targets);
+        assert_eq!(world.core.footprint().partial_bytes, 0);
+    }
+}
+
+#[test]
+fn what_is_only_listed_has_neither_timer_nor_connection() {
+    let held = |targets| {
+        let mut world = World::new(platform_config(), 0);
+        tell_listing(&mut world, &whole_listing(targets, 2));
+        // The timer of an answer in pieces has gone by.
+        world.run(300);
+        let platform = world.core.footprint();
+        let mut world = World::new(config(), 0);
+        world.says(world.list_conn(), &whole_frame(targets, 2));
+        world.run(5);
+        let frames = world.core.footprint();
+        assert_eq!((platform.nodes, frames.nodes), (targets as usize, targets as usize));
+        (platform.timers, platform.conns, frames.timers, frames.conns)
+    };
+    let few = held(SIZES[0]);
+    assert!(SIZES.iter().all(|targets| held(*targets) == few), "{few:?}");
+}
+
+#[test]
+fn a_whole_list_logs_a_line_for_each_new_node_and_one_when_it_is_told_again() {
+    for nodes in SIZES {
+        let mut world = World::new(platform_config(), 0);
+        let first = lines_of(|| tell_listing(&mut world, &whole_listing(nodes, 2)));
+        let again = lines_of(|| tell_listing(&mut world, &whole_listing(nodes, 3)));
+        assert_eq!((first, again), (nodes + 1, 1), "{nodes} targets on the platform");
+        let mut world = World::new(config(), 0);
+        let list = world.list_conn();
+        let mut tell = |revision| {
+            let frame = whole_frame(nodes, revision);
+            lines_of(|| {
+                world.says(list, &frame);
+                world.run(5);
+            })
+        };
+        assert_eq!((tell(2), tell(3)), (nodes + 1, 1), "{nodes} nodes on frames");
+    }
+}
+
+/// New bounds and the same list service: no node is looked at, and a frame that is on its way comes in.
+#[test]
+fn a_reload_walks_no_nodes_and_leaves_a_list_that_arrives_alone() {
+    for nodes in SIZES {
+        let mut world = World::new(config(), 0);
+        let list = world.list_conn();
+        world.says(list, &whole_frame(nodes, 2));
+        world.run(5);
+        let frame = whole_frame(nodes, 3);
+        let (before, behind) = frame.split_at(frame.len() / 2);
+        world.says(list, before);
+        world.run(5);
+        let visited = world.core.counts().nodes_visited;
+        let reloaded = Reloaded { bounds: Bounds::default(), list: config().list };
+        world.core.control(Control::Reload(reloaded), world.now);
+        world.run(5);
+        assert_eq!(world.core.counts().nodes_visited, visited, "{nodes} nodes");
+        world.says(list, behind);
+        world.run(5);
+        assert!(!world.closed.contains(&list));
+        assert_eq!(world.core.list_revision(), Some(3));
+    }
+}
