--- a/crates/flaxstand-gateway/examples/list_costs.rs
+++ b/crates/flaxstand-gateway/examples/list_costs.rs
@@ -5,6 +5,8 @@
 
 #[path = "../tests/harness/mod.rs"]
 mod harness;
+#[path = "../tests/harness/whole_lists.rs"]
+mod whole_lists;
 
 use flaxstand::api::ListScope;
 use flaxstand_gateway::core::{Bounds, Config, Core, Policy, Wire};
@@ -15,6 +17,7 @@
 use harness::{entry, ms, on_platform};
 use rustix::time::{ClockId, clock_gettime};
 use std::fmt::Write as _;
+use whole_lists::{listed_address, whole_frame, whole_listing};
 
 /// How many nodes are listed.
 const LISTED: [u64; 4] = [100, 1_000, 3_000, 25_000];
@@ -60,7 +63,7 @@
 }
 
 fn whole_list(listed: u64) {
-    let text = listing_text(listed);
+    let text = whole_listing(listed, 1);
     let frames = spent_on_a_whole_frame(listed);
     let platform = spent_on_a_whole_listing(listed, &text);
     let with_length = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
@@ -79,11 +82,7 @@
 fn spent_on_a_whole_frame(listed: u64) -> f64 {
     let now = ms(1_000_000);
     let (mut core, list) = watching(listed, now);
-    let addresses: Vec<String> = (0..listed).map(address).collect();
-    let told = (0..listed).zip(&addresses);
-    let entries = told.map(|(node, address)| entry(node, State::Serving, node as u32, address)).collect();
-    let mut bytes = Vec::new();
-    encode(&Frame::List(List { extent: Extent::Full, since: 1, revision: 1, entries }), &mut bytes);
+    let bytes = whole_frame(listed, 1);
     spent(|| {
         bytes.chunks(SEGMENT).for_each(|piece| core.received(list, piece, now));
         core.settle(now);
@@ -114,20 +113,6 @@
     })
 }
 
-/// The whole list in the platform's words.
-fn listing_text(listed: u64) -> String {
-    let mut text = String::from(r#"{"rev":1,"all":true,"targets":["#);
-    for target in 0..listed {
-        let (comma, address) = (if target > 0 { "," } else { "" }, address(target));
-        let _ = write!(
-            text,
-            r#"{comma}{{"uid":"storage-node-{target:05}","endpoint":"{address}","az":"zone-{}","model":"m2","pod_group":{target},"state":"up","capacity_hint":1.0,"boot_ms":0}}"#,
-            target % 3
-        );
-    }
-    text + "]}"
-}
-
 /// The file that is read at the start and at each reload, with this list as the known one.
 fn settings_text(known: &str) -> String {
     let class = r#"{"name":"read","aimMs":200,"deadlineMs":1000,"worth":1,"semantics":"repeatable"}"#;
@@ -262,7 +247,7 @@
     state: State,
     now: Micros,
 ) {
-    let addresses: Vec<String> = nodes.iter().map(|node| address(*node)).collect();
+    let addresses: Vec<String> = nodes.iter().map(|node| listed_address(*node)).collect();
     let told = nodes.iter().zip(&addresses);
     let entries = told
         .map(|(node, address)| Entry { size: 100, ..entry(*node, state, *node as u32, address) })
@@ -275,7 +260,7 @@
 fn listing(rev: u64, nodes: &[u64], state: TargetState) -> Listing {
     let target = |node: &u64| Target {
         uid: format!("s-{node}"),
-        endpoint: address(*node),
+        endpoint: listed_address(*node),
         az: "a".into(),
         pod_group: *node as u32,
         state,
@@ -285,10 +270,6 @@
     Listing { rev, all: nodes.len() > 1, targets: nodes.iter().map(target).collect() }
 }
 
-fn address(node: u64) -> String {
-    format!("10.{}.{}.{}:9000", node >> 16, (node >> 8) & 255, node & 255)
-}
-
 /// The tests' site with the baseline as its decider, as one of many initiators.
 fn config(wire: Wire, listed: u64) -> Config {
     let mut config = match wire {
--- a/crates/flaxstand-gateway/tests/list_bounds.rs
+++ b/crates/flaxstand-gateway/tests/list_bounds.rs
@@ -3,13 +3,14 @@
 mod harness;
 #[path = "harness/line_counter.rs"]
 mod line_counter;
+#[path = "harness/whole_lists.rs"]
+mod whole_lists;
 
 use flaxstand_gateway::core::{Bounds, Config};
 use flaxstand_gateway::machine::{Control, Machine as _, Reloaded};
-use flaxstand_proto::{Extent, Frame, List, State};
 use harness::*;
 use line_counter::lines_of;
-use std::fmt::Write as _;
+use whole_lists::{whole_frame, whole_listing};
 
 const SIZES: [u64; 3] = [30, 3_200, 25_000];
 /// Bytes that one read brings.
@@ -17,24 +18,6 @@
 /// What answers on their way may hold in the smallest process that the platform's settings allow: a quarter of 16 MB.
 const ANSWER_BYTES: usize = 4 << 20;
 
-fn target_address(target: u64) -> String {
-    format!("10.{}.{}.{}:7000", target >> 16, (target >> 8) & 255, target & 255)
-}
-
-/// The whole list in the platform's words, with all fields that it tells.
-fn whole_listing(targets: u64, revision: u64) -> String {
-    let mut text = format!(r#"{{"rev":{revision},"all":true,"targets":["#);
-    for target in 0..targets {
-        let (comma, address) = (if target > 0 { "," } else { "" }, target_address(target));
-        let _ = write!(
-            text,
-            r#"{comma}{{"uid":"storage-node-{target:05}","endpoint":"{address}","az":"zone-{}","model":"m2","pod_group":{target},"state":"up","capacity_hint":1.0,"boot_ms":0}}"#,
-            target % 3
-        );
-    }
-    text + "]}"
-}
-
 fn platform_config() -> Config {
     let mut config = on_platform(2_500);
     config.bounds.answer_bytes = ANSWER_BYTES;
@@ -51,14 +34,6 @@
     world.run(5);
 }
 
-/// The whole list on frames.
-fn whole_frame(nodes: u64, revision: u64) -> Vec<u8> {
-    let addresses: Vec<String> = (0..nodes).map(target_address).collect();
-    let told = (0..nodes).zip(&addresses);
-    let entries = told.map(|(node, address)| entry(node, State::Serving, node as u32, address)).collect();
-    bytes_of(&Frame::List(List { extent: Extent::Full, since: revision, revision, entries }))
-}
-
 #[test]
 fn a_list_of_each_size_fits_the_bounds_of_the_smallest_process_on_the_platform() {
     for targets in SIZES {
--- a/crates/flaxstand-gateway/tests/platform_growth.rs
+++ b/crates/flaxstand-gateway/tests/platform_growth.rs
@@ -7,6 +7,8 @@
 mod harness;
 #[path = "harness/line_counter.rs"]
 mod line_counter;
+#[path = "harness/whole_lists.rs"]
+mod whole_lists;
 
 use counting_allocator::{CountingAllocator, allocations, held_bytes, peak_bytes, reset_peak};
 use flaxstand::api::ListScope;
@@ -16,7 +18,7 @@
 use harness::*;
 use rustix::time::{ClockId, clock_gettime};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::fmt::Write as _;
+use whole_lists::{listed_address, target_json, whole_listing};
 
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
@@ -38,28 +40,6 @@
 const CHANGE_MS: u64 = 2_000;
 const MIB: f64 = (1 << 20) as f64;
 
-fn target_address(target: u64) -> String {
-    format!("10.{}.{}.{}:7000", target >> 16, (target >> 8) & 255, target & 255)
-}
-
-/// A target's entry as long as the platform writes it.
-fn target_json(target: u64, state: &str) -> String {
-    let address = target_address(target);
-    format!(
-        r#"{{"uid":"storage-node-{target:05}","endpoint":"{address}","az":"zone-{}","model":"m2","pod_group":{target},"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#,
-        target % 3
-    )
-}
-
-fn whole_listing(targets: u64) -> String {
-    let mut text = r#"{"rev":2,"all":true,"targets":["#.to_owned();
-    for target in 0..targets {
-        let comma = if target > 0 { "," } else { "" };
-        let _ = write!(text, "{comma}{}", target_json(target, "up"));
-    }
-    text + "]}"
-}
-
 fn site_config(targets: u64) -> Config {
     let mut config = on_platform(2_500);
     config.bounds.nodes = targets as usize + 10;
@@ -110,10 +90,10 @@
     fn new(targets: u64) -> Self {
         let mut world = World::new(site_config(targets), 0);
         for target in 0..targets {
-            let address = target_address(target).parse().expect("an address");
+            let address = listed_address(target).parse().expect("an address");
             world.dials.insert(address, Dial::Greets(target));
         }
-        let list = whole_listing(targets);
+        let list = whole_listing(targets, 2);
         reset_peak();
         let conn = world.list_conn();
         world.answer(conn, "200 OK", &list);
@@ -316,7 +296,7 @@
 fn a_listed_target_holds_less_than_four_kilobytes() {
     const HELD_MOST: f64 = 4.0 * MIB / 1000.0;
     for targets in [FEW, SIXTEEN_TIMES, MANY] {
-        let text = whole_listing(targets);
+        let text = whole_listing(targets, 2);
         let before = held_bytes();
         reset_peak();
         let mut core = listed_core(targets, &text);
@@ -350,7 +330,7 @@
 #[test]
 fn a_change_costs_the_same_among_200_as_among_25_000_targets() {
     let change = |targets: u64| {
-        let mut core = listed_core(targets, &whole_listing(targets));
+        let mut core = listed_core(targets, &whole_listing(targets, 2));
         core.settle(ms(1_000_001));
         drop(core.take_commands());
         let told = |state: &str| -> Listing {
