--- a/crates/flaxstand-gateway/tests/list_bounds.rs
+++ b/crates/flaxstand-gateway/tests/list_bounds.rs
@@ -15,8 +15,8 @@
 const SIZES: [u64; 3] = [30, 3_200, 25_000];
 /// Bytes that one read brings.
 const PIECE: usize = 65_536;
-/// What answers on their way may hold in the smallest process that the platform's settings allow: a quarter of 16 MB.
-const ANSWER_BYTES: usize = 4 << 20;
+/// What answers of targets on their way may hold: less than a list of 3,200 targets has.
+const ANSWER_BYTES: usize = 64 << 10;
 
 fn platform_config() -> Config {
     let mut config = on_platform(2_500);
@@ -35,7 +35,7 @@
 }
 
 #[test]
-fn a_list_of_each_size_fits_the_bounds_of_the_smallest_process_on_the_platform() {
+fn a_list_of_each_size_is_taken_whatever_answers_of_targets_may_hold() {
     for targets in SIZES {
         let mut world = World::new(platform_config(), 0);
         let list = world.list_conn();
@@ -66,12 +66,12 @@
 }
 
 #[test]
-fn a_whole_list_logs_a_line_for_each_new_node_and_one_when_it_is_told_again() {
+fn a_whole_list_logs_one_line_however_long_it_is() {
     for nodes in SIZES {
         let mut world = World::new(platform_config(), 0);
         let first = lines_of(|| tell_listing(&mut world, &whole_listing(nodes, 2)));
         let again = lines_of(|| tell_listing(&mut world, &whole_listing(nodes, 3)));
-        assert_eq!((first, again), (nodes + 1, 1), "{nodes} targets on the platform");
+        assert_eq!((first, again), (1, 1), "{nodes} targets on the platform");
         let mut world = World::new(config(), 0);
         let list = world.list_conn();
         let mut tell = |revision| {
@@ -81,7 +81,7 @@
                 world.run(5);
             })
         };
-        assert_eq!((tell(2), tell(3)), (nodes + 1, 1), "{nodes} nodes on frames");
+        assert_eq!((tell(2), tell(3)), (1, 1), "{nodes} nodes on frames");
     }
 }
 
