--- a/crates/flaxstand-gateway/tests/list_fleet/delivery.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/delivery.rs
@@ -162,7 +162,7 @@
     }
 }
 
-fn busy() -> Rc<[u8]> {
+pub(super) fn busy() -> Rc<[u8]> {
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".as_slice().into()
 }
 
--- a/crates/flaxstand-gateway/tests/list_fleet/faults.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/faults.rs
@@ -16,6 +16,8 @@
     Refused,
     /// Connections are accepted, and reset when a call comes.
     Reset,
+    /// Calls are accepted, wait for up to a second and are turned away.
+    TurnsAwayLate,
 }
 
 /// A fault of the way, while the service is up.
--- a/crates/flaxstand-gateway/tests/list_fleet/network.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/network.rs
@@ -1,6 +1,6 @@
 //! Connections between hosts and the list service: calls, outages, resets, and moves to another address.
 
-use super::delivery::Delivery;
+use super::delivery::{Delivery, busy};
 use super::events::{Event, HostConn, Input};
 use super::faults::{Fault, Outage};
 use super::list_service::{Call, CallId};
@@ -8,6 +8,9 @@
 use flaxstand_gateway::machine::Micros;
 use std::collections::BTreeMap;
 
+/// How long calls wait before they are turned away in an outage that turns them away late, least and most, ms.
+const TURNED_AWAY_AFTER: (f64, f64) = (10.0, 1000.0);
+
 /// Connections to an address that the list service has left are closed after this.
 const OLD_ADDRESS: Micros = Micros(1_500_000);
 struct OpenCall {
@@ -117,6 +120,7 @@
         let wait_ends = self.now.after(call.wait);
         match (self.network.outage, fault) {
             (Some(Outage::Silent), _) => self.silence(conn),
+            (Some(Outage::TurnsAwayLate), _) => self.turn_away_late(conn),
             (Some(_), _) | (None, Some(Fault::Reset)) => self.reset_link(conn),
             (None, Some(Fault::Silent)) => {
                 self.silence(conn);
@@ -142,6 +146,15 @@
         }
     }
 
+    /// Nothing is said on a connection until its call is turned away.
+    fn turn_away_late(&mut self, conn: HostConn) {
+        self.silence(conn);
+        let waits = self.draw.millis(TURNED_AWAY_AFTER.0, TURNED_AWAY_AFTER.1);
+        let bytes = busy();
+        let range = 0..bytes.len();
+        self.reaches(conn.host, conn.life, self.now.after(waits), Input::Bytes(conn.conn, bytes, range));
+    }
+
     /// An answer that is on its way does not come whole.
     fn break_off(&mut self, conn: HostConn) {
         let link = self.network.links.get_mut(&conn);
@@ -190,6 +203,7 @@
         self.service.forget_all(self.now);
         match outage {
             Outage::Silent => self.open_links().into_iter().for_each(|conn| self.silence(conn)),
+            Outage::TurnsAwayLate => self.open_links().into_iter().for_each(|conn| self.turn_away_late(conn)),
             Outage::Refused | Outage::Reset => self.watches_reset(),
         }
     }
--- a/crates/flaxstand-gateway/tests/list_fleet/outage_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/outage_tests.rs
@@ -72,6 +72,16 @@
     serves_through(Outage::Reset);
 }
 
+#[test]
+fn an_outage_that_turns_calls_away_late_stops_no_service() {
+    serves_through(Outage::TurnsAwayLate);
+}
+
+#[test]
+fn targets_drain_right_after_an_outage_that_turned_calls_away_late() {
+    assert_holds(&drains_right_after(Outage::TurnsAwayLate));
+}
+
 /// A service that turns every call away can be reached: what it has counts as told, and service may be refused, but is
 /// there again soon after calls are answered.
 #[test]
