One lost call after a refusal is no outage again; answers given up bind until the list is heard

Cause: five calls without an answer were remembered, so that after a service came back crowded one refusal at once and one lost call counted as an outage anew (list_freshness.rs, the cap of `unanswered`). A refusal also forgot an answer that had been given up before it.

--- a/src/list_freshness.rs
+++ b/src/list_freshness.rs
@@ -20,7 +20,7 @@
 /// watch that went silent, or some calls that were lost, may happen to a service that works.
 const UNREACHABLE_CALLS: u32 = 3;
 /// A call that is turned away at once shows a service that works, and outweighs so many without an answer. More than
-/// that many above the threshold are not remembered: a service that comes back crowded shows soon.
+/// the threshold are not remembered, so that one lost call after it is no outage again.
 const TURNED_AWAY_WEIGHS: u32 = 2;
 /// A call that is turned away later than this shows nothing: it waited, at a service that is busy or at one that is
 /// down (503 answers came within 20 ms from a crowded service, and spread over a second in an outage).
@@ -48,6 +48,8 @@
     unanswered_since: Ms,
     /// Since when an answer has been arriving that is not complete. What it tells binds from then on.
     answer_began_at: Option<Ms>,
+    /// The same of the first answer that was given up since the list was last heard.
+    abandoned_since: Option<Ms>,
     /// When this host was told that the service is at another address, in order. What the service has some seconds
     /// later binds then, whatever was heard before; a move is forgotten once the list held is from after that.
     moves: VecDeque<Ms>,
@@ -64,6 +66,7 @@
             unanswered: 0,
             unanswered_since: now,
             answer_began_at: None,
+            abandoned_since: None,
             moves: VecDeque::new(),
         }
     }
@@ -75,6 +78,7 @@
         let written_at = (self.call_made_at + waited).min(now);
         self.current_at = self.current_at.max(written_at);
         self.answer_began_at = None;
+        self.abandoned_since = None;
         self.unanswered = 0;
         self.forget_moves();
     }
@@ -94,8 +98,11 @@
                 self.unanswered = self.unanswered.saturating_sub(TURNED_AWAY_WEIGHS);
             }
             ListCall::TurnedAway { .. } | ListCall::Unanswered => self.call_unanswered(),
-            // What it told binds although it was not heard.
-            ListCall::Abandoned => self.unanswered = 0,
+            ListCall::Abandoned => {
+                self.unanswered = 0;
+                self.abandoned_since = self.abandoned_since.or(self.answer_began_at);
+                self.answer_began_at = None;
+            }
             ListCall::Moved => {
                 self.unanswered = 0;
                 self.moved(now);
@@ -109,7 +116,7 @@
         if self.unanswered == 0 {
             self.unanswered_since = self.call_made_at;
         }
-        self.unanswered = (self.unanswered + 1).min(UNREACHABLE_CALLS + TURNED_AWAY_WEIGHS);
+        self.unanswered = (self.unanswered + 1).min(UNREACHABLE_CALLS);
         let span = self.call_made_at - self.unanswered_since;
         if self.unanswered < UNREACHABLE_CALLS || span < UNREACHABLE_SPAN {
             return;
@@ -139,7 +146,7 @@
         let Some(terms) = self.terms else { return Ms::INFINITY };
         let unheard = self.current_at + terms.told_within;
         let moved = self.moves.front().map_or(Ms::INFINITY, |at| at + terms.told_after_move);
-        let arriving = self.answer_began_at.unwrap_or(Ms::INFINITY);
+        let arriving = self.abandoned_since.or(self.answer_began_at).unwrap_or(Ms::INFINITY);
         unheard.min(moved).min(arriving) + terms.drain_grace - MARGIN
     }
 
--- a/tests/list_age.rs
+++ b/tests/list_age.rs
@@ -132,6 +132,32 @@
     assert!(sends <= LAST - 1500.0 - HELD_UP, "{sends}");
 }
 
+#[test]
+fn a_call_that_is_lost_before_a_crowded_service_is_no_outage_again() {
+    let mut host = host();
+    quiet_call(&mut host);
+    for _ in 0..10 {
+        call(&mut host, ListCall::Made { waits: 0.0 });
+        host.pass(1500.0);
+        call(&mut host, ListCall::Unanswered);
+    }
+    // The service is back, and crowded: one call in two is turned away at once, the others are lost.
+    let mut calls = 0;
+    let mut made = 0.0;
+    let sends = sends_for(&mut host, |host, passed| {
+        if passed - made >= 1500.0 {
+            made = passed;
+            calls += 1;
+            call(
+                host,
+                if calls % 2 == 1 { ListCall::TurnedAway { after: 5.0 } } else { ListCall::Unanswered },
+            );
+            call(host, ListCall::Made { waits: 0.0 });
+        }
+    });
+    assert!(sends <= LAST - 1500.0 - HELD_UP, "{sends}");
+}
+
 #[test]
 fn a_silent_watch_and_a_lost_call_are_no_outage() {
     let mut host = host();
@@ -165,6 +191,33 @@
     assert_eq!(host.sends(), [(1, 0)]);
 }
 
+#[test]
+fn an_answer_that_was_given_up_binds_until_the_list_is_heard() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: WAIT });
+    call(&mut host, ListCall::AnswerBegan);
+    call(&mut host, ListCall::Abandoned);
+    call(&mut host, ListCall::Made { waits: 0.0 });
+    call(&mut host, ListCall::TurnedAway { after: 5.0 });
+    let sends = sends_for(&mut host, |_, _| {});
+    assert!(sends <= TERMS.drain_grace - HELD_UP, "{sends}");
+    call(&mut host, ListCall::Made { waits: 0.0 });
+    host.list(ListScope::Changes, Vec::new());
+    assert!(sends_for(&mut host, |_, _| {}) > TERMS.drain_grace);
+}
+
+/// An outage may begin within an answer.
+#[test]
+fn an_answer_that_broke_off_binds_no_more() {
+    let mut host = host();
+    quiet_call(&mut host);
+    call(&mut host, ListCall::Made { waits: WAIT });
+    call(&mut host, ListCall::AnswerBegan);
+    call(&mut host, ListCall::Unanswered);
+    assert!(sends_for(&mut host, |_, _| {}) > 2.0 * TERMS.drain_grace);
+}
+
 #[test]
 fn an_answer_that_was_long_on_its_way_tells_what_was_so_when_it_was_asked_for() {
     let mut host = host();
