--- /dev/null
+++ b/crates/flaxstand-gateway/src/core/decider.rs
@@ -0,0 +1,57 @@
+//! Who decides: the decision module, or a baseline in its place for measurements.
+
+use super::pipe::{Pipe, Placement};
+use super::{Config, Policy, storms, writeback};
+use crate::machine::Micros;
+use flaxstand::api::{Action, Event, Settings};
+use flaxstand::brain::Brain;
+
+/// The decision module or a baseline.
+pub(super) enum Decider {
+    Module(Box<Brain>),
+    Pipe(Pipe),
+}
+
+impl Decider {
+    /// The one that the configuration names, told these settings.
+    pub(super) fn new(config: &Config, settings: Settings, now: Micros) -> Self {
+        let pipe = |placement| Decider::Pipe(Pipe::new(placement, config.seed));
+        match config.policy {
+            Policy::Module => {
+                let seed = config.seed ^ config.epoch.rotate_left(32);
+                Decider::Module(Box::new(Brain::new(settings, seed, now.ms())))
+            }
+            Policy::Pipe => pipe(Placement::RoundRobin),
+            Policy::LeastOut => pipe(Placement::LeastOut),
+            Policy::TwoChoices => pipe(Placement::TwoChoices),
+        }
+    }
+
+    /// Takes one event; what is to be done is added to `actions`.
+    pub(super) fn handle(&mut self, event: Event, now: Micros, actions: &mut Vec<Action>) {
+        match self {
+            Decider::Module(brain) => brain.handle(event, now.ms(), actions),
+            Decider::Pipe(pipe) => pipe.handle(event, actions),
+        }
+    }
+
+    /// Until when requests may be sent on the list held, ms. Baselines know of no age of lists.
+    pub(super) fn list_trusted_until(&self) -> f64 {
+        match self {
+            Decider::Module(brain) => brain.list_trusted_until(),
+            Decider::Pipe(_) => f64::INFINITY,
+        }
+    }
+}
+
+/// What the module is told: the site's settings, and classes for write-outs and repeats after the site's own.
+pub(super) fn module_settings(config: &Config) -> Settings {
+    let mut settings = match &config.site.write_back {
+        Some(_) => writeback::with_write_outs(&config.site.settings),
+        None => config.site.settings.clone(),
+    };
+    if let Some(rules) = &config.site.storm {
+        storms::with_repeats(&mut settings, config.site.classes.len(), rules);
+    }
+    settings
+}
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -10,6 +10,7 @@
 //! - [`storms`]: repeats told from first tries, and damped
 //! - [`agreement`]: words between initiators, and the rules that hold now
 //! - [`writeback`]: the write-back buffer's place between clients and the module
+//! - [`decider`]: the decision module, or a baseline in its place
 //! - [`figures`]: what is counted and held
 //! - [`list`]: the node list and its breaks; [`saved_list`]: its copy for the next start
 //!
@@ -18,13 +19,14 @@
 //!
 //! - [`http_server`]: clients that ask one request at a time of a connection; [`client_places`]: who gives way
 //! - [`pool`]: connections to a node that carry one request each
-//! - [`list_calls`]: the list, told by calls that wait
+//! - [`list_calls`]: the list, told by calls that wait; [`platform_list`]: what they tell
 
 mod agreement;
 mod backoff;
 mod client_places;
 mod clients;
 mod config;
+mod decider;
 mod dispatch;
 mod figures;
 mod first_byte;
@@ -34,6 +36,7 @@
 mod node_table;
 mod nodes;
 mod pipe;
+mod platform_list;
 mod plumbing;
 mod pool;
 mod requests;
@@ -49,14 +52,13 @@
 use crate::machine::{Command, ConnId, Control, Machine, Micros};
 use agreement::Agreed;
 use client_places::ClientPlaces;
+use decider::{Decider, module_settings};
 use first_byte::ListTrust;
-use flaxstand::api::{Action, Class, Event, RequestId, Settings, VolumeId};
-use flaxstand::brain::Brain;
+use flaxstand::api::{Class, Event, RequestId, VolumeId};
 use flaxstand_proto::Parting;
 use flaxstand_storm::Arrivals;
 use list::ListPeer;
 use node_table::NodeTable;
-use pipe::{Pipe, Placement};
 use plumbing::{Conn, Peer, Plumbing, Protocol, Stage, Timer};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -66,21 +68,6 @@
 use tracing::{info, warn};
 use writeback::Back;
 
-enum Decider {
-    Module(Box<Brain>),
-    Pipe(Pipe),
-}
-
-impl Decider {
-    /// Until when requests may be sent on the list held, ms. Baselines know of no age of lists.
-    fn list_trusted_until(&self) -> f64 {
-        match self {
-            Decider::Module(brain) => brain.list_trusted_until(),
-            Decider::Pipe(_) => f64::INFINITY,
-        }
-    }
-}
-
 /// How far the process is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -143,18 +130,6 @@
     counts: Counts,
 }
 
-/// What the module is told: the site's settings, and classes for write-outs and repeats after the site's own.
-fn module_settings(config: &Config) -> Settings {
-    let mut settings = match &config.site.write_back {
-        Some(_) => writeback::with_write_outs(&config.site.settings),
-        None => config.site.settings.clone(),
-    };
-    if let Some(rules) = &config.site.storm {
-        storms::with_repeats(&mut settings, config.site.classes.len(), rules);
-    }
-    settings
-}
-
 impl Core {
     /// A core that starts now, with the list as it was saved in an earlier life, if there is one.
     ///
@@ -167,16 +142,7 @@
             Gate::new(rules, classes, config.seed ^ config.epoch.rotate_left(17), now)
         });
         let brain_classes = settings.classes.clone();
-        let decider = match config.policy {
-            Policy::Module => Decider::Module(Box::new(Brain::new(
-                settings,
-                config.seed ^ config.epoch.rotate_left(32),
-                now.ms(),
-            ))),
-            Policy::Pipe => Decider::Pipe(Pipe::new(Placement::RoundRobin, config.seed)),
-            Policy::LeastOut => Decider::Pipe(Pipe::new(Placement::LeastOut, config.seed)),
-            Policy::TwoChoices => Decider::Pipe(Pipe::new(Placement::TwoChoices, config.seed)),
-        };
+        let decider = Decider::new(&config, settings, now);
         let list = ListPeer::new(&config.site.waits);
         let class_names = config.site.classes.iter().map(|c| c.name.clone()).collect();
         let mut core = Core {
@@ -268,7 +234,7 @@
         let mut actions = Vec::new();
         // What the actions cause in turn is told at the next turn: the work of one turn is bounded.
         for event in std::mem::take(&mut self.events) {
-            self.decide_on(event, now, &mut actions);
+            self.decider.handle(event, now, &mut actions);
             self.undecided = true;
         }
         self.perform(&mut actions, now);
@@ -279,17 +245,10 @@
         self.undecided = false;
         self.decided_at = Some(now);
         let mut actions = Vec::new();
-        self.decide_on(Event::Decide, now, &mut actions);
+        self.decider.handle(Event::Decide, now, &mut actions);
         self.perform(&mut actions, now);
     }
 
-    fn decide_on(&mut self, event: Event, now: Micros, actions: &mut Vec<Action>) {
-        match &mut self.decider {
-            Decider::Module(brain) => brain.handle(event, now.ms(), actions),
-            Decider::Pipe(pipe) => pipe.handle(event, actions),
-        }
-    }
-
     fn fire(&mut self, timer: Timer, now: Micros) {
         match timer {
             Timer::Deadline(request) => self.deadline(request, now),
--- a/crates/flaxstand-gateway/src/core/saved_list.rs
+++ b/crates/flaxstand-gateway/src/core/saved_list.rs
@@ -9,8 +9,9 @@
 //! of them may be torn by a crash. Once the changes have grown as long as the whole, the whole is written anew: over
 //! time a change costs no more than twice its own length, however many nodes are listed.
 
+use super::Core;
+use super::decider::Decider;
 use super::node_table::{NodeName, NodePeer};
-use super::{Core, Decider};
 use crate::machine::{Command, Micros};
 use flaxstand::api::{NodeId, Readiness};
 use flaxstand_proto::{
