--- a/src/brain.rs
+++ b/src/brain.rs
@@ -624,7 +624,7 @@
         self.nodes.get(node)?.unit_time
     }
 
-    /// Until when requests may be sent on the node list held; the gateway asks again before a first byte leaves.
+    /// Until when requests may be sent on the node list held. Asked again before a first byte leaves.
     pub fn list_trusted_until(&self) -> Ms {
         self.list.trusted_until()
     }
@@ -925,7 +925,8 @@
         }
     }
 
-    /// The gate that every send passes: drain, age of the list, depth, health, cold, attempts, order, limit, effect, budget.
+    /// The gate that every send passes: drain, age of the list, depth, health, cold, attempts, order, limit,
+    /// effect, budget.
     fn may_send(&self, id: RequestId, at: NodeId, now: Ms) -> bool {
         let (Some(r), Some(node)) = (self.requests.get(&id), self.nodes.get(at)) else { return false };
         let class = &self.s.classes[r.a.class.0];
