--- a/src/list_freshness.rs
+++ b/src/list_freshness.rs
@@ -1,14 +1,14 @@
 //! How long the node list that this host holds may be acted on.
 //!
 //! A change of the list binds a host at the latest some seconds after the list service had it and could be
-//! reached, whether or not the host has heard of it. From then on a request may be sent to a node that drains
-//! for a short grace only. A host that has heard nothing for that long may therefore send nothing: any node of
-//! its list may be one of those. While the service cannot be reached no change binds, so an outage of the
-//! service alone never makes the list too old.
+//! reached, whether or not the host has heard of it. From then on a request may be sent to a node that
+//! drains for a short grace only. A host that has heard nothing for that long may therefore send nothing:
+//! any node of its list may be one of those. While the service cannot be reached no change binds, so an
+//! outage of the service alone never makes the list too old.
 //!
-//! This module is told what becomes of each call of the service and answers one question, until when requests
-//! may be sent on the list held. It is asked before each decision to send, and again by the gateway before the
-//! first byte of an attempt leaves.
+//! This module is told what becomes of each call of the service and answers one question, until when
+//! requests may be sent on the list held. It is asked before each decision to send, and again by the
+//! gateway before the first byte of an attempt leaves.
 
 use crate::api::{ListCall, ListTerms, Ms};
 use std::collections::VecDeque;
@@ -16,20 +16,21 @@
 /// Kept back from every span: a turn may be held up for 150 ms between reading its clock and writing, and a
 /// list or a request may be some milliseconds on its way.
 const MARGIN: Ms = 250.0;
-/// The service counts as unreachable after so many calls in a row without an answer, made over so long a time. A
-/// watch that went silent, or some calls that were lost, may happen to a service that works.
+/// The service counts as unreachable after so many calls in a row without an answer, made over so long a
+/// time. A watch that went silent, or some calls that were lost, may happen to a service that works.
 const UNREACHABLE_CALLS: u32 = 3;
-/// A call that is turned away at once shows a service that works, and outweighs so many without an answer. More than
-/// the threshold are not remembered, so that one lost call after it is no outage again.
+/// A call that is turned away at once shows a service that works, and outweighs so many without an answer.
+/// More than the threshold are not remembered, so that one lost call after it is no outage again.
 const TURNED_AWAY_WEIGHS: u32 = 2;
-/// A call that is turned away later than this shows nothing: it waited, at a service that is busy or at one that is
-/// down (503 answers came within 20 ms from a crowded service, and spread over a second in an outage).
+/// A call that is turned away later than this shows nothing: it waited, at a service that is busy or at one
+/// that is down (503 answers came within 20 ms from a crowded service, and spread over a second in an
+/// outage).
 const AT_ONCE: Ms = 50.0;
 const UNREACHABLE_SPAN: Ms = 2000.0;
 /// The same where the service has moved: a new configuration binds sooner, so less is taken for an outage.
 const UNREACHABLE_SPAN_AFTER_MOVE: Ms = 3000.0;
-/// Moves that are remembered until what the service has some seconds later is known. Of more than so many within
-/// these seconds the earliest and the last count.
+/// Moves that are remembered until what the service has some seconds later is known. Of more than so many
+/// within these seconds the earliest and the last count.
 const MOVES_MOST: usize = 16;
 
 /// What is known of the age of the list.
@@ -37,8 +38,8 @@
 pub(crate) struct ListFreshness {
     /// None: this deployment states no such terms, and the list never grows too old.
     terms: Option<ListTerms>,
-    /// The last moment at which every change that bound this host was in the list held: when the list was last
-    /// heard, or when the service could not be reached.
+    /// The last moment at which every change that bound this host was in the list held: when the list was
+    /// last heard, or when the service could not be reached.
     current_at: Ms,
     /// When the call that is out was made, and how long it asked the service to wait for a change.
     call_made_at: Ms,
@@ -50,8 +51,9 @@
     answer_began_at: Option<Ms>,
     /// The same of the first answer that was given up since the list was last heard.
     abandoned_since: Option<Ms>,
-    /// When this host was told that the service is at another address, in order. What the service has some seconds
-    /// later binds then, whatever was heard before; a move is forgotten once the list held is from after that.
+    /// When this host was told that the service is at another address, in order. What the service has some
+    /// seconds later binds then, whatever was heard before; a move is forgotten once the list held is from
+    /// after that.
     moves: VecDeque<Ms>,
 }
 
@@ -71,8 +73,9 @@
         }
     }
 
-    /// The service told the list, or that nothing has changed. When it wrote the answer is not known, which may have
-    /// been on its way for long: at the earliest when the call was made, or, if nothing changed, when its wait ended.
+    /// The service told the list, or that nothing has changed. When it wrote the answer is not known, which
+    /// may have been on its way for long: at the earliest when the call was made, or, if nothing changed,
+    /// when its wait ended.
     pub(crate) fn list_heard(&mut self, changed: bool, now: Ms) {
         let waited = if changed { 0.0 } else { self.call_waits };
         let written_at = (self.call_made_at + waited).min(now);
@@ -110,7 +113,8 @@
         }
     }
 
-    /// Nobody answered. After a row of such calls the service was unreachable when the last of them was made.
+    /// Nobody answered. After a row of such calls the service was unreachable when the last of them was
+    /// made.
     fn call_unanswered(&mut self) {
         self.answer_began_at = None;
         if self.unanswered == 0 {
@@ -140,8 +144,8 @@
         while self.moves.pop_front_if(known).is_some() {}
     }
 
-    /// Until when requests may be sent on the list held. It moves back where an answer begins to arrive, or the
-    /// service moves.
+    /// Until when requests may be sent on the list held. It moves back where an answer begins to arrive, or
+    /// the service moves.
     pub(crate) fn trusted_until(&self) -> Ms {
         let Some(terms) = self.terms else { return Ms::INFINITY };
         let unheard = self.current_at + terms.told_within;
