Waiting attempts are taken back whenever the list becomes too old

Cause: only the timer took back what waits in our own buffers; where the list becomes too old within a turn (a grace shorter than what is kept back of it, when an answer begins to arrive), the timer was cancelled and nothing was taken back (`arm_list_trust` in first_byte.rs). Found on reading the change once more.

Change: it is done where the loss of trust is noticed, at the end of each turn; the timer only wakes the core.

--- a/crates/flaxstand-gateway/src/core/first_byte.rs
+++ b/crates/flaxstand-gateway/src/core/first_byte.rs
@@ -50,6 +50,9 @@
         if trusted == self.list_trust.lost {
             self.list_trust.lost = !trusted;
             self.log_list_trust(trusted);
+            if !trusted {
+                self.call_back_from_all(now);
+            }
         }
     }
 
@@ -76,13 +79,15 @@
         }
     }
 
-    /// The list may have grown too old: what has not begun does not begin.
-    pub(super) fn list_trust_ends(&mut self, now: Micros) {
+    /// The moment has come at which the list may be too old. It is looked at at the end of this turn.
+    pub(super) fn list_trust_due(&mut self) {
         self.list_trust.ends = None;
-        if !self.list_is_trusted(now) {
-            let all: BTreeSet<NodeId> = self.plumbing.to_nodes().filter_map(|(_, c)| c.peer.node()).collect();
-            self.call_back_from(&all, "the list is too old", now);
-        }
+    }
+
+    /// The list has grown too old: what has not begun does not begin.
+    fn call_back_from_all(&mut self, now: Micros) {
+        let all: BTreeSet<NodeId> = self.plumbing.to_nodes().filter_map(|(_, c)| c.peer.node()).collect();
+        self.call_back_from(&all, "the list is too old", now);
     }
 
     /// What has been handed to connections of these nodes, those of them that take nothing new, and of which no byte
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -265,7 +265,7 @@
             Timer::Probe(node, token) => self.probe_times_out(node, token, now),
             Timer::ListCall => self.call_list(now),
             Timer::ListSilence => self.list_silent(now),
-            Timer::ListTrust => self.list_trust_ends(now),
+            Timer::ListTrust => self.list_trust_due(),
             // Looked at in every turn.
             Timer::Agreement => {}
             Timer::StopEnds => self.stop_ends(now),
--- a/crates/flaxstand-gateway/src/core/pool.rs
+++ b/crates/flaxstand-gateway/src/core/pool.rs
@@ -1,4 +1,5 @@
-//! Connections to nodes that carry one request each: a pool for every node, the newest idle one used first. An answer is held whole before anything of it goes on; a connection whose answer is
+//! Connections to nodes that carry one request each: a pool for every node, the newest idle one used first. An
+//! answer is held whole before anything of it goes on; a connection whose answer is
 //! spoilt, or brings more than belongs to it, is not used again. Giving up an attempt closes its connection.
 
 use super::Core;
--- a/crates/flaxstand-gateway/tests/list_answers.rs
+++ b/crates/flaxstand-gateway/tests/list_answers.rs
@@ -203,3 +203,36 @@
     w.run(STEP);
     assert!(w.statuses(client).is_empty(), "it was sent");
 }
+
+/// An attempt that waits in our own buffer when the list becomes too old does not begin.
+fn waiting_attempt_is_taken_back(drain_grace: f64, after_ms: u64) {
+    let mut config = platform();
+    config.site.settings.list_terms =
+        Some(ListTerms { told_within: 6_000.0, told_after_move: 4_000.0, drain_grace });
+    let mut w = World::new(config, 2);
+    let (_, link) = w.asked("r1", "read");
+    w.answer(link, "200 OK", "ok");
+    w.run(50);
+    w.blocked.insert(link);
+    let client = w.http_client();
+    w.says(client, ask_as("r2", "read", 0, "5.000").as_bytes());
+    w.run(STEP);
+    assert!(!w.closed.contains(&link) && !w.heard_on(link).contains("r2"), "it waits to be written");
+    let conn = w.list_conn();
+    let bytes = with_head(&whole_list(2));
+    w.says(conn, &bytes[..bytes.len() / 2]);
+    w.run(after_ms);
+    assert!(w.closed.contains(&link), "it is taken back");
+    assert_eq!(w.statuses(client), [503]);
+}
+
+#[test]
+fn a_waiting_attempt_is_taken_back_when_the_list_becomes_too_old() {
+    waiting_attempt_is_taken_back(1_000.0, 800);
+}
+
+/// A grace that is shorter than what is kept back of it is over at once.
+#[test]
+fn a_waiting_attempt_is_taken_back_where_the_grace_is_short() {
+    waiting_attempt_is_taken_back(100.0, STEP);
+}
