--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -26,6 +26,11 @@
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
+/// Kills a process that this test started.
+pub fn kill_process(pid: u32) {
+    unsafe { kill(pid as i32, 9) };
+}
+
 /// Sends a signal to a process that this test started.
 pub fn signal(child: &Child, number: i32) {
     unsafe { kill(child.id() as i32, number) };
