Review: the records of cases 1 and 2 tell what was sent

Cause: the records told answers and runs, but not each request when it was sent. Change: a line for each request that a client sends.

--- a/review/standins/case1.rs
+++ b/review/standins/case1.rs
@@ -181,6 +181,7 @@
                         stream = None;
                         continue;
                     }
+                    record.line(&format!("client: sent {id} shard {shard}"));
                     match reader.read(socket) {
                         Ok(answer) => {
                             *counts.lock().unwrap().entry(answer.status()).or_default() += 1;
--- a/review/standins/case2.rs
+++ b/review/standins/case2.rs
@@ -155,6 +155,7 @@
                     let _ = stream.set_nodelay(true);
                     let _ = stream.set_read_timeout(Some(Duration::from_millis(3000)));
                     let mut writer = stream.try_clone().unwrap();
+                    record.line(&format!("client: sends {first} and {} more writes behind it", writes - 1));
                     // It sends at full speed and reads meanwhile.
                     let sender = thread::spawn(move || {
                         let _ = writer.set_write_timeout(Some(Duration::from_millis(3000)));
@@ -168,6 +169,7 @@
                         refused.lock().unwrap().insert(first);
                         // Trying again is harmless, it was told.
                         let (_, id, bytes) = request(client, 0, 1);
+                        record.line(&format!("client: sends {id}, the same write again"));
                         let again = TcpStream::connect(address).ok().and_then(|mut stream| {
                             let _ = stream.set_read_timeout(Some(Duration::from_millis(3000)));
                             stream.write_all(&bytes).ok()?;
