A late second copy of an answer is no longer served to the next client

Cause: nothing in an answer names its request, and a connection was used again at once where no other was idle. The guard beside it guessed how fast a copy is (an equal answer in less than half the shortest time of the connection).

Evidence: with a debug line for each answer (connection, attempt, latency, rest before it) beside the record of the targets: each chain begins with a copy, stays on one connection, follows rests of 0.2 to 2.1 ms, and has answers 1.8 ms after their request over a way of 5 ms. Answers mixed up between clients and bytes left in the reader are ruled out: foreign answers are always those to the request before, on the same connection, in a later turn.

Change: a used connection gets a request or probe only 20 ms after its last answer ("some milliseconds late": under ten, and as much for the way), else a new one is opened; the rest counts from a time read after the answer, so the driver reads the clock after each read. Bytes before a request is written whole close the connection; the attempt has never run. The guess is gone.

--- a/crates/flaxstand-gateway/src/core/pooled_attempts.rs
+++ b/crates/flaxstand-gateway/src/core/pooled_attempts.rs
@@ -1,12 +1,16 @@
 //! Attempts and probes on pooled HTTP connections, which carry one request at a time. Each node has a pool;
 //! the most recently used idle connection is reused first. A response is buffered completely before it is
-//! passed on. A connection is not reused after an invalid response or excess data. Abandoning an attempt
-//! closes its connection.
+//! passed on. Abandoning an attempt closes its connection.
+//!
+//! Nothing in a response names its request, so whatever arrives on a connection must belong to the request
+//! that it carries. A connection is therefore reused only once no duplicate of its last response can arrive,
+//! and not after an invalid response or excess data, and it is closed when bytes arrive before its request is
+//! written.
 
 use super::Core;
 use super::connection_table::{Connection, Peer, Protocol, Stage};
 use super::pending_request::{AttemptId, HandOver};
-use super::pooled_connection::{PooledConnection, PooledExchange, RESPONSE_STALL_TIMEOUT, ResponseMatch};
+use super::pooled_connection::{PooledConnection, PooledExchange, RESPONSE_STALL_TIMEOUT};
 use super::timers::{ProbeId, Timer};
 use crate::machine::{ConnId, Micros};
 use flaxstand::api::{NodeId, Outcome, Readiness, RequestId};
@@ -29,15 +33,15 @@
         }
     }
 
-    /// Sends an attempt or probe on an idle connection to the node, or on a new one. Prefers the most
-    /// recently used idle connection on which no duplicate of the last response can arrive any more.
+    /// Sends an attempt or probe on the most recently used idle connection to the node that is reusable, or on
+    /// a new connection.
     pub(super) fn send_pooled(&mut self, node_id: NodeId, exchange: PooledExchange, now: Micros) {
         let Some(address) = self.nodes.get(node_id).map(|node| node.address.clone()) else { return };
-        let is_preferred = |conn: &ConnId| match self.connections.get(*conn).map(|c| &c.protocol) {
-            Some(Protocol::HttpClient(pooled)) => pooled.is_reuse_preferred(now),
+        let is_reusable = |conn: &ConnId| match self.connections.get(*conn).map(|c| &c.protocol) {
+            Some(Protocol::HttpClient(pooled)) => pooled.is_reusable(now),
             _ => false,
         };
-        if let Some(conn) = self.upstream.take_idle(node_id, is_preferred) {
+        if let Some(conn) = self.upstream.take_idle(node_id, is_reusable) {
             self.reuse_connection(conn, exchange);
             return self.write_exchange(conn, now);
         }
@@ -158,10 +162,18 @@
 
     /// Handles received bytes of a response.
     pub(super) fn pooled_received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
-        let Some(pooled) = self.pooled_connection(conn) else { return };
+        let Some(Connection { protocol: Protocol::HttpClient(pooled), outbox, .. }) =
+            self.connections.get_mut(conn)
+        else {
+            return;
+        };
         if pooled.exchange().is_none() {
             return self.close(conn, "received bytes without an outstanding request", now);
         }
+        // A node starts a request when its last byte has arrived.
+        if !outbox.is_empty() {
+            return self.close(conn, "received bytes before the request was written", now);
+        }
         let part = pooled.receive(bytes, now);
         self.connections.record_response_bytes(part.partial_bytes_before, part.partial_bytes_after);
         match part.response {
@@ -206,20 +218,22 @@
 
     fn response_received(&mut self, conn: ConnId, response: &Response, now: Micros) {
         let Some(pooled) = self.pooled_connection(conn) else { return };
-        let exchange = match pooled.match_response(response, now) {
-            ResponseMatch::Matched(exchange) => exchange,
-            ResponseMatch::Duplicate => {
-                return self.response_invalid(conn, &"duplicate of the previous response", now);
-            }
-            ResponseMatch::Unrequested => return,
-        };
+        let Some(completed) = pooled.complete_exchange(now) else { return };
+        debug!(
+            conn = conn.0,
+            exchange = ?completed.exchange,
+            status = response.status,
+            latency_us = completed.latency.0,
+            idle_before_us = completed.idle_before.map(|idle| idle.0),
+            "response received"
+        );
         // Released first, since handling the response may reuse the connection.
         if response.keeps_alive {
             self.release_connection(conn, now)
         } else {
             self.close(conn, "response does not keep the connection alive", now)
         }
-        match (exchange, attempt_outcome(response)) {
+        match (completed.exchange, attempt_outcome(response)) {
             (PooledExchange::Attempt(attempt), Outcome::Served) => {
                 // Responses to platform clients do not contain the shard.
                 self.attempt_served(attempt, 0, &response.body, now);
--- a/crates/flaxstand-gateway/src/core/pooled_connection.rs
+++ b/crates/flaxstand-gateway/src/core/pooled_connection.rs
@@ -4,16 +4,14 @@
 use super::timers::ProbeId;
 use crate::machine::Micros;
 use flaxstand_http::{MessageError, Response, ResponseReader};
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 
 /// A response is invalid if its head is incomplete this long after its first byte, or if its body makes no
 /// progress for this long.
 pub(super) const RESPONSE_STALL_TIMEOUT: Micros = Micros(250_000);
-/// Time after a response within which a duplicate of it may arrive. During this time a connection is reused
-/// only if no other is idle, and a response is treated as a duplicate if it equals the last one, head and
-/// body, and its latency is less than half the lowest on this connection. Otherwise the duplicate would be
-/// served as the response to another request.
-const DUPLICATE_RESPONSE_WINDOW: Micros = Micros(20_000);
+/// Longest delay of a duplicate of a response behind the response itself: some milliseconds at the node, and
+/// as much again on the way. A connection is not reused within this time, since nothing in a duplicate tells
+/// it from the response to the next request. On an idle connection, a duplicate closes the connection.
+const MAX_DUPLICATE_DELAY: Micros = Micros(20_000);
 
 /// Request that a connection currently carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,24 +20,6 @@
     Probe(ProbeId),
 }
 
-/// The last complete response.
-#[derive(Clone, Copy, Debug)]
-struct LastResponse {
-    at: Micros,
-    fingerprint: u64,
-}
-
-/// Classification of a complete response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ResponseMatch {
-    /// The response to this exchange, which has ended.
-    Matched(PooledExchange),
-    /// A duplicate of the last response.
-    Duplicate,
-    /// No request was outstanding.
-    Unrequested,
-}
-
 /// Result of reading bytes of a response.
 #[derive(Debug)]
 pub(super) struct ReceivedPart {
@@ -52,6 +32,16 @@
     pub(super) response: Result<Option<Response>, MessageError>,
 }
 
+/// An exchange that ended with a response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CompletedExchange {
+    pub(super) exchange: PooledExchange,
+    /// Time from the request to the response.
+    pub(super) latency: Micros,
+    /// Time from the previous response on this connection to the request.
+    pub(super) idle_before: Option<Micros>,
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub(super) struct PooledConnection {
@@ -65,9 +55,8 @@
     /// The first byte of the current exchange was sent.
     is_sending: bool,
     requested_at: Micros,
-    last_response: Option<LastResponse>,
-    /// Lowest response latency on this connection.
-    min_latency: Micros,
+    /// Time of the last complete response.
+    responded_at: Option<Micros>,
 }
 
 impl PooledConnection {
@@ -80,8 +69,7 @@
             is_reused_unwritten: false,
             is_sending: false,
             requested_at: now,
-            last_response: None,
-            min_latency: Micros(u64::MAX),
+            responded_at: None,
         }
     }
 
@@ -110,9 +98,10 @@
         self.is_sending
     }
 
-    /// Returns whether a duplicate of the last response can no longer arrive.
-    pub(super) fn is_reuse_preferred(&self, now: Micros) -> bool {
-        now.since(self.since) >= DUPLICATE_RESPONSE_WINDOW
+    /// Returns whether the connection may carry another exchange: no duplicate of the last response can arrive
+    /// any more.
+    pub(super) fn is_reusable(&self, now: Micros) -> bool {
+        self.responded_at.is_none_or(|at| now.since(at) >= MAX_DUPLICATE_DELAY)
     }
 
     /// Assigns an exchange to the idle connection. Returns since when it was idle.
@@ -167,21 +156,12 @@
         self.reader.received_prefix()
     }
 
-    /// Matches a complete response to the current exchange, and detects duplicates of the last response.
-    pub(super) fn match_response(&mut self, response: &Response, now: Micros) -> ResponseMatch {
-        let Some(exchange) = self.exchange else { return ResponseMatch::Unrequested };
-        let fingerprint = fingerprint(response);
-        let latency = now.since(self.requested_at);
-        let is_duplicate = |last: LastResponse| {
-            now.since(last.at) < DUPLICATE_RESPONSE_WINDOW && last.fingerprint == fingerprint
-        };
-        if latency.0 < self.min_latency.0 / 2 && self.last_response.is_some_and(is_duplicate) {
-            return ResponseMatch::Duplicate;
-        }
-        self.last_response = Some(LastResponse { at: now, fingerprint });
-        self.min_latency = self.min_latency.min(latency);
-        self.exchange = None;
-        ResponseMatch::Matched(exchange)
+    /// Ends the current exchange with a complete response. Returns the exchange, if there is one.
+    pub(super) fn complete_exchange(&mut self, now: Micros) -> Option<CompletedExchange> {
+        let exchange = self.exchange.take()?;
+        let idle_before = self.responded_at.map(|at| self.requested_at.since(at));
+        self.responded_at = Some(now);
+        Some(CompletedExchange { exchange, latency: now.since(self.requested_at), idle_before })
     }
 
     /// Returns when a response in progress is considered stalled; `None` if no response is in progress.
@@ -190,10 +170,3 @@
         has_begun.then(|| self.since.after(RESPONSE_STALL_TIMEOUT))
     }
 }
-
-/// Hashes a response to recognise duplicates.
-fn fingerprint(response: &Response) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    response.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/flaxstand-gateway/src/core/upstream_pool.rs
+++ b/crates/flaxstand-gateway/src/core/upstream_pool.rs
@@ -196,10 +196,14 @@
         }
     }
 
-    /// Takes the most recently used idle connection that is `preferred`, or else the most recently used one.
-    pub(super) fn take_idle(&mut self, node: NodeId, preferred: impl Fn(&ConnId) -> bool) -> Option<ConnId> {
+    /// Takes the most recently used idle connection that is reusable.
+    pub(super) fn take_idle(
+        &mut self,
+        node: NodeId,
+        is_reusable: impl Fn(&ConnId) -> bool,
+    ) -> Option<ConnId> {
         let idle = &mut self.node_mut(node)?.idle;
-        let index = idle.iter().rposition(preferred).or(idle.len().checked_sub(1))?;
+        let index = idle.iter().rposition(is_reusable)?;
         Some(idle.remove(index))
     }
 
--- a/crates/flaxstand-gateway/src/driver/mod.rs
+++ b/crates/flaxstand-gateway/src/driver/mod.rs
@@ -1,5 +1,5 @@
-//! Event loop that runs a machine on epoll, with one thread and no async runtime. The clock is read once per
-//! turn and is monotonic.
+//! Event loop that runs a machine on epoll, with one thread and no async runtime. The clock is monotonic. It
+//! is read at the start of a turn and after each read from a connection.
 //!
 //! Each turn waits for events or the machine's next wake-up, reads the clock, delivers the events (a bounded
 //! number of bytes per connection, so that none starves the others), settles the machine and executes its
@@ -93,7 +93,7 @@
     /// Incomplete line read from standard input.
     partial_line: Vec<u8>,
     options: Options,
-    /// Time of the current turn.
+    /// Time reported to the machine.
     now: Micros,
     is_done: bool,
 }
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -1,7 +1,7 @@
 //! Sockets of connections: connect, read, write and close.
 
-use super::Driver;
 use super::event_source::EventSource;
+use super::{Driver, clock};
 use crate::machine::{Address, ConnId, Machine};
 use rustix::event::epoll;
 use rustix::fd::OwnedFd;
@@ -146,6 +146,8 @@
                 Ok(0) => return self.handle_peer_end(conn, flags),
                 Ok(count) => {
                     total += count;
+                    // Not earlier than the arrival of the bytes, however long the turn has taken so far.
+                    self.now = clock().max(self.now);
                     self.machine.received(conn, &buffer[..count], self.now);
                     if count < buffer.len() {
                         return;
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -124,8 +124,8 @@
     InputEnded,
 }
 
-/// A state machine that a driver runs. All calls of a turn have the same time, and time never decreases. At
-/// the end of a turn the driver calls [`settle`](Machine::settle), then takes the commands.
+/// A state machine that a driver runs. Time never decreases, and bytes are reported at a time not earlier than
+/// their arrival. At the end of a turn the driver calls [`settle`](Machine::settle), then takes the commands.
 pub trait Machine {
     /// Reports that a peer connected to a listener. `listener` is the index in the driver's list of
     /// listeners.
--- a/crates/flaxstand-gateway/tests/list_fleet/known_red_tests.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/known_red_tests.rs
@@ -1,4 +1,4 @@
-//! Generated days that violate the drain rule and are recorded in `KNOWN-RED.txt`.
+//! Generated days with a slow list service that violate or violated the drain rule; see `KNOWN-RED.txt`.
 
 use super::assertions::assert_all_pass;
 use super::random_days;
@@ -12,3 +12,10 @@
 fn a_small_day_with_a_slow_list_service_keeps_the_drain_grace() {
     assert_all_pass(std::iter::once(random_days::small_day(910_238)), MIN_SMALL_SERVED);
 }
+
+/// With a list service that writes 212 lines per second, a host sends requests to draining targets after the
+/// grace of 1 s: the same fault on another day.
+#[test]
+fn another_small_day_with_a_slow_list_service_keeps_the_drain_grace() {
+    assert_all_pass(std::iter::once(random_days::small_day(910_318)), MIN_SMALL_SERVED);
+}
