Input beyond the limit no longer refuses the unanswered request before it

Cause: the connection whose bytes passed the limit on input of all clients was answered without a look at whether a request of it was unanswered. The client takes an answer for that to its first unanswered request, which stayed with the module.

Change: one place rejects a client's input. While a request of the connection is unanswered it sends nothing, drops what is buffered and still comes (1 MiB, then the connection is not read), and the request's own final answer is the last one. What comes behind a request with Connection: close is dropped too: it was buffered and counted towards the limit.

They run 150 schedules in place of 120, since requests at the limit make no attempt.

--- a/crates/flaxstand-gateway/src/core/http_connection.rs
+++ b/crates/flaxstand-gateway/src/core/http_connection.rs
@@ -5,8 +5,9 @@
 
 /// Time after the last response within which the client must close the connection.
 pub(super) const LINGER_TIMEOUT: Micros = Micros(500_000);
-/// Bytes that are discarded after the last response before the connection is closed.
-const MAX_LINGER_BYTES: usize = 1 << 20;
+/// Bytes that are discarded, after the last request and again after the last response. Beyond it the connection
+/// is not read, or closed.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
 /// Parts of a client's request that are forwarded to the node unchanged.
 #[derive(Clone, Debug)]
@@ -21,8 +22,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionPhase {
     Open,
-    /// The connection ends after the response to the current request.
-    Closing,
+    /// The connection ends after the response to the current request. Further input is discarded, up to this
+    /// many bytes.
+    Closing(usize),
     /// The last response was sent. Further input is discarded, up to this many bytes.
     Lingering(usize),
 }
@@ -32,8 +34,8 @@
 pub(super) enum ReceivedBytes {
     /// Buffered as part of a request.
     Buffered,
-    /// Discarded, since the last response was sent.
-    Dropped,
+    /// Discarded, since the last request was taken.
+    Discarded,
     /// Beyond the limit for input after the last response.
     TooMany,
 }
@@ -101,7 +103,11 @@
 
     /// Returns whether more input can be accepted. Input beyond a full buffer stays with the peer.
     pub(super) fn wants_read(&self) -> bool {
-        self.is_lingering() || !self.reader.is_full()
+        match self.phase {
+            ConnectionPhase::Open => !self.reader.is_full(),
+            ConnectionPhase::Closing(left) => left > 0,
+            ConnectionPhase::Lingering(_) => true,
+        }
     }
 
     /// Handles received bytes.
@@ -109,10 +115,14 @@
         match &mut self.phase {
             ConnectionPhase::Lingering(left) if *left > bytes.len() => {
                 *left -= bytes.len();
-                ReceivedBytes::Dropped
+                ReceivedBytes::Discarded
             }
             ConnectionPhase::Lingering(_) => ReceivedBytes::TooMany,
-            ConnectionPhase::Open | ConnectionPhase::Closing => {
+            ConnectionPhase::Closing(left) => {
+                *left = left.saturating_sub(bytes.len());
+                ReceivedBytes::Discarded
+            }
+            ConnectionPhase::Open => {
                 if self.reader.is_empty() && self.requests > 0 {
                     self.since = now;
                 }
@@ -132,7 +142,7 @@
         self.requests += 1;
         self.since = now;
         if !request.keeps_alive {
-            self.phase = ConnectionPhase::Closing;
+            self.close_after_response();
         }
         Ok(Some(CompleteRequest { request, bytes: before - self.reader.len() }))
     }
@@ -141,18 +151,27 @@
     /// stopping.
     pub(super) fn start_response(&mut self, is_stopping: bool, now: Micros) -> bool {
         if is_stopping && self.phase == ConnectionPhase::Open {
-            self.phase = ConnectionPhase::Closing;
+            self.phase = ConnectionPhase::Closing(MAX_DISCARDED_BYTES);
         }
         self.since = now;
         self.phase == ConnectionPhase::Open
     }
 
+    /// Makes the response to the current request the last one, and discards all further input. Returns how many
+    /// buffered bytes were discarded.
+    pub(super) fn close_after_response(&mut self) -> usize {
+        self.phase = ConnectionPhase::Closing(MAX_DISCARDED_BYTES);
+        self.discard_buffered()
+    }
+
     /// Discards all further input of the client. Returns how many buffered bytes were discarded.
     pub(super) fn start_lingering(&mut self, now: Micros) -> usize {
-        let dropped = self.reader.len();
-        self.reader = RequestReader::default();
-        self.phase = ConnectionPhase::Lingering(MAX_LINGER_BYTES);
+        self.phase = ConnectionPhase::Lingering(MAX_DISCARDED_BYTES);
         self.since = now;
-        dropped
+        self.discard_buffered()
+    }
+
+    fn discard_buffered(&mut self) -> usize {
+        std::mem::take(&mut self.reader).len()
     }
 }
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -4,6 +4,10 @@
 //! the connection; a semantic error gets an error response only. Pipelined input is not processed until the
 //! current request is answered and its response written, so that a client that sends without reading delays
 //! only itself.
+//!
+//! A client takes each response for that to its first unanswered request. So while a request is unanswered,
+//! only its final response is sent: input that is rejected then is discarded, and the connection closes after
+//! that response.
 
 use super::Core;
 use super::clients::Client;
@@ -13,6 +17,7 @@
 use super::shutdown::Phase;
 use super::timers::Timer;
 use crate::machine::{Command, ConnId, Micros};
+use flaxstand::api::RequestId;
 use flaxstand_http::{MAX_REQUEST_BODY_BYTES, Request, write_response};
 use flaxstand_platform::{ClientRequest, READY_PATH, RequestLimits};
 use flaxstand_proto::{Frame, Submit};
@@ -28,6 +33,14 @@
         }
     }
 
+    /// Returns the unanswered request of a client's connection.
+    fn unanswered_on(&self, conn: ConnId) -> Option<RequestId> {
+        match &self.connections.get(conn)?.peer {
+            Peer::Client(client) => client.unanswered.values().next().copied(),
+            _ => None,
+        }
+    }
+
     /// Accepts a client's connection; at the limit an idle one is evicted for it.
     ///
     /// # Errors
@@ -62,23 +75,28 @@
     /// Handles bytes received from a client.
     pub(super) fn http_received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
         let Some(http) = self.http(conn) else { return };
-        match http.receive(bytes, now) {
-            ReceivedBytes::Dropped => return,
+        let received = http.receive(bytes, now);
+        let is_full = !http.wants_read();
+        match received {
+            ReceivedBytes::Buffered => self.http_buffered(conn, bytes.len(), now),
+            ReceivedBytes::Discarded => {}
             ReceivedBytes::TooMany => {
                 return self.close(conn, "client sent too many bytes after its last response", now);
             }
-            ReceivedBytes::Buffered => {}
         }
-        let is_full = !http.wants_read();
-        self.connections.add_partial_bytes(bytes.len());
+        if is_full {
+            self.connections.command(Command::Flush(conn));
+        }
+    }
+
+    /// Processes buffered input, unless the incomplete requests of all clients exceed their limit.
+    fn http_buffered(&mut self, conn: ConnId, bytes: usize, now: Micros) {
+        self.connections.add_partial_bytes(bytes);
         if self.connections.partial_bytes() > self.config.bounds.max_partial_request_bytes {
-            self.reject_malformed(conn, 503, "too much is on its way in", now);
+            self.reject_input(conn, 503, "too much is on its way in", now);
         } else {
             self.read_http(conn, now);
         }
-        if is_full {
-            self.connections.command(Command::Flush(conn));
-        }
     }
 
     /// Processes the next request, unless one is unanswered or its response is not yet written.
@@ -110,7 +128,7 @@
                     }
                     return;
                 }
-                Err(fault) => return self.reject_malformed(conn, fault.status(), &fault.to_string(), now),
+                Err(fault) => return self.reject_input(conn, fault.status(), &fault.to_string(), now),
             }
         }
     }
@@ -228,11 +246,22 @@
         self.connections.write(conn, |bytes| write_response(bytes, status, fields, body, keeps));
     }
 
-    /// Sends an error response to input that can't be parsed any further. Remaining input is discarded, so
-    /// that the client can read the response before the connection is closed.
-    fn reject_malformed(&mut self, conn: ConnId, status: u16, text: &str, now: Micros) {
-        debug!(conn = conn.0, status, text, "rejecting a request; closing the connection after the response");
+    /// Rejects the input of a client from here on; it is discarded, so that the client can read the response
+    /// before the connection is closed. The response is the final one of the unanswered request, if there is
+    /// one, or else this error.
+    fn reject_input(&mut self, conn: ConnId, status: u16, text: &str, now: Micros) {
         self.counts.protocol_faults += 1;
+        if let Some(request) = self.unanswered_on(conn) {
+            debug!(
+                conn = conn.0,
+                request = request.0,
+                text,
+                "rejecting further input; closing the connection after the response to its request"
+            );
+            let discarded = self.http(conn).map_or(0, HttpServer::close_after_response);
+            return self.connections.sub_partial_bytes(discarded);
+        }
+        debug!(conn = conn.0, status, text, "rejecting a request; closing the connection after the response");
         self.linger(conn, now);
         self.connections
             .write(conn, |bytes| write_response(bytes, status, &[], format!("{text}\n").as_bytes(), false));
@@ -269,7 +298,7 @@
         match http.phase() {
             ConnectionPhase::Open => self.read_http(conn, now),
             // Closing now, with unread input, would reset the connection and could lose the response.
-            ConnectionPhase::Closing => self.linger(conn, now),
+            ConnectionPhase::Closing(_) => self.linger(conn, now),
             ConnectionPhase::Lingering(_) => {}
         }
         if is_full {
@@ -292,15 +321,14 @@
             ConnectionPhase::Lingering(_) if waited >= LINGER_TIMEOUT => {
                 self.close(conn, "client did not close the connection after its last response", now)
             }
-            ConnectionPhase::Lingering(_) => {}
+            // The last response is started: no other may follow it.
+            ConnectionPhase::Lingering(_) | ConnectionPhase::Closing(_) => {}
             _ if !client.unanswered.is_empty() || waited < timeout => {}
             // Nothing was received since the connection was opened: there is no request to respond to.
             _ if http.requests() == 0 && !http.has_partial_request() => {
                 self.close(conn, "client sent no request in time", now)
             }
-            _ if http.has_partial_request() => {
-                self.reject_malformed(conn, 408, "the request does not end", now)
-            }
+            _ if http.has_partial_request() => self.reject_input(conn, 408, "the request does not end", now),
             _ => {}
         }
     }
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -249,6 +249,88 @@
     assert_eq!(w.core.pending_requests(), 1, "the id is accepted again");
 }
 
+/// Guards against a refusal of a request that is sent afterwards, or is being executed: the input behind it exceeds
+/// the limit, and an error response for that is taken for the answer to the request.
+#[test]
+fn input_beyond_the_limit_does_not_answer_the_unanswered_request_before_it() {
+    const LIMIT: usize = 1000;
+    for (is_sent, is_served) in [(true, true), (true, false), (false, true), (false, false)] {
+        let mut c = small_config();
+        c.bounds.max_partial_request_bytes = LIMIT;
+        let mut w = Harness::new(c, 1);
+        if !is_sent {
+            // The connection to the node does not come up: the request is held.
+            w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
+        }
+        let (client, link) = request_in_flight(&mut w, "r1");
+        let pipelined: String = (2..100).map(|n| request_text(&format!("r{n}"))).collect();
+        w.send_bytes(client, pipelined.as_bytes());
+        w.run(5);
+        assert!(w.statuses(client).is_empty(), "the request has no answer yet");
+        assert_eq!(w.core.footprint().partial_bytes, 0, "the input behind it is discarded");
+        if !is_sent && is_served {
+            w.connected.insert(link, address(0).parse().unwrap());
+            w.core.connected(link, w.now);
+            w.run(5);
+        }
+        if is_served {
+            w.answer(link, "200 OK", "ok");
+            w.run(5);
+            assert_eq!(w.statuses(client), [200]);
+        } else {
+            w.run(1100);
+            assert_eq!(w.statuses(client).len(), 1, "one final answer at the end of its time");
+        }
+        assert!(w.sent_text_on(client).contains("Connection: close") && w.write_closed.contains(&client));
+        w.run(1000);
+        assert_eq!(w.statuses(client).len(), 1);
+        let sent: String = w.conns_to(0).iter().map(|link| w.sent_text_on(*link)).collect();
+        assert!(!sent.contains("X-Request-ID: r2\r\n"), "requests behind the last one are not executed");
+        assert_eq!(sent.matches("X-Request-ID").count(), usize::from(is_sent || is_served));
+    }
+}
+
+/// Guards against a final answer that is lost because its client goes on sending at full speed: what it sends
+/// behind its last request is discarded, and beyond a limit stays unread.
+#[test]
+fn a_client_that_goes_on_sending_behind_its_last_request_gets_its_answer() {
+    let mut w = platform_world();
+    let client = w.http_client();
+    let last_request = request_text("r1").replace("Host: h\r\n", "Host: h\r\nConnection: close\r\n");
+    w.send_bytes(client, (last_request + &request_text("r2")).as_bytes());
+    w.run(5);
+    assert_eq!(w.core.footprint().partial_bytes, 0);
+    let mut sent = 0;
+    while w.core.wants_read(client) {
+        w.send_bytes(client, &[b'x'; 64 * 1024]);
+        sent += 64 * 1024;
+        assert_eq!(w.core.footprint().partial_bytes, 0);
+        assert!(sent <= 2 << 20, "reading stops");
+    }
+    w.run(5);
+    assert!(!w.closed.contains(&client) && w.core.wants_peer_end(client), "its end would still be noticed");
+    let link = *w.conns_to(0).last().unwrap();
+    w.answer(link, "200 OK", "ok");
+    w.run(5);
+    assert_eq!(w.statuses(client), [200]);
+    assert!(w.core.wants_read(client), "after the answer it is read again until it closes");
+}
+
+/// Guards against a request that outlives its client's connection, whatever closes that.
+#[test]
+fn a_held_request_ends_with_the_connection_that_it_came_on() {
+    let mut w = platform_world();
+    w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
+    let (client, link) = request_in_flight(&mut w, "r1");
+    assert_eq!(w.core.pending_requests(), 1);
+    w.core.closed(client, "reset by peer", w.now);
+    w.connected.insert(link, address(0).parse().unwrap());
+    w.core.connected(link, w.now);
+    w.run(1200);
+    assert_eq!(w.core.pending_requests(), 0);
+    assert!(w.conns_to(0).iter().all(|link| w.sent_text_on(*link).is_empty()));
+}
+
 #[test]
 fn pipelined_requests_are_processed_in_order() {
     let mut w = platform_world();
--- a/crates/flaxstand-gateway/tests/random_schedules.rs
+++ b/crates/flaxstand-gateway/tests/random_schedules.rs
@@ -1,5 +1,5 @@
-//! Random orders of events on the core: requests, answers, list updates, connection events, clients that
-//! disconnect, and a shutdown. The invariants are checked after each step; a failing schedule prints its
+//! Random orders of events on the core: requests, also pipelined ones up to the limit on buffered input, answers
+//! and late duplicates of them, list updates, connection events, clients that disconnect, and a shutdown. The invariants are checked after each step; a failing schedule prints its
 //! seed. Faults inserted into a recorded trace check the checker itself.
 
 mod harness;
@@ -16,12 +16,21 @@
 const DEDUPLICATION_WINDOW_MS: u64 = 250;
 const CLIENTS: usize = 8;
 const NODE_CONNECTIONS: usize = 6;
+/// Limit on buffered input in every fourth schedule, bytes: a few requests.
+const SMALL_PARTIAL_BYTES: usize = 600;
+/// Requests that a client sends at once at most.
+const MAX_PIPELINED: u64 = 6;
+/// A duplicate of an answer arrives within this time after it.
+const DUPLICATE_DELAY: Micros = Micros(20_000);
 
 fn platform_config(seed: u64) -> Config {
     let mut c = platform_config_with_keyed(2500, DEDUPLICATION_WINDOW_MS as f64);
     c.seed = seed;
     (c.site.settings.may_probe, c.site.settings.max_concurrent_attempts) = (true, 2);
     (c.bounds.max_clients, c.bounds.max_node_connections) = (CLIENTS, NODE_CONNECTIONS);
+    if seed % 4 == 1 {
+        c.bounds.max_partial_request_bytes = SMALL_PARTIAL_BYTES;
+    }
     c
 }
 
@@ -34,6 +43,8 @@
     ClientClosed(u32),
     /// The request received its final answer.
     Answered(u32),
+    /// The request was served with the answer that a node made for this request.
+    Served(u32, u32),
     /// The first byte of an attempt was sent to a node: request and node.
     AttemptStart(u32, u64),
     /// An attempt ended. The flag is set if the peer reported, or the connection proves, that it has not run.
@@ -55,6 +66,10 @@
                 return Some(format!("request {id} has two final answers"));
             }
             Event::Answered(_) => {}
+            Event::Served(id, made_for) if id != made_for => {
+                return Some(format!("request {id} is served with the answer to request {made_for}"));
+            }
+            Event::Served(..) => {}
             Event::Draining(node, true) => drop(draining.insert(node)),
             Event::Draining(node, false) => drop(draining.remove(&node)),
             Event::AttemptEnd(id, not_run) => {
@@ -107,6 +122,13 @@
     attempts_started: BTreeMap<ConnId, usize>,
     next_request: u32,
     draining_nodes: BTreeSet<u64>,
+    /// Duplicates of answers that have not arrived: time of arrival, connection and request.
+    duplicates: BTreeSet<(Micros, ConnId, u32)>,
+}
+
+/// The request that a served answer was made for. Answers are split at the status line's start.
+fn made_for(answer: &str) -> Option<u32> {
+    answer.split_once("answer to ")?.1.trim().parse().ok()
 }
 
 impl Simulation {
@@ -143,11 +165,14 @@
             }
         }
         for (conn, (submitted, answered)) in &mut self.clients {
-            let answers = self.w.sent_text_on(*conn).matches("HTTP/1.1 ").count();
-            for id in &submitted[*answered..answers] {
+            let answers: Vec<&str> = self.w.sent_text_on(*conn).split("HTTP/1.1 ").skip(1).collect();
+            for (id, answer) in submitted[*answered..answers.len()].iter().zip(&answers[*answered..]) {
                 self.trace.push((self.w.now, Event::Answered(*id)));
+                if let Some(made_for) = made_for(answer) {
+                    self.trace.push((self.w.now, Event::Served(*id, made_for)));
+                }
             }
-            *answered = answers;
+            *answered = answers.len();
         }
         let closed: Vec<ConnId> =
             self.clients.keys().copied().filter(|c| self.w.closed.contains(c)).collect();
@@ -156,6 +181,44 @@
         }
     }
 
+    /// Records a new request of a client. Returns its text.
+    fn submit(&mut self, conn: ConnId) -> String {
+        let class = self.draw(3) as usize;
+        let (id, shard) = (self.next_request, self.draw(NODES));
+        self.next_request += 1;
+        let name = ["read", "once", "keyed"][class];
+        self.clients.get_mut(&conn).unwrap().0.push(id);
+        self.trace.push((self.w.now, Event::Submitted(id, class)));
+        http_request(&format!("r{id}"), name, shard as i64, "0.800")
+    }
+
+    /// A node serves a request; a duplicate of the answer may follow.
+    fn serve(&mut self, conn: ConnId, id: u32) {
+        self.w.answer(conn, "200 OK", &format!("answer to {id}"));
+        if self.draw(3) == 0 {
+            let arrives_at = self.w.now.after(Micros(self.draw(DUPLICATE_DELAY.0)));
+            self.duplicates.insert((arrives_at, conn, id));
+        }
+    }
+
+    /// Advances the clock; duplicates of answers arrive meanwhile.
+    fn advance(&mut self, by: Micros) {
+        let until = self.w.now.after(by);
+        while let Some((at, conn, id)) = self.duplicates.pop_first() {
+            if at > until {
+                self.duplicates.insert((at, conn, id));
+                break;
+            }
+            self.w.now = self.w.now.max(at);
+            self.turn();
+            if !self.w.closed.contains(&conn) {
+                self.w.answer(conn, "200 OK", &format!("answer to {id}"));
+                self.turn();
+            }
+        }
+        self.w.now = until;
+    }
+
     fn step(&mut self) {
         let clients: Vec<ConnId> = self.clients.keys().copied().collect();
         let busy: Vec<ConnId> = self
@@ -171,13 +234,8 @@
             }
             2..=5 => {
                 let Some(conn) = self.pick(clients) else { return };
-                let class = self.draw(3) as usize;
-                let (id, shard) = (self.next_request, self.draw(NODES));
-                self.next_request += 1;
-                let name = ["read", "once", "keyed"][class];
-                let text = http_request(&format!("r{id}"), name, shard as i64, "0.800");
-                self.clients.get_mut(&conn).unwrap().0.push(id);
-                self.trace.push((self.w.now, Event::Submitted(id, class)));
+                let count = if self.draw(4) == 0 { 1 + self.draw(MAX_PIPELINED) } else { 1 };
+                let text: String = (0..count).map(|_| self.submit(conn)).collect();
                 self.w.send_bytes(conn, text.as_bytes());
             }
             6 => {
@@ -195,7 +253,7 @@
                 let id = self.in_flight.insert(conn, None).flatten().unwrap();
                 let now = self.w.now;
                 match self.draw(12) {
-                    0..=7 => self.w.answer(conn, "200 OK", &format!("answer to {id}")),
+                    0..=7 => self.serve(conn, id),
                     8 => {
                         self.trace.push((now, Event::AttemptEnd(id, true)));
                         self.w.send_bytes(
@@ -276,7 +334,8 @@
                 }
             }
             _ => {
-                self.w.now = Micros(self.w.now.0 + 1 + self.draw(60_000));
+                let by = Micros(1 + self.draw(60_000));
+                self.advance(by);
             }
         }
     }
@@ -293,6 +352,7 @@
         attempts_started: BTreeMap::new(),
         next_request: 0,
         draining_nodes: BTreeSet::new(),
+        duplicates: BTreeSet::new(),
     };
     for step in 0..400 {
         p.step();
@@ -333,7 +393,7 @@
 #[test]
 fn invariants_hold_for_random_orders_of_events() {
     let (mut attempts_started, mut answered) = (0, 0);
-    for seed in 0..120 {
+    for seed in 0..150 {
         let trace = simulate(seed);
         attempts_started += trace.iter().filter(|(_, s)| matches!(s, Event::AttemptStart(..))).count();
         answered += trace.iter().filter(|(_, s)| matches!(s, Event::Answered(_))).count();
@@ -358,6 +418,10 @@
     assert!(
         violation_with(&[Submitted(9001, 0), Answered(9001), Answered(9001)]).contains("two final answers")
     );
+    assert!(
+        violation_with(&[Submitted(9001, 0), Answered(9001), Served(9001, 9000)])
+            .contains("the answer to request 9000")
+    );
     assert!(
         violation_with(&[Submitted(9001, 0), ClientClosed(9001), AttemptStart(9001, 9)])
             .contains("after its client disconnected")
