Requests of a key run in the order in which their last bytes arrived, also after a hold-up

Cause: requests of a key were ordered as the driver looked at connections. One accepted in a turn was read in the next, a connection is ready from its first byte on, and what arrives during a turn is met in this turn or the next.

Change: sites with a class in order have the kernel record when bytes arrive (SO_TIMESTAMPNS, with the crate nix). New connections are read in the turn in which they are accepted. The driver reports the time of each read, and when all that had arrived at the start of the turn is delivered. ArrivalOrder holds a request of such a class until that is said once more, then hands on all up to its time in order of arrival: what arrived before it is known by then. With a write-back buffer all requests and barriers are held.

--- a/crates/flaxstand-cli/tests/platform_races.rs
+++ b/crates/flaxstand-cli/tests/platform_races.rs
@@ -72,6 +72,10 @@
 impl Harness {
     /// Starts the process; nothing listens at the address of the list service yet.
     fn start(name: &str) -> Harness {
+        Self::start_with_classes(name, "")
+    }
+    /// Starts the process with further classes, in JSON, each after a comma.
+    fn start_with_classes(name: &str, classes: &str) -> Harness {
         let node_listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = node_listener.local_addr().unwrap();
         let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
@@ -83,7 +87,7 @@
             "state":"up","capacity_hint":1.0,"boot_ms":0}}]}},
             "settings":{{"balancers":1,"registryMode":"on_request","tickMs":2.0,
             "classes":[{{"name":"read","aimMs":2000.0,"deadlineMs":2500.0,"worth":1.0,"semantics":"repeatable"}},
-            {{"name":"order","aimMs":2000.0,"deadlineMs":2500.0,"worth":1.0,"semantics":"once"}}],
+            {{"name":"order","aimMs":2000.0,"deadlineMs":2500.0,"worth":1.0,"semantics":"once"}}{classes}],
             "grades":[{{"name":"gold","price":1.0}}],
             "caps":{{"maxAttempts":3,"dialTimeoutMs":250.0,"keepaliveMs":60000.0}},
             "rules":{{"askWithinMs":10000.0}},"familyInfo":{{"unitMean":1.0,"mostUnits":8}}}}}}"#
@@ -136,6 +140,13 @@
         });
         (client, received)
     }
+    /// Waits until the kernel holds this many bytes of a client that the paused process has not read.
+    fn wait_for_unread(&self, client: &TcpStream, bytes: usize) {
+        let from = client.local_addr().unwrap();
+        wait_until("the kernel holds the bytes", || {
+            self.kernel_state(self.at, from).is_some_and(|(_, unread)| unread >= bytes as u64)
+        });
+    }
     /// Returns the TCP state and the number of unread bytes of the process's side of a connection, from the
     /// kernel's table; `None` if there is no such connection.
     fn kernel_state(&self, local: SocketAddr, remote: SocketAddr) -> Option<(String, u64)> {
@@ -181,6 +192,64 @@
     )
 }
 
+/// A class whose requests run in order.
+const ORDERED_CLASS: &str =
+    r#",{"name":"write","aimMs":2000.0,"deadlineMs":2500.0,"worth":1.0,"semantics":"once","inOrder":true}"#;
+
+/// A client whose connection is accepted: it was served once.
+fn served_client(harness: &Harness, id: &str) -> TcpStream {
+    let mut client = harness.client();
+    client.write_all(get(id, "read").as_bytes()).unwrap();
+    harness.next_request().answer("read");
+    read_message(&mut client).expect("the client is served");
+    client
+}
+
+/// Guards against an older write that lies over a newer one: after the process was held up it met the older one
+/// later, on a new connection.
+#[test]
+fn requests_of_a_key_run_in_order_of_arrival_after_a_pause_also_from_new_connections() {
+    let harness = Harness::start_with_classes("order-new", ORDERED_CLASS);
+    let mut kept = served_client(&harness, "kept");
+    harness.pause();
+    let mut new = harness.client();
+    for (client, id) in [(&mut new, "first"), (&mut kept, "second")] {
+        let request = get(id, "write");
+        client.write_all(request.as_bytes()).unwrap();
+        harness.wait_for_unread(client, request.len());
+    }
+    harness.resume();
+    for id in ["first", "second"] {
+        let mut request = harness.next_request();
+        assert_eq!(request.id(), id);
+        request.answer(id);
+    }
+    assert_eq!(read_message(&mut kept).unwrap().1, "second");
+    assert_eq!(read_message(&mut new).unwrap().1, "first");
+}
+
+/// Guards against the same with a request that begins first and ends last: its connection is ready first.
+#[test]
+fn requests_of_a_key_run_in_order_of_their_last_bytes_after_a_pause() {
+    let harness = Harness::start_with_classes("order-last", ORDERED_CLASS);
+    let (mut slow, mut quick) = (served_client(&harness, "slow"), served_client(&harness, "quick"));
+    let (slow_request, quick_request) = (get("ends-last", "write"), get("ends-first", "write"));
+    let (begin, end) = slow_request.as_bytes().split_at(40);
+    harness.pause();
+    slow.write_all(begin).unwrap();
+    harness.wait_for_unread(&slow, begin.len());
+    quick.write_all(quick_request.as_bytes()).unwrap();
+    harness.wait_for_unread(&quick, quick_request.len());
+    slow.write_all(end).unwrap();
+    harness.wait_for_unread(&slow, slow_request.len());
+    harness.resume();
+    for id in ["ends-first", "ends-last"] {
+        let mut request = harness.next_request();
+        assert_eq!(request.id(), id);
+        request.answer(id);
+    }
+}
+
 #[test]
 fn a_request_whose_client_closed_before_it_was_read_is_not_forwarded() {
     let harness = Harness::start("closed");
--- a/crates/flaxstand-gateway/src/core/buffered_requests.rs
+++ b/crates/flaxstand-gateway/src/core/buffered_requests.rs
@@ -3,6 +3,7 @@
 //! the module.
 
 use super::Core;
+use super::arrival_order::HeldRequest;
 use super::clients::ReservedRequest;
 use super::peer_fault::PeerFault;
 use super::pending_request::{FinalResponse, Handler, PendingRequest};
@@ -48,23 +49,23 @@
 
     /// Offers an accepted request to the buffer. Returns whether the buffer took it; if so, the module is not
     /// notified of it yet.
-    pub(super) fn offer_to_buffer(&mut self, id: RequestId, s: &Submit<'_>, now: Micros) -> bool {
-        if !s.write {
-            return self.read_from_buffer(id, s, now);
-        }
+    pub(super) fn offer_to_buffer(&mut self, id: RequestId, now: Micros) -> bool {
         let Some(write_back) = &mut self.write_back else { return false };
-        if let Some(request) = self.requests.get_mut(id) {
-            request.handler = Handler::Buffer;
+        let Some(request) = self.requests.get_mut(id) else { return false };
+        if !request.is_write {
+            return self.read_from_buffer(id, now);
         }
-        write_back.write(id, s, now);
+        request.handler = Handler::Buffer;
+        write_back.write(id, request, now);
         true
     }
 
     /// Returns whether the buffer answered the read.
-    fn read_from_buffer(&mut self, id: RequestId, s: &Submit<'_>, now: Micros) -> bool {
+    fn read_from_buffer(&mut self, id: RequestId, now: Micros) -> bool {
         let Some(write_back) = &mut self.write_back else { return false };
-        let Some(extent) = s.extent else { return false };
-        let extent = ExtentId { volume: s.volume, extent };
+        let Some(request) = self.requests.get(id) else { return false };
+        let Some(extent) = request.extent else { return false };
+        let extent = ExtentId { volume: request.volume, extent };
         match write_back.read(id, extent) {
             BufferedRead::Miss => false,
             BufferedRead::Partial => {
@@ -102,6 +103,14 @@
         };
         self.requests.insert(id, PendingRequest::ordering_request(conn, client_id, expires_at));
         self.timers.set(expires_at, Timer::Deadline(id));
+        if !self.hold_until_ordered(id, HeldRequest::Ordering(ordering)) {
+            self.submit_to_buffer(id, ordering, now);
+        }
+        Ok(())
+    }
+
+    /// Submits a client's barrier or flush to the buffer.
+    pub(super) fn submit_to_buffer(&mut self, id: RequestId, ordering: OrderingRequest, now: Micros) {
         match &mut self.write_back {
             Some(write_back) => write_back.submit_ordering(id, ordering, now),
             None => {
@@ -116,7 +125,6 @@
                 });
             }
         }
-        Ok(())
     }
 
     /// Advances the buffer and performs its actions. Returns when it must be called again.
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -2,13 +2,14 @@
 //! other.
 
 use super::Core;
+use super::arrival_order::HeldRequest;
 use super::connection_table::{Connection, Peer, Protocol, Stage};
 use super::http_connection::ForwardedHead;
 use super::peer_fault::PeerFault;
-use super::pending_request::{Handler, PendingRequest};
+use super::pending_request::{Handler, Owner, PendingRequest};
 use super::shutdown::Phase;
 use super::timers::Timer;
-use crate::machine::{Command, ConnId, Micros};
+use crate::machine::{ArrivalTime, Command, ConnId, Machine as _, Micros};
 use flaxstand::api::{Event, RequestId, VolumeId};
 use flaxstand_proto::{
     CloseReason, Frame, Hello, Inbox, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, encode,
@@ -26,6 +27,8 @@
     pub(super) is_paused: bool,
     /// The client has shut down its sending side; pending responses are still sent.
     pub(super) is_half_closed: bool,
+    /// Time at which the last bytes arrived, if the driver reports it.
+    pub(super) arrived_at: Option<ArrivalTime>,
 }
 
 /// Reason why a new connection is rejected.
@@ -137,7 +140,7 @@
         };
         let mut pending = PendingRequest::new(conn, s, reserved.expires_at);
         pending.forwarded_head = forwarded_head.map(Box::new);
-        self.start_request(reserved.id, pending, s, now);
+        self.start_request(reserved.id, pending, now);
         Ok(())
     }
 
@@ -220,13 +223,52 @@
         self.check_client_output(conn, now);
     }
 
-    fn start_request(&mut self, id: RequestId, pending: PendingRequest, s: &Submit<'_>, now: Micros) {
-        let expires_at = pending.expires_at;
-        debug!(request = id.0, owner = ?pending.owner, class = s.class, shard = s.shard, "request accepted");
+    fn start_request(&mut self, id: RequestId, pending: PendingRequest, now: Micros) {
+        let (class, owner) = (pending.class, pending.owner);
+        debug!(request = id.0, ?owner, class, shard = pending.shard, "request accepted");
+        self.timers.set(pending.expires_at, Timer::Deadline(id));
         self.requests.insert(id, pending);
-        self.timers.set(expires_at, Timer::Deadline(id));
+        if !self.hold_until_ordered(id, HeldRequest::Ordinary) {
+            self.submit_request(id, now);
+        }
+    }
+
+    /// Holds a request until all that arrived before it are known, if it must run in order of arrival. Returns
+    /// whether it is held.
+    pub(super) fn hold_until_ordered(&mut self, id: RequestId, request: HeldRequest) -> bool {
+        let Some(pending) = self.requests.get(id) else { return false };
+        let Owner::Client { conn, .. } = pending.original_owner else { return false };
+        let Some(Peer::Client(client)) = self.connections.get(conn).map(|c| &c.peer) else { return false };
+        let Some(arrived_at) = client.arrived_at.filter(|_| self.keeps_order(pending)) else { return false };
+        self.arrival_order.hold(id, arrived_at, request);
+        true
+    }
+
+    /// Returns whether a request must run in order of arrival. With a write-back buffer that are all requests,
+    /// since its barriers order requests of all classes.
+    fn keeps_order(&self, pending: &PendingRequest) -> bool {
+        let class = &self.module_classes[usize::from(pending.class)];
+        let is_ordered = class.in_order && pending.extent.is_some();
+        is_ordered || self.write_back.is_some() && self.wants_arrival_times()
+    }
+
+    /// Submits the held requests whose order of arrival is known.
+    pub(super) fn submit_arrived(&mut self, now: Micros) {
+        for (id, request) in self.arrival_order.input_delivered() {
+            if !self.requests.is_unanswered(id) {
+                continue;
+            }
+            match request {
+                HeldRequest::Ordinary => self.submit_request(id, now),
+                HeldRequest::Ordering(ordering) => self.submit_to_buffer(id, ordering, now),
+            }
+        }
+    }
+
+    /// Submits an accepted request to the buffer or the module.
+    fn submit_request(&mut self, id: RequestId, now: Micros) {
         let Some(class) = self.apply_admission(id, now) else { return };
-        if !self.offer_to_buffer(id, s, now)
+        if !self.offer_to_buffer(id, now)
             && let Some(pending) = self.requests.get(id)
         {
             self.events.push_back(Event::RequestArrived(pending.arrival(id, class)));
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -13,6 +13,7 @@
 //! | [`request_table`], [`pending_request`] | pending requests, their attempts, client request ids |
 //! | [`upstream_pool`] | connections to nodes, attempts in flight on them, idle connections |
 //! | [`pooled_connection`], [`http_connection`] | an HTTP/1.1 connection to a node, or from a client |
+//! | [`arrival_order`] | requests held until all that arrived before them are known |
 //! | [`admission`] | the retry throttle |
 //! | [`write_back`] | write-back buffer and its write-outs |
 //! | [`evaluation_schedule`] | time of the module's next evaluation |
@@ -35,6 +36,7 @@
 
 mod admission;
 mod agreement;
+mod arrival_order;
 mod attempts;
 mod backoff;
 mod baseline_policy;
@@ -77,9 +79,10 @@
 pub use discovery::{SavedList, SavedListError};
 pub use metrics::{Counts, Footprint};
 
-use crate::machine::{Command, ConnId, Control, Machine, Micros};
+use crate::machine::{ArrivalTime, Command, ConnId, Control, Machine, Micros};
 use admission::AdmissionGate;
 use agreement::Agreement;
+use arrival_order::ArrivalOrder;
 use client_registry::ClientRegistry;
 use connection_table::{ConnectionTable, Peer, Protocol, Stage};
 use decision_policy::{DecisionPolicy, module_settings};
@@ -116,6 +119,7 @@
     timers: TimerQueue,
     clients: ClientRegistry,
     requests: RequestTable,
+    arrival_order: ArrivalOrder,
     nodes: EndpointTable,
     upstream: UpstreamPool,
     /// Names of the site's classes, in the module's order.
@@ -159,6 +163,7 @@
             timers: TimerQueue::default(),
             clients: ClientRegistry::default(),
             requests: RequestTable::default(),
+            arrival_order: ArrivalOrder::default(),
             nodes: EndpointTable::default(),
             upstream: UpstreamPool::default(),
             class_names,
@@ -313,6 +318,21 @@
         }
     }
 
+    fn received_with_time(&mut self, conn: ConnId, bytes: &[u8], arrived_at: ArrivalTime, now: Micros) {
+        if let Some(Peer::Client(client)) = self.connections.get_mut(conn).map(|c| &mut c.peer) {
+            client.arrived_at = Some(arrived_at);
+        }
+        self.received(conn, bytes, now);
+    }
+
+    fn wants_arrival_times(&self) -> bool {
+        self.module_classes.iter().any(|class| class.in_order)
+    }
+
+    fn input_delivered(&mut self, now: Micros) {
+        self.submit_arrived(now);
+    }
+
     fn peer_finished(&mut self, conn: ConnId, now: Micros) -> bool {
         self.pooled_finished(conn, now);
         self.discovery_ended(conn, now);
@@ -408,7 +428,8 @@
         self.exit_if_done(now);
         let evaluation = self.evaluation.next_due(!self.events.is_empty(), tick, now);
         let timer = self.timers.next_due();
-        [evaluation, timer, buffer, agreement].into_iter().flatten().min()
+        let arrivals = (!self.arrival_order.is_empty()).then_some(now);
+        [evaluation, timer, buffer, agreement, arrivals].into_iter().flatten().min()
     }
 
     fn take_commands(&mut self) -> Vec<Command> {
--- a/crates/flaxstand-gateway/src/core/write_back.rs
+++ b/crates/flaxstand-gateway/src/core/write_back.rs
@@ -5,7 +5,6 @@
 use super::write_out_classes::{buffer_config, write_out_class};
 use crate::machine::Micros;
 use flaxstand::api::RequestId;
-use flaxstand_proto::Submit;
 use flaxstand_write_back::config::BufferingMode;
 use flaxstand_write_back::writeout::Urgency;
 use flaxstand_write_back::{
@@ -64,32 +63,32 @@
     }
 
     /// Submits a write, to be buffered if allowed, or else to be passed through in order.
-    pub(super) fn write(&mut self, id: RequestId, s: &Submit<'_>, now: Micros) {
+    pub(super) fn write(&mut self, id: RequestId, request: &PendingRequest, now: Micros) {
         let handle = WriteHandle(id.0);
-        let extent_id = s.extent.map(|extent| ExtentId { volume: s.volume, extent });
+        let extent_id = request.extent.map(|extent| ExtentId { volume: request.volume, extent });
         // Not buffered: new objects, which have no shard yet, and volumes or classes without write-back.
-        match (extent_id, s.shard) {
-            (Some(extent_id), Some(shard)) if self.may_buffer(s) => {
+        match (extent_id, request.shard) {
+            (Some(extent_id), Some(shard)) if self.may_buffer(request) => {
                 let write = Write {
                     extent_id,
-                    class: s.class,
-                    plan: s.plan,
-                    volume_initiators: s.volume_initiators.max(1),
+                    class: request.class,
+                    plan: request.plan,
+                    volume_initiators: request.volume_initiators.max(1),
                     shard,
-                    units: s.units,
-                    operation: s.operation,
-                    at: s.at,
-                    payload: s.payload.to_vec(),
+                    units: request.units,
+                    operation: request.operation,
+                    at: request.offset,
+                    payload: request.payload.clone(),
                 };
                 self.buffer.submit_write(WriteRequest { handle, write }, now);
             }
-            _ => self.buffer.submit_pass_through(handle, s.volume, extent_id, now),
+            _ => self.buffer.submit_pass_through(handle, request.volume, extent_id, now),
         }
     }
 
-    fn may_buffer(&self, s: &Submit<'_>) -> bool {
-        let is_buffered_volume = self.settings.volumes.as_ref().is_none_or(|v| v.contains(&s.volume));
-        is_buffered_volume && self.buffer.buffering(s.class) != BufferingMode::Never
+    fn may_buffer(&self, request: &PendingRequest) -> bool {
+        let is_buffered_volume = self.settings.volumes.as_ref().is_none_or(|v| v.contains(&request.volume));
+        is_buffered_volume && self.buffer.buffering(request.class) != BufferingMode::Never
     }
 
     /// Submits a client's barrier or flush.
--- a/crates/flaxstand-gateway/src/driver/accepting.rs
+++ b/crates/flaxstand-gateway/src/driver/accepting.rs
@@ -2,8 +2,8 @@
 
 use super::Driver;
 use super::event_source::EventSource;
-use super::socket::Socket;
-use crate::machine::{Machine, Micros};
+use super::socket::{Arrivals, Socket};
+use crate::machine::{ConnId, Machine, Micros};
 use rustix::event::epoll;
 use rustix::fd::OwnedFd;
 use rustix::io::{Errno, write};
@@ -11,7 +11,7 @@
 use std::collections::VecDeque;
 use std::fs::File;
 use std::io;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Maximum number of connections accepted from one listener per turn.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
@@ -55,6 +55,22 @@
     }
 }
 
+/// Connections accepted in a turn.
+#[derive(Default)]
+pub(super) struct Accepted {
+    /// Accepted connections, including rejected ones.
+    pub(super) count: usize,
+    /// Connections that the machine took.
+    pub(super) conns: Vec<ConnId>,
+}
+
+impl Accepted {
+    /// Returns whether more connections may be pending.
+    pub(super) fn is_limited(&self) -> bool {
+        self.count == MAX_ACCEPTS_PER_TURN
+    }
+}
+
 /// Opens a reserve descriptor. When no others are left it is released, so that a pending connection can be
 /// accepted and closed.
 pub(super) fn reserve_descriptor() -> Option<OwnedFd> {
@@ -67,22 +83,38 @@
 }
 
 impl<M: Machine> Driver<M> {
-    /// Accepts pending connections, up to [`MAX_ACCEPTS_PER_TURN`]. Returns the number accepted.
-    pub(super) fn accept_pending(&mut self, index: usize) -> usize {
-        for count in 0..MAX_ACCEPTS_PER_TURN {
-            let Some(listener) = self.listeners.get(index) else { return count };
+    /// Accepts pending connections, up to [`MAX_ACCEPTS_PER_TURN`].
+    pub(super) fn accept_pending(&mut self, index: usize) -> Accepted {
+        let mut accepted = Accepted::default();
+        self.record_arrivals(index);
+        while !accepted.is_limited() {
+            let Some(listener) = self.listeners.get(index) else { break };
             match listener.accept() {
-                Ok(fd) => self.register_accepted(fd, index),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return count,
+                Ok(fd) => {
+                    accepted.count += 1;
+                    accepted.conns.extend(self.register_accepted(fd, index));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) => {
                     if is_out_of_descriptors(&error) {
                         self.close_pending(index);
                     }
-                    return count;
+                    break;
                 }
             }
         }
-        MAX_ACCEPTS_PER_TURN
+        accepted
+    }
+
+    /// Has the kernel record when bytes arrive at the connections of a listener, if the machine wants to know. It
+    /// may begin to want it when its settings change.
+    pub(super) fn record_arrivals(&self, index: usize) {
+        if let Some(listener) = self.listeners.get(index)
+            && self.machine.wants_arrival_times()
+            && !listener.record_arrivals()
+        {
+            debug!(listener = index, "the arrival of bytes is not recorded; using the time of reading");
+        }
     }
 
     /// Closes one pending connection when no descriptors are left. Otherwise it would stay in the backlog and
@@ -94,25 +126,31 @@
         self.reserved_descriptor = reserve_descriptor();
     }
 
-    fn register_accepted(&mut self, fd: OwnedFd, listener: usize) {
+    /// Registers an accepted connection. Returns its id if the machine took it.
+    fn register_accepted(&mut self, fd: OwnedFd, listener: usize) -> Option<ConnId> {
         let conn = match self.machine.accepted(listener, self.now) {
             Ok(conn) => conn,
-            Err(final_frame) => return self.rejected.add(fd, &final_frame, self.now),
+            Err(final_frame) => {
+                self.rejected.add(fd, &final_frame, self.now);
+                return None;
+            }
         };
         let interest = epoll::EventFlags::IN;
-        match epoll::add(&self.epoll, &fd, EventSource::Connection(conn).data(), interest) {
-            Ok(()) => {
-                self.sockets.insert(conn, Socket::connected(fd, interest));
-            }
-            Err(error) => self.machine.closed(conn, &error.to_string(), self.now),
+        if let Err(error) = epoll::add(&self.epoll, &fd, EventSource::Connection(conn).data(), interest) {
+            self.machine.closed(conn, &error.to_string(), self.now);
+            return None;
         }
+        let arrivals =
+            if self.machine.wants_arrival_times() { Arrivals::Recorded } else { Arrivals::Ignored };
+        self.sockets.insert(conn, Socket::accepted(fd, interest, arrivals));
+        Some(conn)
     }
 
     pub(super) fn stop_listening(&mut self) {
         // Pending connections are accepted first: closing the listener would reset peers that may already
         // have sent requests.
         for index in 0..self.listeners.len() {
-            while self.accept_pending(index) == MAX_ACCEPTS_PER_TURN {}
+            while self.accept_pending(index).is_limited() {}
         }
         for listener in &self.listeners {
             let _ = epoll::delete(&self.epoll, listener.fd());
--- a/crates/flaxstand-gateway/src/driver/listener.rs
+++ b/crates/flaxstand-gateway/src/driver/listener.rs
@@ -1,5 +1,6 @@
 //! Listening sockets: TCP, or Unix sockets, whose file is removed when the listener is dropped.
 
+use super::timestamps;
 use crate::machine::Address;
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::Errno;
@@ -47,6 +48,14 @@
         Ok(Listener::Unix(listener, path.to_owned()))
     }
 
+    /// Has the kernel record when bytes arrive at accepted sockets. Returns whether this is supported: for TCP.
+    pub(super) fn record_arrivals(&self) -> bool {
+        match self {
+            Listener::Tcp(listener) => timestamps::enable(listener),
+            Listener::Unix(..) => false,
+        }
+    }
+
     /// Returns the file descriptor.
     pub(super) fn fd(&self) -> BorrowedFd<'_> {
         match self {
--- a/crates/flaxstand-gateway/src/driver/mod.rs
+++ b/crates/flaxstand-gateway/src/driver/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! - `accepting`, `listener`: incoming connections
 //! - `socket`: reads and writes of all connections
+//! - `timestamps`: when received bytes arrived
 //! - `commands`: execution of the machine's commands
 //! - `storage_thread`, `state_files`: storage of batches and files
 //! - `signals`, `input`: control from outside the connections
@@ -21,6 +22,7 @@
 mod socket;
 mod state_files;
 mod storage_thread;
+mod timestamps;
 
 use crate::machine::{Address, ConnId, Machine, Micros, Reloaded};
 use accepting::{RejectedConnections, reserve_descriptor};
@@ -142,6 +144,7 @@
         let source = EventSource::Listener(self.listeners.len());
         epoll::add(&self.epoll, listener.fd(), source.data(), epoll::EventFlags::IN)?;
         self.listeners.push(listener);
+        self.record_arrivals(self.listeners.len() - 1);
         Ok(bound)
     }
 
@@ -154,23 +157,30 @@
         let mut buffer = vec![0; READ_BUFFER_BYTES];
         let mut next_wake = self.settle();
         while !self.is_done {
-            self.wait(next_wake, &mut events)?;
+            let is_polled = self.wait(next_wake, &mut events)?;
             self.now = clock().max(self.now);
+            let mut is_complete = is_polled && events.len() < MAX_EVENTS_PER_TURN;
             for event in &events {
-                self.handle_event(EventSource::of(event.data), event.flags, &mut buffer);
+                let source = EventSource::of(event.data);
+                is_complete &= self.handle_event(source, event.flags, &mut buffer);
+            }
+            if is_complete {
+                self.machine.input_delivered(self.now);
             }
             next_wake = self.settle();
         }
         Ok(self.machine)
     }
 
-    fn wait(&self, next_wake: Option<Micros>, events: &mut Vec<epoll::Event>) -> io::Result<()> {
+    /// Waits for events. Returns false if a signal interrupted it.
+    fn wait(&self, next_wake: Option<Micros>, events: &mut Vec<epoll::Event>) -> io::Result<bool> {
         let sleep = next_wake.map_or(MAX_SLEEP, |at| at.since(clock()).min(MAX_SLEEP));
         let timeout =
             Timespec { tv_sec: (sleep.0 / 1_000_000) as i64, tv_nsec: (sleep.0 % 1_000_000) as i64 * 1000 };
         events.clear();
         match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(events), Some(&timeout)) {
-            Ok(_) | Err(Errno::INTR) => Ok(()),
+            Ok(_) => Ok(true),
+            Err(Errno::INTR) => Ok(false),
             Err(error) => Err(error.into()),
         }
     }
@@ -200,10 +210,14 @@
         }
     }
 
-    fn handle_event(&mut self, source: EventSource, flags: epoll::EventFlags, buffer: &mut [u8]) {
+    /// Handles an event. Returns false if more connections may be pending than were accepted.
+    fn handle_event(&mut self, source: EventSource, flags: epoll::EventFlags, buffer: &mut [u8]) -> bool {
         match source {
             EventSource::Listener(index) => {
-                self.accept_pending(index);
+                let accepted = self.accept_pending(index);
+                let is_limited = accepted.is_limited();
+                accepted.conns.into_iter().for_each(|conn| self.read_accepted(conn, buffer));
+                return !is_limited;
             }
             EventSource::Signal(index) => self.handle_signal(index),
             EventSource::WriteBackLog => self.report_write_back_results(),
@@ -211,6 +225,7 @@
             EventSource::Input => self.read_input(buffer),
             EventSource::Connection(conn) => self.socket_event(conn, flags, buffer),
         }
+        true
     }
 }
 
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -1,6 +1,7 @@
 //! Sockets of connections: connect, read, write and close.
 
 use super::event_source::EventSource;
+use super::timestamps::{self, Received};
 use super::{Driver, clock};
 use crate::machine::{Address, ConnId, Machine};
 use rustix::event::epoll;
@@ -11,9 +12,21 @@
 /// Maximum number of bytes read from one connection per turn, so that none starves the others.
 const MAX_READ_PER_TURN: usize = 256 * 1024;
 
+/// Whether the arrival of received bytes is reported to the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Arrivals {
+    /// Reported as the kernel recorded it.
+    Recorded,
+    /// Reported as the time of the read: the kernel does not record it.
+    Unrecorded,
+    /// Not reported.
+    Ignored,
+}
+
 /// The socket of a connection.
 pub(super) struct Socket {
     fd: OwnedFd,
+    arrivals: Arrivals,
     /// The connection is being established.
     is_connecting: bool,
     /// The peer has closed its sending direction.
@@ -27,10 +40,11 @@
 }
 
 impl Socket {
-    /// Creates the state of a connected socket.
-    pub(super) fn connected(fd: OwnedFd, interest: epoll::EventFlags) -> Self {
+    /// Creates the state of an accepted socket.
+    pub(super) fn accepted(fd: OwnedFd, interest: epoll::EventFlags, arrivals: Arrivals) -> Self {
         Socket {
             fd,
+            arrivals,
             is_connecting: false,
             peer_finished: false,
             shuts_down_after_write: false,
@@ -40,7 +54,18 @@
     }
 
     fn connecting(fd: OwnedFd, interest: epoll::EventFlags) -> Self {
-        Socket { is_connecting: true, ..Socket::connected(fd, interest) }
+        Socket { is_connecting: true, ..Socket::accepted(fd, interest, Arrivals::Ignored) }
+    }
+
+    /// Reads received bytes, with the time of their arrival if that is recorded.
+    fn receive(&mut self, buffer: &mut [u8]) -> Result<Received, Errno> {
+        if self.arrivals == Arrivals::Recorded {
+            match timestamps::receive(&self.fd, buffer) {
+                Err(Errno::NOSYS | Errno::OPNOTSUPP | Errno::NOTSOCK) => self.arrivals = Arrivals::Unrecorded,
+                received => return received,
+            }
+        }
+        Ok(Received { count: read(&self.fd, buffer)?, arrived_at: None })
     }
 
     fn shut_down_if_requested(&mut self) {
@@ -135,20 +160,34 @@
         }
     }
 
+    /// Reads a connection accepted in this turn: what it sent is not to be taken for later than what others
+    /// sent after it.
+    pub(super) fn read_accepted(&mut self, conn: ConnId, buffer: &mut [u8]) {
+        self.read(conn, epoll::EventFlags::empty(), buffer);
+    }
+
     fn read(&mut self, conn: ConnId, flags: epoll::EventFlags, buffer: &mut [u8]) {
         let mut total = 0;
         while total < MAX_READ_PER_TURN {
-            let Some(socket) = self.sockets.get(&conn) else { return };
+            let Some(socket) = self.sockets.get_mut(&conn) else { return };
             if socket.peer_finished || !self.machine.wants_read(conn) {
                 return self.check_closed_without_read(conn, flags);
             }
-            match read(&socket.fd, &mut *buffer) {
-                Ok(0) => return self.handle_peer_end(conn, flags),
-                Ok(count) => {
+            let arrivals = socket.arrivals;
+            match socket.receive(&mut *buffer) {
+                Ok(Received { count: 0, .. }) => return self.handle_peer_end(conn, flags),
+                Ok(Received { count, arrived_at }) => {
                     total += count;
                     // Not earlier than the arrival of the bytes, however long the turn has taken so far.
                     self.now = clock().max(self.now);
-                    self.machine.received(conn, &buffer[..count], self.now);
+                    let bytes = &buffer[..count];
+                    match arrivals {
+                        Arrivals::Ignored => self.machine.received(conn, bytes, self.now),
+                        Arrivals::Recorded | Arrivals::Unrecorded => {
+                            let arrived_at = arrived_at.unwrap_or_else(timestamps::current_time);
+                            self.machine.received_with_time(conn, bytes, arrived_at, self.now);
+                        }
+                    }
                     if count < buffer.len() {
                         return;
                     }
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -12,6 +12,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnId(pub u64);
 
+/// Time at which bytes arrived at this host, nanoseconds since the Unix epoch. Only good for ordering: the clock
+/// may be set in between.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ArrivalTime(pub u64);
+
 /// Address at which a peer listens.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Address {
@@ -140,6 +145,18 @@
     fn connect_failed(&mut self, conn: ConnId, cause: &str, now: Micros);
     /// Reports received bytes.
     fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros);
+    /// Reports received bytes with the time at which the last of them arrived. Called in place of
+    /// [`received`](Machine::received) for accepted connections, if the machine wants these times.
+    fn received_with_time(&mut self, conn: ConnId, bytes: &[u8], _arrived_at: ArrivalTime, now: Micros) {
+        self.received(conn, bytes, now);
+    }
+    /// Returns whether the machine wants to know when bytes arrived.
+    fn wants_arrival_times(&self) -> bool {
+        false
+    }
+    /// Reports that all connections and bytes that had arrived when this turn began were reported. Called at
+    /// most once per turn, before the machine is settled.
+    fn input_delivered(&mut self, _now: Micros) {}
     /// Reports that the peer shut down its sending side and all its data was received. The peer may still
     /// read. Not called for a reset. Returns false to have the connection closed.
     fn peer_finished(&mut self, conn: ConnId, now: Micros) -> bool;
--- a/crates/flaxstand-gateway/tests/driver_races.rs
+++ b/crates/flaxstand-gateway/tests/driver_races.rs
@@ -3,15 +3,25 @@
 //! of the speed of the host.
 
 use flaxstand_gateway::driver::{Driver, Options, clock};
-use flaxstand_gateway::machine::{Address, Command, ConnId, Control, Machine, Micros};
+use flaxstand_gateway::machine::{Address, ArrivalTime, Command, ConnId, Control, Machine, Micros};
+use nix::sys::socket::{MsgFlags, recvmsg, setsockopt, sockopt::ReceiveTimestampns};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 /// An action of the peer that runs within a callback of the machine.
 type PeerAction = Box<dyn FnMut(&mut RaceMachine) + Send>;
 
+/// What the driver reported of received bytes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Input {
+    Received(ConnId, ArrivalTime),
+    /// All input that had arrived when the turn began was reported.
+    Complete,
+}
+
 /// A machine that accepts connections and runs the test's actions within its callbacks.
 #[derive(Default)]
 struct RaceMachine {
@@ -29,6 +39,10 @@
     on_connected: Option<PeerAction>,
     /// Times passed with received bytes.
     received_at: Vec<Micros>,
+    /// Input in the order in which it was reported.
+    input: Vec<Input>,
+    /// Clients that stay connected until the driver ends.
+    kept_open: Vec<TcpStream>,
     /// Connections accepted, connections closed with the cause, and the number of bytes written on each.
     accepted: Vec<ConnId>,
     closed: Vec<(ConnId, String)>,
@@ -65,6 +79,16 @@
             action(self);
         }
     }
+    fn received_with_time(&mut self, conn: ConnId, bytes: &[u8], arrived_at: ArrivalTime, now: Micros) {
+        self.input.push(Input::Received(conn, arrived_at));
+        self.received(conn, bytes, now);
+    }
+    fn wants_arrival_times(&self) -> bool {
+        true
+    }
+    fn input_delivered(&mut self, _now: Micros) {
+        self.input.push(Input::Complete);
+    }
     fn peer_finished(&mut self, _conn: ConnId, _now: Micros) -> bool {
         false
     }
@@ -100,12 +124,67 @@
     }
 }
 
-fn run(machine: RaceMachine) -> (SocketAddr, std::thread::JoinHandle<RaceMachine>) {
+fn listening(machine: RaceMachine) -> (SocketAddr, Driver<RaceMachine>) {
     let mut driver = Driver::new(machine, Options::default()).unwrap();
     let Address::Tcp(at) = driver.listen(&"127.0.0.1:0".parse().unwrap()).unwrap() else { panic!("no TCP") };
+    (at, driver)
+}
+
+fn run(machine: RaceMachine) -> (SocketAddr, std::thread::JoinHandle<RaceMachine>) {
+    let (at, driver) = listening(machine);
     (at, std::thread::spawn(move || driver.run().unwrap()))
 }
 
+/// Runs a machine with two clients whose bytes have arrived before its first turn, so that both are read in one
+/// turn. `on_bytes` acts between the two reads, with the address of the machine and the second client.
+fn hold_up_between_reads(
+    on_bytes: impl FnOnce(&mut RaceMachine, SocketAddr, &mut TcpStream) + Send + 'static,
+) -> RaceMachine {
+    let (send_client, second_client) = std::sync::mpsc::channel::<(SocketAddr, TcpStream)>();
+    let mut on_bytes = Some(on_bytes);
+    let action: PeerAction = Box::new(move |m| {
+        let (at, mut second) = second_client.recv().unwrap();
+        let on_bytes = on_bytes.take().expect("called once");
+        on_bytes(m, at, &mut second);
+        m.kept_open.push(second);
+    });
+    let (at, driver) = listening(RaceMachine { on_bytes: Some(action), ..RaceMachine::default() });
+    let mut clients = [connect(at), connect(at)];
+    clients.iter_mut().for_each(|client| client.write_all(b"x").unwrap());
+    let [_first, second] = clients;
+    send_client.send((at, second)).unwrap();
+    driver.run().unwrap()
+}
+
+/// Exits when bytes arrive, after as many other times.
+fn exit_after(times: usize) -> PeerAction {
+    Box::new(move |m| match times {
+        0 => m.commands.push(Command::Exit),
+        _ => m.on_bytes = Some(exit_after(times - 1)),
+    })
+}
+
+/// Waits until the kernel records arrivals: it begins some time after the first socket asks for it. Returns the
+/// listener that asks for it.
+fn wait_for_recorded_arrivals() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    setsockopt(&listener, ReceiveTimestampns, &true).unwrap();
+    let mut client = connect(listener.local_addr().unwrap());
+    let (accepted, _) = listener.accept().unwrap();
+    loop {
+        client.write_all(b"x").unwrap();
+        let mut byte = [0];
+        let mut control = nix::cmsg_space!(nix::sys::time::TimeSpec);
+        let mut parts = [std::io::IoSliceMut::new(&mut byte)];
+        let fd = accepted.as_raw_fd();
+        let message = recvmsg::<()>(fd, &mut parts, Some(&mut control), MsgFlags::empty()).unwrap();
+        if message.cmsgs().unwrap().next().is_some() {
+            return listener;
+        }
+        std::thread::yield_now();
+    }
+}
+
 fn connect(at: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(at).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
@@ -243,24 +322,77 @@
 #[test]
 fn bytes_are_reported_at_a_time_not_earlier_than_their_arrival() {
     const HOLD_UP: Duration = Duration::from_millis(100);
-    let (send_client, clients) = std::sync::mpsc::channel::<TcpStream>();
     let (send_time, sent_at) = std::sync::mpsc::channel();
-    let on_bytes: PeerAction = Box::new(move |m| {
-        // The driver reads the first connection again in this turn, since its buffer was filled.
+    let machine = hold_up_between_reads(move |m, _, second| {
         std::thread::sleep(HOLD_UP);
-        let mut client = clients.recv().unwrap();
         send_time.send(clock()).unwrap();
-        client.write_all(b"late").unwrap();
+        second.write_all(b"late").unwrap();
         m.commands.push(Command::Exit);
     });
+    assert_eq!(machine.received_at.len(), 2, "both clients were read in one turn");
+    assert!(machine.received_at[1] >= sent_at.recv().unwrap(), "{:?}", machine.received_at);
+}
+
+/// Guards against requests that are taken in another order than they arrived: the process is held up within a turn,
+/// and bytes arrive first on a new connection and then on one that is read in this turn.
+#[test]
+fn what_arrived_first_is_reported_in_the_next_turn_at_the_latest_with_its_time() {
+    let _recording = wait_for_recorded_arrivals();
+    let machine = hold_up_between_reads(|m, at, second| {
+        let mut new = connect(at);
+        new.write_all(b"first").unwrap();
+        // The times of arrival differ clearly.
+        std::thread::sleep(Duration::from_millis(20));
+        second.write_all(b"second").unwrap();
+        m.kept_open.push(new);
+        // Exits when the new connection is read, after the second client.
+        m.on_bytes = Some(exit_after(1));
+    });
+    let input = machine.input;
+    let [
+        Input::Received(ConnId(1), _),
+        Input::Received(ConnId(2), second_at),
+        Input::Complete,
+        Input::Received(ConnId(3), first_at),
+        Input::Complete,
+    ] = input[..]
+    else {
+        panic!("the new connection is to be reported in the next turn: {input:?}");
+    };
+    assert!(first_at.0 + 15_000_000 < second_at.0, "{input:?}");
+}
+
+/// Guards against the same when more connections are pending than are accepted in a turn.
+#[test]
+fn input_is_complete_only_when_all_pending_connections_are_accepted_and_read() {
+    const CLIENTS: usize = 150;
+    let (send_address, address) = std::sync::mpsc::channel::<SocketAddr>();
+    let (send_late, late_clients) = std::sync::mpsc::channel();
+    let on_bytes: PeerAction = Box::new(move |_| {
+        let at = address.recv().unwrap();
+        let clients: Vec<TcpStream> = (0..CLIENTS)
+            .map(|_| {
+                let mut client = connect(at);
+                client.write_all(b"y").unwrap();
+                client
+            })
+            .collect();
+        send_late.send(clients).unwrap();
+    });
     let machine = RaceMachine { on_bytes: Some(on_bytes), ..RaceMachine::default() };
     let (at, driver) = run(machine);
+    send_address.send(at).unwrap();
     let mut client = connect(at);
-    client.write_all(&[b'x'; 100_000]).unwrap();
-    send_client.send(client).unwrap();
-    let machine = driver.join().unwrap();
-    let sent_at = sent_at.recv().unwrap();
-    assert!(machine.received_at.iter().any(|at| *at >= sent_at), "{:?}", machine.received_at);
+    client.write_all(b"x").unwrap();
+    let mut late = late_clients.recv_timeout(Duration::from_secs(20)).unwrap();
+    // The connection accepted last is closed, which ends the driver.
+    drop(late.pop());
+    let input = driver.join().unwrap().input;
+    let is_late = |input: &Input| matches!(input, Input::Received(conn, _) if *conn > ConnId(1));
+    let first = input.iter().position(is_late).unwrap();
+    let last = input.iter().rposition(is_late).unwrap();
+    assert_eq!(input[first..=last].len(), CLIENTS, "nothing lies between: {input:?}");
+    drop(client);
 }
 
 /// All pending output is sent before the write side is shut down, and the peer is still read.
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -323,8 +323,9 @@
         self.wake
     }
 
-    /// Settles the core and executes its commands until it has none left.
+    /// A turn of the driver after its input: settles the core and executes its commands until it has none left.
     pub fn turn(&mut self) {
+        self.core.input_delivered(self.now);
         self.wake = self.core.settle(self.now);
         loop {
             let commands = self.core.take_commands();
--- a/crates/flaxstand-gateway/tests/writeback.rs
+++ b/crates/flaxstand-gateway/tests/writeback.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use flaxstand_gateway::core::{Config, Core, WriteBack};
-use flaxstand_gateway::machine::{ConnId, Control, Machine as _, Micros};
+use flaxstand_gateway::machine::{ArrivalTime, ConnId, Control, Machine as _, Micros};
 use flaxstand_proto::*;
 use flaxstand_storage::faulty::{Faults, FaultyDisk};
 use flaxstand_storage::{Storage as _, perform};
@@ -267,6 +267,30 @@
     assert!(d.answers().contains(&SentFrame::Flushed(5)), "{:?}", d.answers());
 }
 
+/// Guards against a barrier that is passed by a write which arrived before it: on a site with a class in order,
+/// the driver reports when bytes arrived, and requests are held until their order is known.
+#[test]
+fn writes_and_barriers_keep_their_order_of_arrival_in_whatever_order_they_are_reported() {
+    let mut c = config_with_buffer();
+    c.site.settings.classes[usize::from(ONCE)].in_order = true;
+    let mut d = BufferedWorld::new(c);
+    let other = d.w.client();
+    let base = request(1, BUFFERED, (Some(0), 7));
+    let before = bytes_of(&Frame::Submit(Submit { write: true, payload: b"before", ..base }));
+    let after =
+        bytes_of(&Frame::Submit(Submit { id: 2, operation: 1002, write: true, payload: b"after", ..base }));
+    let barrier = bytes_of(&Frame::Barrier { id: 1, volume: 5, time_left: 5_000_000 });
+    for (conn, bytes, at) in [(d.client, &after, 30), (other, &barrier, 20), (d.client, &before, 10)] {
+        d.w.core.received_with_time(conn, bytes, ArrivalTime(at), d.w.now);
+    }
+    d.perform_batches();
+    assert_eq!(d.sent_operations(), [1001], "the write after the barrier waits");
+    assert_eq!(d.w.answers(other), [SentFrame::Barred(1)]);
+    d.serve_last_attempt();
+    d.perform_batches();
+    assert_eq!(d.sent_operations(), [1001, 1002]);
+}
+
 #[test]
 fn two_barriers_of_two_volumes_do_not_wait_for_each_other() {
     let mut d = BufferedWorld::new(config_with_buffer());
