--- a/crates/flaxstand-http/src/message.rs
+++ b/crates/flaxstand-http/src/message.rs
@@ -1,11 +1,11 @@
 //! Complete HTTP messages.
 
 /// The header fields of a message, in order of arrival.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields(Vec<Field>);
 
 /// A header field.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Field {
     name: String,
     value: Vec<u8>,
@@ -64,7 +64,7 @@
 }
 
 /// A complete final response; interim (1xx) responses are skipped.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
     /// Status code.
     pub status: u16,
