--- a/crates/flaxstand-cli/tests/platform_races.rs
+++ b/crates/flaxstand-cli/tests/platform_races.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::read_message;
+use flaxstand_fixture::RecordedArrivals;
 use rustix::process::{Pid, Resource, Rlimit, Signal, WaitOptions, kill_process, prlimit, waitpid};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -209,6 +210,7 @@
 /// later, on a new connection.
 #[test]
 fn requests_of_a_key_run_in_order_of_arrival_after_a_pause_also_from_new_connections() {
+    let _recording = RecordedArrivals::wait();
     let harness = Harness::start_with_classes("order-new", ORDERED_CLASS);
     let mut kept = served_client(&harness, "kept");
     harness.pause();
@@ -231,6 +233,7 @@
 /// Guards against the same with a request that begins first and ends last: its connection is ready first.
 #[test]
 fn requests_of_a_key_run_in_order_of_their_last_bytes_after_a_pause() {
+    let _recording = RecordedArrivals::wait();
     let harness = Harness::start_with_classes("order-last", ORDERED_CLASS);
     let (mut slow, mut quick) = (served_client(&harness, "slow"), served_client(&harness, "quick"));
     let (slow_request, quick_request) = (get("ends-last", "write"), get("ends-first", "write"));
--- a/crates/flaxstand-fixture/src/lib.rs
+++ b/crates/flaxstand-fixture/src/lib.rs
@@ -1,8 +1,13 @@
 //! Fixtures: bytes and texts recorded from an earlier build, under `tests/fixtures/` of the package that
 //! reads them. A test produces them again and compares. A missing fixture is written only if the environment
 //! variable `FLAXSTAND_WRITE_FIXTURES` is set; an existing one is never overwritten.
+//!
+//! [`RecordedArrivals`] is for tests that depend on the kernel recording when bytes arrive.
 #![forbid(unsafe_code)]
 
+mod arrivals;
+
+pub use arrivals::RecordedArrivals;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
--- a/crates/flaxstand-gateway/tests/driver_races.rs
+++ b/crates/flaxstand-gateway/tests/driver_races.rs
@@ -2,13 +2,12 @@
 //! machine lets the peer act from within a callback, so that each race happens at a fixed place, independent
 //! of the speed of the host.
 
+use flaxstand_fixture::RecordedArrivals;
 use flaxstand_gateway::driver::{Driver, Options, clock};
 use flaxstand_gateway::machine::{Address, ArrivalTime, Command, ConnId, Control, Machine, Micros};
-use nix::sys::socket::{MsgFlags, recvmsg, setsockopt, sockopt::ReceiveTimestampns};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 /// An action of the peer that runs within a callback of the machine.
@@ -164,27 +163,6 @@
     })
 }
 
-/// Waits until the kernel records arrivals: it begins some time after the first socket asks for it. Returns the
-/// listener that asks for it.
-fn wait_for_recorded_arrivals() -> TcpListener {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    setsockopt(&listener, ReceiveTimestampns, &true).unwrap();
-    let mut client = connect(listener.local_addr().unwrap());
-    let (accepted, _) = listener.accept().unwrap();
-    loop {
-        client.write_all(b"x").unwrap();
-        let mut byte = [0];
-        let mut control = nix::cmsg_space!(nix::sys::time::TimeSpec);
-        let mut parts = [std::io::IoSliceMut::new(&mut byte)];
-        let fd = accepted.as_raw_fd();
-        let message = recvmsg::<()>(fd, &mut parts, Some(&mut control), MsgFlags::empty()).unwrap();
-        if message.cmsgs().unwrap().next().is_some() {
-            return listener;
-        }
-        std::thread::yield_now();
-    }
-}
-
 fn connect(at: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(at).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
@@ -337,7 +315,7 @@
 /// and bytes arrive first on a new connection and then on one that is read in this turn.
 #[test]
 fn what_arrived_first_is_reported_in_the_next_turn_at_the_latest_with_its_time() {
-    let _recording = wait_for_recorded_arrivals();
+    let _recording = RecordedArrivals::wait();
     let machine = hold_up_between_reads(|m, at, second| {
         let mut new = connect(at);
         new.write_all(b"first").unwrap();
