Driver: a read returns the arrival that is reported; core: one check for classes in order

Now Socket::receive returns the time that is reported, or none, and Core::has_ordered_class serves the core and the interface. Socket::connected has its name back, since connecting sockets are made from it too. Behaviour is as before; the tests of the driver, of the order of arrival, of the buffer and of the program pass unchanged.

--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -9,7 +9,7 @@
 use super::pending_request::{Handler, Owner, PendingRequest};
 use super::shutdown::Phase;
 use super::timers::Timer;
-use crate::machine::{ArrivalTime, Command, ConnId, Machine as _, Micros};
+use crate::machine::{ArrivalTime, Command, ConnId, Micros};
 use flaxstand::api::{Event, RequestId, VolumeId};
 use flaxstand_proto::{
     CloseReason, Frame, Hello, Inbox, Refusal, Role, Scope, Submit, VERSION, VERSION_OLDEST, encode,
@@ -244,12 +244,17 @@
         true
     }
 
-    /// Returns whether a request must run in order of arrival. With a write-back buffer that are all requests,
-    /// since its barriers order requests of all classes.
+    /// Returns whether a request must run in order of arrival. With a write-back buffer, and a
+    /// class in order, these are all requests, since its barriers order requests of all classes.
     fn keeps_order(&self, pending: &PendingRequest) -> bool {
         let class = &self.module_classes[usize::from(pending.class)];
         let is_ordered = class.in_order && pending.extent.is_some();
-        is_ordered || self.write_back.is_some() && self.wants_arrival_times()
+        is_ordered || self.write_back.is_some() && self.has_ordered_class()
+    }
+
+    /// Returns whether requests of any class must run in order of arrival.
+    pub(super) fn has_ordered_class(&self) -> bool {
+        self.module_classes.iter().any(|class| class.in_order)
     }
 
     /// Submits the held requests whose order of arrival is known.
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -321,7 +321,7 @@
             ConnectionPhase::Lingering(_) if waited >= LINGER_TIMEOUT => {
                 self.close(conn, "client did not close the connection after its last response", now)
             }
-            // The last response is started: no other may follow it.
+            // No other response may follow the one that closes the connection.
             ConnectionPhase::Lingering(_) | ConnectionPhase::Closing(_) => {}
             _ if !client.unanswered.is_empty() || waited < timeout => {}
             // Nothing was received since the connection was opened: there is no request to respond to.
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -326,7 +326,7 @@
     }
 
     fn wants_arrival_times(&self) -> bool {
-        self.module_classes.iter().any(|class| class.in_order)
+        self.has_ordered_class()
     }
 
     fn input_delivered(&mut self, now: Micros) {
--- a/crates/flaxstand-gateway/src/driver/accepting.rs
+++ b/crates/flaxstand-gateway/src/driver/accepting.rs
@@ -142,7 +142,7 @@
         }
         let arrivals =
             if self.machine.wants_arrival_times() { Arrivals::Recorded } else { Arrivals::Ignored };
-        self.sockets.insert(conn, Socket::accepted(fd, interest, arrivals));
+        self.sockets.insert(conn, Socket::connected(fd, interest, arrivals));
         Some(conn)
     }
 
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -15,9 +15,9 @@
 /// Whether the arrival of received bytes is reported to the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Arrivals {
-    /// Reported as the kernel recorded it.
+    /// Reported as the kernel recorded it, or else as the time of the read.
     Recorded,
-    /// Reported as the time of the read: the kernel does not record it.
+    /// Reported as the time of the read: the system does not support recorded times.
     Unrecorded,
     /// Not reported.
     Ignored,
@@ -40,8 +40,8 @@
 }
 
 impl Socket {
-    /// Creates the state of an accepted socket.
-    pub(super) fn accepted(fd: OwnedFd, interest: epoll::EventFlags, arrivals: Arrivals) -> Self {
+    /// Creates the state of a connected socket.
+    pub(super) fn connected(fd: OwnedFd, interest: epoll::EventFlags, arrivals: Arrivals) -> Self {
         Socket {
             fd,
             arrivals,
@@ -54,10 +54,10 @@
     }
 
     fn connecting(fd: OwnedFd, interest: epoll::EventFlags) -> Self {
-        Socket { is_connecting: true, ..Socket::accepted(fd, interest, Arrivals::Ignored) }
+        Socket { is_connecting: true, ..Socket::connected(fd, interest, Arrivals::Ignored) }
     }
 
-    /// Reads received bytes, with the time of their arrival if that is recorded.
+    /// Reads received bytes, with the time of their arrival unless that is ignored.
     fn receive(&mut self, buffer: &mut [u8]) -> Result<Received, Errno> {
         if self.arrivals == Arrivals::Recorded {
             match timestamps::receive(&self.fd, buffer) {
@@ -65,7 +65,9 @@
                 received => return received,
             }
         }
-        Ok(Received { count: read(&self.fd, buffer)?, arrived_at: None })
+        let count = read(&self.fd, buffer)?;
+        let arrived_at = (self.arrivals == Arrivals::Unrecorded).then(timestamps::current_time);
+        Ok(Received { count, arrived_at })
     }
 
     fn shut_down_if_requested(&mut self) {
@@ -173,7 +175,6 @@
             if socket.peer_finished || !self.machine.wants_read(conn) {
                 return self.check_closed_without_read(conn, flags);
             }
-            let arrivals = socket.arrivals;
             match socket.receive(&mut *buffer) {
                 Ok(Received { count: 0, .. }) => return self.handle_peer_end(conn, flags),
                 Ok(Received { count, arrived_at }) => {
@@ -181,12 +182,9 @@
                     // Not earlier than the arrival of the bytes, however long the turn has taken so far.
                     self.now = clock().max(self.now);
                     let bytes = &buffer[..count];
-                    match arrivals {
-                        Arrivals::Ignored => self.machine.received(conn, bytes, self.now),
-                        Arrivals::Recorded | Arrivals::Unrecorded => {
-                            let arrived_at = arrived_at.unwrap_or_else(timestamps::current_time);
-                            self.machine.received_with_time(conn, bytes, arrived_at, self.now);
-                        }
+                    match arrived_at {
+                        Some(at) => self.machine.received_with_time(conn, bytes, at, self.now),
+                        None => self.machine.received(conn, bytes, self.now),
                     }
                     if count < buffer.len() {
                         return;
--- a/crates/flaxstand-gateway/src/driver/timestamps.rs
+++ b/crates/flaxstand-gateway/src/driver/timestamps.rs
@@ -13,7 +13,7 @@
 /// Bytes read from a socket.
 pub(super) struct Received {
     pub(super) count: usize,
-    /// Time at which the last of them arrived; `None` if the kernel did not record it.
+    /// Time at which the last of them arrived, unless that is ignored.
     pub(super) arrived_at: Option<ArrivalTime>,
 }
 
@@ -23,14 +23,14 @@
     setsockopt(&fd, ReceiveTimestampns, &true).is_ok()
 }
 
-/// Reads from a socket that records arrivals.
+/// Reads from a socket that records arrivals. Where the kernel has recorded none, the time of the read counts.
 pub(super) fn receive(fd: impl AsFd, buffer: &mut [u8]) -> Result<Received, Errno> {
     let mut control = nix::cmsg_space!(TimeSpec);
     let mut parts = [IoSliceMut::new(buffer)];
     let fd = fd.as_fd().as_raw_fd();
     let message = recvmsg::<()>(fd, &mut parts, Some(&mut control), MsgFlags::empty()).map_err(to_errno)?;
-    let arrived_at = message.cmsgs().ok().and_then(|mut all| all.find_map(|control| arrival_time(&control)));
-    Ok(Received { count: message.bytes, arrived_at })
+    let recorded = message.cmsgs().ok().and_then(|mut all| all.find_map(|control| arrival_time(&control)));
+    Ok(Received { count: message.bytes, arrived_at: Some(recorded.unwrap_or_else(current_time)) })
 }
 
 /// Returns the current time, for bytes whose arrival was not recorded.
