--- a/crates/flaxstand-cli/tests/platform_races.rs
+++ b/crates/flaxstand-cli/tests/platform_races.rs
@@ -134,11 +134,9 @@
         received.answer("one");
         assert_eq!(read_message(&mut client).unwrap().1, "one");
         self.pause();
-        let from = client.local_addr().unwrap();
-        client.write_all(get("second", "order").as_bytes()).unwrap();
-        wait_until("the kernel holds the request", || {
-            self.kernel_state(self.at, from).is_some_and(|(_, unread)| unread > 1)
-        });
+        let second = get("second", "order");
+        client.write_all(second.as_bytes()).unwrap();
+        self.wait_for_unread(&client, second.len());
         (client, received)
     }
     /// Waits until the kernel holds this many bytes of a client that the paused process has not read.
--- a/crates/flaxstand-gateway/tests/arrival_order.rs
+++ b/crates/flaxstand-gateway/tests/arrival_order.rs
@@ -1,12 +1,13 @@
-//! Requests of one key run in the order in which their last bytes arrived, whichever connections brought them and in
-//! whichever order the driver reported these. In virtual time; the driver's part is in `driver_races.rs`.
+//! Requests of one key run in the order in which their last bytes arrived, whichever connections brought them
+//! and in whichever order the driver reported these. In virtual time; the driver's part is in
+//! `driver_races.rs`.
 
 mod harness;
 
 use flaxstand_gateway::core::Config;
 use flaxstand_gateway::machine::{ArrivalTime, ConnId, Machine};
 use flaxstand_proto::{Code, Frame};
-use harness::{Harness, ONCE, READ, SentFrame, bytes_of, config, http_request, ms, platform_config, request};
+use harness::{Harness, ONCE, READ, SentFrame, bytes_of, config, ms, platform_config, request, request_text};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
@@ -20,10 +21,6 @@
     Harness::new(with_ordered_once(platform_config(5000)), 1)
 }
 
-fn request_text(id: &str, class: &str) -> String {
-    http_request(id, class, 0, "1.000")
-}
-
 /// Bytes are reported that arrived at this time.
 fn report(w: &mut Harness, conn: ConnId, bytes: &[u8], arrived_at: u64) {
     w.core.received_with_time(conn, bytes, ArrivalTime(arrived_at), w.now);
@@ -33,10 +30,11 @@
     report(w, conn, request_text(id, "once").as_bytes(), arrived_at);
 }
 
-/// Node 0 answers each attempt as soon as it is sent. Returns the ids in the order in which they ran.
+/// Node 0, which answers each attempt as soon as it is sent.
 #[derive(Default)]
 struct Node {
     answered: BTreeSet<(ConnId, String)>,
+    /// Ids of the requests, in the order in which they ran.
     order: Vec<String>,
 }
 
@@ -54,13 +52,14 @@
         }
     }
 
-    /// Runs turns until all requests are answered.
-    fn run_to_end(&mut self, w: &mut Harness) {
+    /// Runs turns until all requests are answered. Returns their ids in the order in which they ran.
+    fn run_to_end(mut self, w: &mut Harness) -> Vec<String> {
         for _ in 0..200 {
             w.run(2);
             self.answer_all(w);
         }
         assert_eq!(w.core.pending_requests(), 0);
+        self.order
     }
 }
 
@@ -70,9 +69,7 @@
     let (kept, new) = (w.http_client(), w.http_client());
     report_request(&mut w, kept, "second", 20);
     report_request(&mut w, new, "first", 10);
-    let mut node = Node::default();
-    node.run_to_end(&mut w);
-    assert_eq!(node.order, ["first", "second"]);
+    assert_eq!(Node::default().run_to_end(&mut w), ["first", "second"]);
     assert_eq!((w.statuses(kept), w.statuses(new)), (vec![200], vec![200]));
 }
 
@@ -87,9 +84,7 @@
     assert_eq!(w.next_wake(), Some(w.now), "the next turn follows at once");
     let new = w.core.accepted(0, w.now).unwrap();
     report_request(&mut w, new, "first", 10);
-    let mut node = Node::default();
-    node.run_to_end(&mut w);
-    assert_eq!(node.order, ["first", "second"]);
+    assert_eq!(Node::default().run_to_end(&mut w), ["first", "second"]);
 }
 
 #[test]
@@ -103,9 +98,7 @@
     // Both become readable in one turn.
     report(&mut w, slow, end, 30);
     report_request(&mut w, quick, "quick", 20);
-    let mut node = Node::default();
-    node.run_to_end(&mut w);
-    assert_eq!(node.order, ["quick", "slow"]);
+    assert_eq!(Node::default().run_to_end(&mut w), ["quick", "slow"]);
 }
 
 #[test]
@@ -115,9 +108,7 @@
     report_request(&mut w, gone, "gone", 10);
     report_request(&mut w, stays, "stays", 20);
     w.core.closed(gone, "closed by peer", w.now);
-    let mut node = Node::default();
-    node.run_to_end(&mut w);
-    assert_eq!(node.order, ["stays"]);
+    assert_eq!(Node::default().run_to_end(&mut w), ["stays"]);
 }
 
 /// A clock that is set back delays no request beyond the next turn.
@@ -131,9 +122,7 @@
         w.turn();
         assert!(w.next_wake().is_none_or(|wake| wake > w.now), "none is held any more");
     }
-    let mut node = Node::default();
-    node.run_to_end(&mut w);
-    assert_eq!(node.order, ["at-3000000000", "at-1000", "at-2000"]);
+    assert_eq!(Node::default().run_to_end(&mut w), ["at-3000000000", "at-1000", "at-2000"]);
 }
 
 /// Requests of other classes cost no further turn.
@@ -144,9 +133,7 @@
     report(&mut w, client, request_text("r1", "read").as_bytes(), 10);
     w.turn();
     w.turn();
-    let (link, connects) = (w.conns_to(0)[0], w.conns_to(0).len());
-    assert!(w.sent_text_on(link).contains("X-Request-ID: r1\r\n"));
-    assert_eq!(connects, 1);
+    assert_eq!((w.attempts_sent("r1"), w.conns_to(0).len()), (1, 1));
     assert!(!Harness::new(platform_config(5000), 1).core.wants_arrival_times());
     assert!(w.core.wants_arrival_times());
 }
@@ -171,7 +158,10 @@
     w.done(node, second, Code::Served, b"stored");
     w.run(10);
     assert_eq!(w.answers(kept).len(), 1);
-    assert_ne!(READ, ONCE);
+    // A request of another class is not held.
+    report(&mut w, kept, &bytes_of(&Frame::Submit(request(3, READ, (Some(0), 7)))), 30);
+    w.turn();
+    assert_eq!(w.attempts(0).len(), 3);
 }
 
 /// Each turn reports, in any order, all that arrived before it began and some of what arrived during it.
@@ -181,7 +171,6 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut w = platform_world();
         let clients: Vec<ConnId> = (0..12).map(|_| w.http_client()).collect();
-        let mut waiting: Vec<(u64, ConnId)> = Vec::new();
         let mut arrivals: Vec<u64> = clients.iter().map(|_| rng.next_u64() % 1000).collect();
         arrivals.sort_unstable();
         arrivals.dedup();
@@ -193,11 +182,11 @@
             let is_reported = |(at, _): &(u64, ConnId), rng: &mut Pcg64Mcg| {
                 *at <= turn_begins || *at <= turn_ends && rng.next_u64().is_multiple_of(2)
             };
-            let (mut now, later) = unreported.into_iter().partition(|arrival| is_reported(arrival, &mut rng));
+            let (mut reported, later): (Vec<_>, Vec<_>) =
+                unreported.into_iter().partition(|arrival| is_reported(arrival, &mut rng));
             unreported = later;
-            waiting.append(&mut now);
-            while !waiting.is_empty() {
-                let (at, conn) = waiting.swap_remove(rng.next_u64() as usize % waiting.len());
+            while !reported.is_empty() {
+                let (at, conn) = reported.swap_remove(rng.next_u64() as usize % reported.len());
                 report_request(&mut w, conn, &format!("at-{at}"), at);
             }
             w.now = w.now.after(ms(1));
@@ -205,8 +194,8 @@
             node.answer_all(&mut w);
             turn_begins = turn_ends;
         }
-        node.run_to_end(&mut w);
+        let order = node.run_to_end(&mut w);
         let expected: Vec<String> = arrivals.iter().map(|at| format!("at-{at}")).collect();
-        assert_eq!(node.order, expected, "seed {seed}");
+        assert_eq!(order, expected, "seed {seed}");
     }
 }
--- a/crates/flaxstand-gateway/tests/driver.rs
+++ b/crates/flaxstand-gateway/tests/driver.rs
@@ -45,13 +45,18 @@
 const BLOCK: usize = 3_000_000;
 
 impl BlockEcho {
+    /// Checks the time of a callback that may be the first of a turn.
     fn check_time(&mut self, now: Micros) {
-        assert!(now >= self.last_now, "the clock went backwards from {:?} to {now:?}", self.last_now);
         if now != self.last_now {
             assert!(self.turn_ended, "the time changed within a turn");
-            (self.last_now, self.turn_ended) = (now, false);
+            self.advance_time(now);
         }
     }
+
+    fn advance_time(&mut self, now: Micros) {
+        assert!(now >= self.last_now, "the clock went backwards from {:?} to {now:?}", self.last_now);
+        (self.last_now, self.turn_ended) = (now, false);
+    }
 }
 
 impl Machine for BlockEcho {
@@ -69,8 +74,7 @@
         self.failure_causes.push(cause.to_owned());
     }
     fn received(&mut self, conn: ConnId, bytes: &[u8], now: Micros) {
-        assert!(now >= self.last_now, "the clock went backwards from {:?} to {now:?}", self.last_now);
-        (self.last_now, self.turn_ended) = (now, false);
+        self.advance_time(now);
         for byte in bytes {
             self.exit_requested |= *byte == b'q';
             self.out.get_mut(&conn).unwrap().extend(vec![*byte; BLOCK]);
--- a/crates/flaxstand-gateway/tests/harness/mod.rs
+++ b/crates/flaxstand-gateway/tests/harness/mod.rs
@@ -3,11 +3,15 @@
 //! the full list are answered automatically; all other responses come from the test.
 #![allow(dead_code)]
 
-use flaxstand::api::{Class, DeduplicationScope, Effect, Plan, Settings};
-use flaxstand_gateway::core::{Bounds, ClassInfo, Config, Core, Policy, Site, Timeouts, Wire};
+mod configs;
+mod sent_frame;
+
+pub use configs::*;
+use flaxstand_gateway::core::{Config, Core, Wire};
 use flaxstand_gateway::machine::{Address, Command, ConnId, Machine, Micros};
 use flaxstand_proto::*;
 use flaxstand_storage::Batch;
+pub use sent_frame::SentFrame;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write as _;
 
@@ -19,154 +23,6 @@
     Micros(n * 1000)
 }
 
-pub fn config() -> Config {
-    let class = |effect| Class {
-        latency_objective: 200.0,
-        objective_stretch: 0.0,
-        deadline: 1000.0,
-        late_value: 0.2,
-        priority_weight: 1.0,
-        effect,
-        in_order: false,
-    };
-    let info = |name: &str, stream| ClassInfo { name: name.into(), is_streamed: stream, is_buffered: false };
-    let settings = Settings {
-        initiators: 1,
-        classes: vec![class(Effect::Idempotent), class(Effect::AtMostOnce), class(Effect::Idempotent)],
-        plans: vec![Plan {
-            base_rate: 100.0,
-            reserve_rate: 100.0,
-            limit_rate: 0.0,
-            limit_burst: 0.0,
-            priority_factor: 1.0,
-        }],
-        polls_list: false,
-        poll_within: 10_000.0,
-        notification_terms: None,
-        max_attempts: 3,
-        max_concurrent_attempts: 1,
-        may_cancel: true,
-        may_probe: false,
-        max_retry_after: 300.0,
-        initial_capacity: 0.2,
-        warm_up_time: 5000.0,
-        overload_multiple: 4.0,
-        slow_start_window: 1000.0,
-        slow_start_min_units: 4.0,
-        key_cooldown: 0.0,
-        retry_budget: None,
-        mean_units: 1.0,
-        max_units: 4.0,
-        shared_weight: 0.3,
-        spare_weight: 0.1,
-        tick: 1.0,
-    };
-    Config {
-        name: "tested".into(),
-        index: 0,
-        epoch: 1,
-        calendar: 0,
-        seed: 3,
-        discovery_address: "127.0.0.1:1".parse().unwrap(),
-        site: Site {
-            settings,
-            classes: vec![info("read", false), info("once", false), info("stream", true)],
-            plans: vec!["plan".into()],
-            timeouts: Timeouts::default(),
-            write_back: None,
-            retry_throttle: None,
-        },
-        bounds: Bounds::default(),
-        policy: Policy::Module,
-        wire: Wire::Frames,
-        consensus: None,
-    }
-}
-
-/// A configuration for the platform's wire, with this maximum long poll of the list in milliseconds.
-pub fn platform_config(long_poll_ms: u64) -> Config {
-    let mut c = config();
-    c.wire = Wire::Platform;
-    c.site.settings.polls_list = true;
-    c.site.timeouts = Timeouts {
-        node_idle_timeout: ms(18_000),
-        max_long_poll: ms(long_poll_ms),
-        shutdown_grace: ms(1400),
-        shutdown_timeout: ms(1600),
-        ..c.site.timeouts
-    };
-    c.site.classes[2].is_streamed = false;
-    c
-}
-
-/// The platform configuration with "keyed" as its third class: the nodes of a shard drop repeated requests of
-/// this class within `window` milliseconds.
-pub fn platform_config_with_keyed(long_poll_ms: u64, window: f64) -> Config {
-    let mut c = platform_config(long_poll_ms);
-    let keyed = Effect::IdempotencyKey { group: DeduplicationScope::Shard, window };
-    c.site.settings.classes[2] = Class { effect: keyed, ..c.site.settings.classes[2].clone() };
-    c.site.classes[2].name = "keyed".into();
-    c
-}
-
-pub const PATH: &str = "/api/00000003b4d60021/7f3a9c21e0b4d655";
-
-/// A client's HTTP read request on the platform's wire.
-pub fn http_request(id: &str, class: &str, shard: i64, timeout: &str) -> String {
-    format!(
-        "GET {PATH} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Qos-Policy: plan\r\nX-Timeout: {timeout}\r\nX-Placement: units=1,shard={shard},hosts=1\r\n\r\n"
-    )
-}
-
-/// An owned copy of a frame that the core wrote.
-#[derive(Clone, Debug, PartialEq)]
-pub enum SentFrame {
-    Hello,
-    Welcome,
-    Bye(CloseReason),
-    Served(u64, u32, Vec<u8>),
-    Refused(u64, Refusal),
-    Failed(u64),
-    Part(u64, Vec<u8>),
-    Attempt { request: u64, attempt: u32, operation: u64 },
-    Cancel(u64),
-    Probe(u64),
-    Buffered(u64),
-    Barred(u64),
-    Flushed(u64),
-    Status(String),
-    Agreement(Vec<u8>),
-    Watch,
-    GetList,
-    Other,
-}
-
-fn sent_frame(frame: &Frame<'_>) -> SentFrame {
-    match *frame {
-        Frame::Hello(_) => SentFrame::Hello,
-        Frame::Welcome(_) => SentFrame::Welcome,
-        Frame::Bye { close_reason, .. } => SentFrame::Bye(close_reason),
-        Frame::Served { id, shard, payload } => SentFrame::Served(id, shard, payload.to_vec()),
-        Frame::Refused { id, refusal, .. } => SentFrame::Refused(id, refusal),
-        Frame::Failed { id } => SentFrame::Failed(id),
-        Frame::Part { id, payload } => SentFrame::Part(id, payload.to_vec()),
-        Frame::Attempt(a) => {
-            SentFrame::Attempt { request: a.request, attempt: a.attempt, operation: a.operation }
-        }
-        Frame::Cancel { request, .. } => SentFrame::Cancel(request),
-        Frame::Probe { token } => SentFrame::Probe(token),
-        Frame::Buffered { id } => SentFrame::Buffered(id),
-        Frame::Barred { id } => SentFrame::Barred(id),
-        Frame::Flushed { id } => SentFrame::Flushed(id),
-        Frame::Status { json, .. } => SentFrame::Status(String::from_utf8_lossy(json).into_owned()),
-        Frame::Agreement { bytes } => SentFrame::Agreement(bytes.to_vec()),
-        Frame::Watch => SentFrame::Watch,
-        Frame::GetList => SentFrame::GetList,
-        _ => SentFrame::Other,
-    }
-}
-
 /// What happens when the core connects to an address.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ConnectOutcome {
@@ -262,6 +118,11 @@
     out
 }
 
+/// The line of an HTTP request with the request's id.
+fn id_line(id: &str) -> String {
+    format!("X-Request-ID: {id}\r\n")
+}
+
 impl Harness {
     /// A core whose list has `nodes` nodes; node `n` holds shard `n`.
     pub fn new(config: Config, nodes: u64) -> Self {
@@ -426,7 +287,7 @@
                 if let Frame::Attempt(a) = &frame {
                     payloads.push((a.operation, a.at, a.payload.to_vec()));
                 }
-                sent.push(sent_frame(&frame));
+                sent.push(SentFrame::of(&frame));
                 true
             })
             .expect("the core writes valid frames");
@@ -483,7 +344,7 @@
     /// node 0 on which the request is in flight.
     pub fn request_in_flight(&mut self, id: &str, class: &str) -> (ConnId, ConnId) {
         let client = self.http_client();
-        self.send_bytes(client, http_request(id, class, 0, "1.000").as_bytes());
+        self.send_bytes(client, request_text(id, class).as_bytes());
         self.run(5);
         (client, *self.conns_to(0).last().expect("the request was sent to node 0"))
     }
@@ -500,6 +361,16 @@
         self.connect_attempts.iter().filter(|(_, a)| *a == at).map(|(c, _)| *c).collect()
     }
 
+    /// Number of attempts of a request sent to node 0, over all its connections.
+    pub fn attempts_sent(&self, id: &str) -> usize {
+        self.conns_to(0).iter().map(|l| self.sent_text_on(*l).matches(&id_line(id)).count()).sum()
+    }
+
+    /// The newest connection to node 0 that carried a request.
+    pub fn carrier(&self, id: &str) -> Option<ConnId> {
+        self.conns_to(0).into_iter().rfind(|conn| self.sent_text_on(*conn).contains(&id_line(id)))
+    }
+
     /// The list service sends the current list as a full list.
     pub fn send_list(&mut self, conn: ConnId) {
         let list = self.list.clone();
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -3,27 +3,12 @@
 
 mod harness;
 
-use flaxstand_gateway::core::{Bounds, Config};
 use flaxstand_gateway::machine::{ConnId, Control, Machine, Reloaded};
 use flaxstand_proto::State;
-use harness::{ConnectOutcome, Harness, PATH, address, http_request, platform_config};
-
-fn small_config() -> Config {
-    let c = platform_config(5000);
-    Config { bounds: Bounds { max_clients: 8, max_node_connections: 6, ..c.bounds }, ..c }
-}
+use harness::{ConnectOutcome, Harness, PATH, address, http_request, request_text, small_platform_config};
 
 fn platform_world() -> Harness {
-    Harness::new(small_config(), 2)
-}
-
-fn request_text(id: &str) -> String {
-    http_request(id, "once", 0, "1.000")
-}
-
-/// Returns a client whose request is in flight at node 0, and the connection that carries it.
-fn request_in_flight(w: &mut Harness, id: &str) -> (ConnId, ConnId) {
-    w.request_in_flight(id, "once")
+    Harness::new(small_platform_config(), 2)
 }
 
 #[test]
@@ -64,7 +49,7 @@
     // The class must run at most once: a refusal guarantees that the request has not run.
     let outcome_after = |event: &dyn Fn(&mut Harness, ConnId)| {
         let mut w = platform_world();
-        let (client, link) = request_in_flight(&mut w, "r1");
+        let (client, link) = w.request_in_flight("r1", "once");
         event(&mut w, link);
         w.run(980);
         let sent =
@@ -82,7 +67,7 @@
     let mut w = platform_world();
     w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::Refused);
     let client = w.http_client();
-    w.send_bytes(client, request_text("r1").as_bytes());
+    w.send_bytes(client, request_text("r1", "once").as_bytes());
     w.run(300);
     assert!(
         w.conns_to(0).len() > 1,
@@ -107,7 +92,7 @@
     ];
     for text in malformed {
         let mut w = platform_world();
-        let (client, link) = request_in_flight(&mut w, "r1");
+        let (client, link) = w.request_in_flight("r1", "once");
         w.send_bytes(link, text.as_bytes());
         w.run(300);
         assert_eq!(w.statuses(client), [500], "{text:?}");
@@ -116,7 +101,7 @@
         assert_eq!(w.core.pending_requests(), 0);
     }
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
+    let (client, link) = w.request_in_flight("r1", "once");
     w.send_bytes(link, format!("HTTP/1.1 200 OK\r\n{}", "X: y\r\n".repeat(3000)).as_bytes());
     w.run(5);
     assert_eq!(w.statuses(client), [500], "a response head over the size limit fails the attempt");
@@ -125,7 +110,7 @@
 #[test]
 fn a_large_answer_is_served_as_long_as_its_body_makes_progress() {
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
+    let (client, link) = w.request_in_flight("r1", "once");
     let body = "x".repeat(400_000);
     w.send_bytes(link, format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes());
     for part in body.as_bytes().chunks(100_000) {
@@ -138,7 +123,7 @@
     assert_eq!(w.core.footprint().partial_bytes, 0);
     // An answer that stops is abandoned long before its client disconnects.
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r2");
+    let (client, link) = w.request_in_flight("r2", "once");
     w.send_bytes(link, b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\nxx");
     w.run(260);
     assert_eq!(w.statuses(client), [500]);
@@ -147,12 +132,12 @@
 
 #[test]
 fn the_total_size_of_unread_large_answers_is_bounded() {
-    let mut c = small_config();
+    let mut c = small_platform_config();
     c.bounds.max_response_bytes = 1_000_000;
     let mut w = Harness::new(c, 2);
     let answered: Vec<ConnId> = (0..4)
         .map(|n| {
-            let (client, link) = request_in_flight(&mut w, &format!("r{n}"));
+            let (client, link) = w.request_in_flight(&format!("r{n}"), "once");
             w.blocked.insert(client);
             w.answer(link, "200 OK", &"x".repeat(400_000));
             w.run(25);
@@ -167,7 +152,7 @@
 #[test]
 fn a_valid_answer_with_trailing_bytes_is_served_and_its_connection_closed() {
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
+    let (client, link) = w.request_in_flight("r1", "once");
     w.send_bytes(
         link,
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -175,7 +160,7 @@
     w.run(5);
     assert_eq!(w.statuses(client), [200]);
     assert!(w.closed.contains(&link));
-    let (client, link) = request_in_flight(&mut w, "r2");
+    let (client, link) = w.request_in_flight("r2", "once");
     w.answer(link, "200 OK", "ok");
     w.run(5);
     assert_eq!(w.statuses(client), [200]);
@@ -189,223 +174,10 @@
     );
 }
 
-#[test]
-fn an_invalid_request_gets_an_error_and_reaches_no_node() {
-    let valid = request_text("r1");
-    let invalid = [
-        (valid.replace("X-Request-ID: r1\r\n", ""), 400, true),
-        (valid.replace("once", "nobody"), 400, true),
-        (valid.replace("X-Timeout: 1.000", "X-Timeout: soon"), 400, true),
-        (valid.replace("hosts=1", "hosts=99"), 400, true),
-        (valid.replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"), 405, true),
-        (valid.replace(PATH, "/elsewhere"), 404, true),
-        (
-            valid.replace("\r\n\r\n", "\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-            501,
-            false,
-        ),
-        (valid.replace("\r\n\r\n", "\r\nContent-Length: -1\r\n\r\n"), 400, false),
-        (valid.replace("\r\n\r\n", "\r\nContent-Length: 99999999999999999999\r\n\r\n"), 413, false),
-        (
-            valid.replace("GET", "PUT").replace("\r\n\r\n", "\r\nContent-Length: 62914560\r\n\r\nxx"),
-            413,
-            false,
-        ),
-        (
-            valid.replace("GET", "PUT").replace("\r\n\r\n", "\r\nContent-Length: 2\r\n\r\ntoo long"),
-            400,
-            false,
-        ),
-        (valid.replace("GET", "PUT"), 411, false),
-        ("\u{3}\u{4}noise\r\n\r\n".into(), 400, false),
-        (format!("GET / HTTP/1.1\r\n{}", "X: y\r\n".repeat(3000)), 431, false),
-    ];
-    for (text, status, kept) in invalid {
-        let mut w = platform_world();
-        let client = w.http_client();
-        w.send_bytes(client, text.as_bytes());
-        w.run(5);
-        assert_eq!(w.statuses(client), [status], "{text:?}");
-        assert_eq!((w.core.pending_requests(), w.conns_to(0).len()), (0, 0), "{text:?}");
-        w.run(600);
-        assert_eq!(!w.closed.contains(&client), kept, "{text:?}");
-        assert_eq!(w.core.footprint().partial_bytes, 0);
-    }
-}
-
-#[test]
-fn a_request_id_in_flight_is_refused_and_reusable_after_its_answer() {
-    let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
-    let other = w.http_client();
-    w.send_bytes(other, request_text("r1").as_bytes());
-    w.run(5);
-    assert_eq!(w.statuses(other), [409]);
-    w.answer(link, "200 OK", "ok");
-    w.run(5);
-    w.send_bytes(other, request_text("r1").as_bytes());
-    w.run(5);
-    assert_eq!(w.statuses(client), [200]);
-    assert_eq!(w.core.pending_requests(), 1, "the id is accepted again");
-}
-
-/// Guards against a refusal of a request that is sent afterwards, or is being executed: the input behind it exceeds
-/// the limit, and an error response for that is taken for the answer to the request.
-#[test]
-fn input_beyond_the_limit_does_not_answer_the_unanswered_request_before_it() {
-    const LIMIT: usize = 1000;
-    for (is_sent, is_served) in [(true, true), (true, false), (false, true), (false, false)] {
-        let mut c = small_config();
-        c.bounds.max_partial_request_bytes = LIMIT;
-        let mut w = Harness::new(c, 1);
-        if !is_sent {
-            // The connection to the node does not come up: the request is held.
-            w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
-        }
-        let (client, link) = request_in_flight(&mut w, "r1");
-        let pipelined: String = (2..100).map(|n| request_text(&format!("r{n}"))).collect();
-        w.send_bytes(client, pipelined.as_bytes());
-        w.run(5);
-        assert!(w.statuses(client).is_empty(), "the request has no answer yet");
-        assert_eq!(w.core.footprint().partial_bytes, 0, "the input behind it is discarded");
-        if !is_sent && is_served {
-            w.connected.insert(link, address(0).parse().unwrap());
-            w.core.connected(link, w.now);
-            w.run(5);
-        }
-        if is_served {
-            w.answer(link, "200 OK", "ok");
-            w.run(5);
-            assert_eq!(w.statuses(client), [200]);
-        } else {
-            w.run(1100);
-            assert_eq!(w.statuses(client).len(), 1, "one final answer at the end of its time");
-        }
-        assert!(w.sent_text_on(client).contains("Connection: close") && w.write_closed.contains(&client));
-        w.run(1000);
-        assert_eq!(w.statuses(client).len(), 1);
-        let sent: String = w.conns_to(0).iter().map(|link| w.sent_text_on(*link)).collect();
-        assert!(!sent.contains("X-Request-ID: r2\r\n"), "requests behind the last one are not executed");
-        assert_eq!(sent.matches("X-Request-ID").count(), usize::from(is_sent || is_served));
-    }
-}
-
-/// Guards against a final answer that is lost because its client goes on sending at full speed: what it sends
-/// behind its last request is discarded, and beyond a limit stays unread.
-#[test]
-fn a_client_that_goes_on_sending_behind_its_last_request_gets_its_answer() {
-    let mut w = platform_world();
-    let client = w.http_client();
-    let last_request = request_text("r1").replace("Host: h\r\n", "Host: h\r\nConnection: close\r\n");
-    w.send_bytes(client, (last_request + &request_text("r2")).as_bytes());
-    w.run(5);
-    assert_eq!(w.core.footprint().partial_bytes, 0);
-    let mut sent = 0;
-    while w.core.wants_read(client) {
-        w.send_bytes(client, &[b'x'; 64 * 1024]);
-        sent += 64 * 1024;
-        assert_eq!(w.core.footprint().partial_bytes, 0);
-        assert!(sent <= 2 << 20, "reading stops");
-    }
-    w.run(5);
-    assert!(!w.closed.contains(&client) && w.core.wants_peer_end(client), "its end would still be noticed");
-    let link = *w.conns_to(0).last().unwrap();
-    w.answer(link, "200 OK", "ok");
-    w.run(5);
-    assert_eq!(w.statuses(client), [200]);
-    assert!(w.core.wants_read(client), "after the answer it is read again until it closes");
-}
-
-/// Guards against a request that outlives its client's connection, whatever closes that.
-#[test]
-fn a_held_request_ends_with_the_connection_that_it_came_on() {
-    let mut w = platform_world();
-    w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
-    let (client, link) = request_in_flight(&mut w, "r1");
-    assert_eq!(w.core.pending_requests(), 1);
-    w.core.closed(client, "reset by peer", w.now);
-    w.connected.insert(link, address(0).parse().unwrap());
-    w.core.connected(link, w.now);
-    w.run(1200);
-    assert_eq!(w.core.pending_requests(), 0);
-    assert!(w.conns_to(0).iter().all(|link| w.sent_text_on(*link).is_empty()));
-}
-
-#[test]
-fn pipelined_requests_are_processed_in_order() {
-    let mut w = platform_world();
-    let client = w.http_client();
-    w.send_bytes(client, (request_text("r1") + &request_text("r2") + &request_text("r3")).as_bytes());
-    for done in 1..=3 {
-        w.run(25);
-        assert_eq!(w.core.pending_requests(), 1, "one request at a time is pending");
-        let links = w.conns_to(0);
-        // The next request follows at once, when a duplicate of the last answer may still come.
-        let link = links[(done - 1) % 2];
-        assert!(w.sent_text_on(link).contains(&format!("X-Request-ID: r{done}\r\n")));
-        w.answer(link, "200 OK", "ok");
-        w.run(5);
-        assert_eq!(w.statuses(client).len(), done);
-    }
-    assert_eq!(w.conns_to(0).len(), 2, "two connections in turn carry all requests");
-}
-
-#[test]
-fn connections_without_a_complete_request_are_closed() {
-    let mut w = platform_world();
-    let (silent, partial, slow) = (w.http_client(), w.http_client(), w.http_client());
-    w.send_bytes(partial, b"PUT /api/x HTTP/1.1\r\nContent-Le");
-    for _ in 0..19 {
-        w.send_bytes(slow, b"G");
-        w.run(100);
-    }
-    assert!(![silent, partial].iter().any(|c| w.closed.contains(c)));
-    w.run(700);
-    assert!([silent, partial, slow].iter().all(|c| w.closed.contains(c)));
-    assert_eq!(w.statuses(partial), [408]);
-    assert_eq!(w.core.clients(), 0);
-    // A client that has sent a request may keep its connection and send another.
-    let (client, link) = request_in_flight(&mut w, "r1");
-    w.answer(link, "200 OK", "ok");
-    w.run(20_000);
-    assert!(!w.closed.contains(&client));
-    w.send_bytes(client, b"GET /ready HTTP/1.1\r\n\r\n");
-    w.run(5);
-    assert_eq!(w.statuses(client), [200, 200]);
-}
-
-#[test]
-fn silent_connections_are_evicted_for_clients_that_send_requests() {
-    let mut w = platform_world();
-    let (busy, _) = request_in_flight(&mut w, "r1");
-    let silent: Vec<ConnId> = (0..7).map(|_| w.http_client()).collect();
-    assert!(
-        w.core.accepted(0, w.now).is_err(),
-        "the limit is reached and no connection is idle for long enough"
-    );
-    w.run(300);
-    let (other, _) = request_in_flight(&mut w, "r2");
-    assert_eq!(silent.iter().filter(|c| w.closed.contains(c)).count(), 1);
-    assert!(![busy, other].iter().any(|c| w.closed.contains(c)));
-}
-
-#[test]
-fn idle_clients_are_evicted_for_new_ones() {
-    let mut w = platform_world();
-    // More new clients per second than max_clients: each is served, though none disconnects by itself.
-    for n in 0..40 {
-        let (client, link) = request_in_flight(&mut w, &format!("r{n}"));
-        w.answer(link, "200 OK", "ok");
-        w.run(30);
-        assert_eq!(w.statuses(client), [200], "client {n}");
-    }
-    assert_eq!(w.core.clients(), 8);
-}
-
 #[test]
 fn the_attempt_of_a_disconnected_client_completes_and_the_request_is_abandoned() {
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
+    let (client, link) = w.request_in_flight("r1", "once");
     w.core.closed(client, "closed by peer", w.now);
     w.run(5);
     assert_eq!(w.core.pending_requests(), 1);
@@ -418,8 +190,8 @@
 #[test]
 fn a_timed_out_attempt_closes_only_its_own_connection() {
     let mut w = platform_world();
-    let (first, first_link) = request_in_flight(&mut w, "r1");
-    let (second, second_link) = request_in_flight(&mut w, "r2");
+    let (first, first_link) = w.request_in_flight("r1", "once");
+    let (second, second_link) = w.request_in_flight("r2", "once");
     assert_ne!(first_link, second_link);
     w.run(500);
     w.answer(second_link, "200 OK", "ok");
@@ -433,7 +205,7 @@
     let mut w = platform_world();
     w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
     let client = w.http_client();
-    w.send_bytes(client, request_text("r1").as_bytes());
+    w.send_bytes(client, request_text("r1", "once").as_bytes());
     w.run(240);
     assert_eq!(w.conns_to(0).len(), 1, "the connection attempt is still pending");
     w.run(1000);
@@ -441,12 +213,12 @@
     assert!(w.conns_to(0).iter().all(|l| w.sent_text_on(*l).is_empty()));
     // An attempt still queued for writing must not be sent when the connection is closed.
     let mut w = platform_world();
-    let (_, link) = request_in_flight(&mut w, "r0");
+    let (_, link) = w.request_in_flight("r0", "once");
     w.answer(link, "200 OK", "ok");
     w.run(5);
     w.blocked.insert(link);
     let client = w.http_client();
-    w.send_bytes(client, request_text("r1").as_bytes());
+    w.send_bytes(client, request_text("r1", "once").as_bytes());
     w.run(1100);
     assert_eq!(w.statuses(client).len(), 1);
     assert_eq!(w.sent_text_on(link).matches("GET /api").count(), 1, "only the first request was sent");
@@ -455,7 +227,7 @@
 #[test]
 fn the_newest_idle_connection_is_reused_and_others_close_after_the_idle_timeout() {
     let mut w = platform_world();
-    let pairs: Vec<_> = (0..3).map(|n| request_in_flight(&mut w, &format!("r{n}"))).collect();
+    let pairs: Vec<_> = (0..3).map(|n| w.request_in_flight(&format!("r{n}"), "once")).collect();
     for (_, link) in &pairs {
         w.answer(*link, "200 OK", "ok");
     }
@@ -463,7 +235,7 @@
     let newest = pairs[2].1;
     for n in 0..15 {
         let client = pairs[0].0;
-        w.send_bytes(client, request_text(&format!("s{n}")).as_bytes());
+        w.send_bytes(client, request_text(&format!("s{n}"), "once").as_bytes());
         w.run(5);
         w.answer(newest, "200 OK", "ok");
         w.run(1500);
@@ -480,7 +252,7 @@
 fn one_sweep_timer_serves_all_idle_connections_however_often_the_last_one_closes() {
     let mut w = platform_world();
     for n in 0..40 {
-        let (_, link) = request_in_flight(&mut w, &format!("r{n}"));
+        let (_, link) = w.request_in_flight(&format!("r{n}"), "once");
         w.send_bytes(link, b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
         w.run(300);
     }
@@ -497,7 +269,7 @@
     let mut w = platform_world();
     w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
     let client = w.http_client();
-    w.send_bytes(client, request_text("r1").as_bytes());
+    w.send_bytes(client, request_text("r1", "once").as_bytes());
     w.run(100);
     let list = w.list_conn();
     w.list[0].1 = State::Draining;
@@ -548,7 +320,7 @@
     w.run(1000);
     assert!(w.closed.contains(&conn));
     let client = w.http_client();
-    w.send_bytes(client, request_text("r1").as_bytes());
+    w.send_bytes(client, request_text("r1", "once").as_bytes());
     w.run(5);
     assert_eq!(w.conns_to(0).len(), 1, "the current list stays in use");
 }
@@ -577,10 +349,10 @@
 #[test]
 fn a_reload_switches_the_list_service_and_affects_nothing_else() {
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
+    let (client, link) = w.request_in_flight("r1", "once");
     let (old, new) = (w.list_conn(), "127.0.0.1:2".parse().unwrap());
     w.connect_outcomes.insert("127.0.0.1:2".parse().unwrap(), ConnectOutcome::Welcomes(0));
-    let bounds = small_config().bounds;
+    let bounds = small_platform_config().bounds;
     w.answers_polls = true;
     w.core.control(Control::Reload(Reloaded { bounds, list: new }), w.now);
     w.run(5);
@@ -604,7 +376,7 @@
 #[test]
 fn during_a_shutdown_connected_clients_are_served_until_shortly_before_the_time_out() {
     let mut w = platform_world();
-    let (client, link) = request_in_flight(&mut w, "r1");
+    let (client, link) = w.request_in_flight("r1", "once");
     w.core.control(Control::Stop, w.now);
     w.run(200);
     let late = w.http_client();
@@ -613,7 +385,7 @@
     assert_eq!(w.statuses(late), [503]);
     w.answer(link, "200 OK", "ok");
     w.run(900);
-    w.send_bytes(client, request_text("r2").as_bytes());
+    w.send_bytes(client, request_text("r2", "once").as_bytes());
     w.run(5);
     assert_eq!(w.sent_text_on(link).matches("GET /api").count(), 2, "the request is still sent to the node");
     w.run(300);
@@ -679,8 +451,9 @@
     let mut w = platform_world();
     w.connect_outcomes.insert(address(0).parse().unwrap(), ConnectOutcome::NoReply);
     let client = w.http_client();
-    let put =
-        request_text("r1").replace("GET", "PUT").replace("\r\n\r\n", "\r\nContent-Length: 4\r\n\r\ndata");
+    let put = request_text("r1", "once")
+        .replace("GET", "PUT")
+        .replace("\r\n\r\n", "\r\nContent-Length: 4\r\n\r\ndata");
     w.send_bytes(client, put.as_bytes());
     w.run(5);
     w.core.closed(client, "closed by peer", w.now);
--- a/crates/flaxstand-gateway/tests/race_conditions.rs
+++ b/crates/flaxstand-gateway/tests/race_conditions.rs
@@ -7,7 +7,7 @@
 use flaxstand_gateway::core::Config;
 use flaxstand_gateway::machine::{Address, ConnId, Control, Machine, Micros, Reloaded};
 use flaxstand_proto::State;
-use harness::{ConnectOutcome, Harness, address, http_request, ms, platform_config_with_keyed};
+use harness::{ConnectOutcome, Harness, address, ms, platform_config_with_keyed, request_text};
 use std::collections::BTreeMap;
 
 /// The time after which an initiator must have been notified of a change that discovery has.
@@ -23,15 +23,6 @@
     Config { seed, ..platform_config() }
 }
 
-fn request_text(id: &str, class: &str) -> String {
-    http_request(id, class, 0, "1.000")
-}
-
-/// Number of attempts of a request sent to node 0, over all its connections.
-fn attempts_sent(w: &Harness, id: &str) -> usize {
-    w.conns_to(0).iter().map(|l| w.sent_text_on(*l).matches(&format!("X-Request-ID: {id}\r\n")).count()).sum()
-}
-
 fn list_address() -> Address {
     "127.0.0.1:1".parse().unwrap()
 }
@@ -244,13 +235,13 @@
         w.core.connected(again, w.now);
         w.run(5);
         assert_eq!(
-            attempts_sent(&w, "r1"),
+            w.attempts_sent("r1"),
             if late { 1 } else { 2 },
             "late {late}: first sent 5 ms after it arrived"
         );
         if late {
             w.run(1000);
-            assert_eq!(attempts_sent(&w, "r1"), 1);
+            assert_eq!(w.attempts_sent("r1"), 1);
             assert_eq!(w.statuses(client), [500], "the first attempt may have run");
         }
     }
@@ -270,7 +261,7 @@
     w.run(25);
     let (_, used) = w.request_in_flight("r2", "once");
     assert_eq!(used, link);
-    assert_eq!(attempts_sent(&w, "r2"), 1);
+    assert_eq!(w.attempts_sent("r2"), 1);
 }
 
 /// Guards against starting a request for a client that has disconnected: it is pipelined behind one whose
@@ -288,7 +279,7 @@
     w.drain(client);
     w.run(100);
     assert_eq!(w.statuses(client), [200]);
-    assert_eq!(attempts_sent(&w, "r2"), 0);
+    assert_eq!(w.attempts_sent("r2"), 0);
     assert!(w.closed.contains(&client), "the connection closes once the answer is written");
 }
 
@@ -307,149 +298,10 @@
     w.core.closed(first, "closed by peer", w.now);
     w.run(5);
     assert!(w.closed.contains(&link));
-    assert_eq!(attempts_sent(&w, "r1"), 0);
+    assert_eq!(w.attempts_sent("r1"), 0);
     assert_eq!(w.core.pending_requests(), 0);
 }
 
-/// Longest delay of a duplicate behind its answer, in milliseconds: a connection is not used again before.
-const DUPLICATE_DELAY_MS: u64 = 20;
-
-/// The connection to node 0 that carried a request last.
-fn carrier(w: &Harness, id: &str) -> Option<ConnId> {
-    let carries = |conn: &ConnId| w.sent_text_on(*conn).contains(&format!("X-Request-ID: {id}\r\n"));
-    w.conns_to(0).into_iter().rfind(carries)
-}
-
-/// Guards against serving a request with the answer to the one before it: a duplicate of an answer arrives some
-/// milliseconds late, when the next request has left.
-#[test]
-fn a_late_duplicate_answer_is_not_served_to_the_next_request_of_its_node() {
-    for late in 0..DUPLICATE_DELAY_MS {
-        let mut w = Harness::new(platform_config(), 1);
-        let (client, link) = w.request_in_flight("r1", "once");
-        w.run(40);
-        w.answer(link, "200 OK", "first");
-        w.turn();
-        w.send_bytes(client, request_text("r2", "once").as_bytes());
-        w.run(late);
-        w.answer(link, "200 OK", "first");
-        w.run(5);
-        assert!(w.closed.contains(&link), "a connection with an unexpected answer is closed");
-        assert_eq!(w.statuses(client), [200], "{late} ms: the second request waits for its own answer");
-        let next = carrier(&w, "r2").expect("the second request was sent");
-        assert_ne!(next, link);
-        w.answer(next, "200 OK", "second");
-        w.run(5);
-        assert!(w.sent_text_on(client).ends_with("second"), "{}", w.sent_text_on(client));
-        assert_eq!(attempts_sent(&w, "r2"), 1, "{late} ms");
-    }
-}
-
-/// Guards against serving a client with the answer to a probe: a duplicate of it arrives some milliseconds late,
-/// and probes use the connections of requests.
-#[test]
-fn a_late_duplicate_of_a_probes_answer_is_not_served_to_a_request() {
-    let mut config = platform_config();
-    (config.site.settings.max_concurrent_attempts, config.site.settings.may_probe) = (2, true);
-    let mut w = Harness::new(config, 1);
-    for n in 0..5 {
-        let (_, link) = w.request_in_flight(&format!("r{n}"), "read");
-        w.run(5);
-        w.answer(link, "200 OK", "ok");
-        w.run(30);
-    }
-    // An answer is lost: a later request is answered before it. Then the node is probed.
-    let _ = w.request_in_flight("lost", "read");
-    w.run(DUPLICATE_DELAY_MS);
-    let (_, link) = w.request_in_flight("later", "read");
-    w.answer(link, "200 OK", "ok");
-    w.run(1100);
-    let _ = w.request_in_flight("overdue", "read");
-    let is_probed = |w: &Harness, link: &ConnId| {
-        w.sent_text_on(*link).rsplit("GET ").next().unwrap().starts_with("/health")
-    };
-    let find_probe = |w: &Harness| w.conns_to(0).into_iter().find(|link| is_probed(w, link));
-    for _ in 0..400 {
-        if find_probe(&w).is_none() {
-            w.run(1);
-        }
-    }
-    let probe_link = find_probe(&w).expect("the node is probed");
-    w.answer(probe_link, "200 OK", "up");
-    w.turn();
-    let (client, link) = w.request_in_flight("next", "read");
-    assert_eq!(carrier(&w, "next"), Some(link));
-    w.answer(probe_link, "200 OK", "up");
-    w.run(5);
-    assert!(w.statuses(client).is_empty() && w.closed.contains(&probe_link) && link != probe_link);
-}
-
-/// Guards against ending an attempt with bytes that arrived before its request was written: they belong to an
-/// earlier one, and the request has not been executed.
-#[test]
-fn bytes_before_the_last_byte_of_a_request_is_written_prove_that_it_was_not_executed() {
-    for early in ["HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "noise\r\n\r\n"] {
-        let mut w = Harness::new(platform_config(), 1);
-        let (client, link) = w.request_in_flight("r0", "once");
-        w.answer(link, "200 OK", "ok");
-        w.run(DUPLICATE_DELAY_MS + 5);
-        w.blocked.insert(link);
-        w.send_bytes(client, request_text("r1", "once").as_bytes());
-        w.run(5);
-        let part = w.core.outgoing(link).len() / 2;
-        w.core.written(link, part, w.now);
-        w.send_bytes(link, early.as_bytes());
-        w.run(5);
-        assert!(w.closed.contains(&link));
-        assert_eq!(w.statuses(client), [200], "the second request is tried again");
-        let next = carrier(&w, "r1").expect("the second request is sent again");
-        assert_ne!(next, link, "{early}");
-    }
-}
-
-/// A connection that has rested is used again, whatever its answers are: equal answers are usual for writes.
-/// Requests that follow each other at once use two connections in turn.
-#[test]
-fn two_connections_carry_requests_that_follow_each_other_at_once_and_one_carries_the_others() {
-    let mut w = Harness::new(platform_config(), 1);
-    let (client, mut link) = w.request_in_flight("r0", "read");
-    for n in 1..=50 {
-        w.run(DUPLICATE_DELAY_MS);
-        w.answer(link, "200 OK", "same");
-        w.turn();
-        assert_eq!(w.statuses(client).len(), n);
-        w.send_bytes(client, request_text(&format!("r{n}"), "read").as_bytes());
-        w.run(1);
-        link = carrier(&w, &format!("r{n}")).expect("the request was sent");
-    }
-    assert_eq!(w.conns_to(0).len(), 2);
-    let mut w = Harness::new(platform_config(), 1);
-    let (client, link) = w.request_in_flight("r0", "read");
-    for n in 1..=50 {
-        w.answer(link, "200 OK", "same");
-        w.run(DUPLICATE_DELAY_MS);
-        assert_eq!(w.statuses(client).len(), n);
-        w.send_bytes(client, request_text(&format!("r{n}"), "read").as_bytes());
-        w.run(1);
-    }
-    assert_eq!(w.conns_to(0).len(), 1);
-}
-
-/// A connection that has rested is used rather than a new one or one that just carried an answer.
-#[test]
-fn an_idle_connection_is_preferred_to_one_that_just_carried_an_answer() {
-    let mut w = Harness::new(platform_config(), 1);
-    let (_, first) = w.request_in_flight("r1", "read");
-    let (second_client, second) = w.request_in_flight("r2", "read");
-    w.answer(first, "200 OK", "first");
-    w.run(25);
-    w.answer(second, "200 OK", "second");
-    w.send_bytes(second_client, request_text("r3", "read").as_bytes());
-    w.run(5);
-    assert!(w.sent_text_on(first).contains("X-Request-ID: r3\r\n"), "{}", w.sent_text_on(first));
-    assert!(!w.sent_text_on(second).contains("X-Request-ID: r3\r\n"));
-}
-
 /// An answer without a length that ends with its connection is complete at the end of the stream; after a
 /// reset it is incomplete.
 #[test]
@@ -504,7 +356,7 @@
     w.send_bytes(idle, request_text("r2", "read").as_bytes());
     w.send_bytes(last, request_text("r3", "read").as_bytes());
     w.run(20);
-    assert_eq!(attempts_sent(&w, "r2") + attempts_sent(&w, "r3"), 0);
+    assert_eq!(w.attempts_sent("r2") + w.attempts_sent("r3"), 0);
     assert_eq!(w.statuses(last), [503], "the last client gets an error answer");
     assert!(w.sent_text_on(last).contains("Connection: close") && w.write_closed.contains(&last));
     assert!(!w.exited, "clients may still be reading");
@@ -525,12 +377,12 @@
     w.answer(link, "200 OK", "ok");
     w.run(1460);
     assert_eq!(w.statuses(client), [200, 500], "the second request is answered before the exit");
-    let attempts = attempts_sent(&w, "r2");
+    let attempts = w.attempts_sent("r2");
     assert!(w.write_closed.contains(&client) && !w.closed.contains(&client));
     w.send_bytes(client, request_text("r3", "read").as_bytes());
     w.run(50);
     assert!(!w.closed.contains(&client) && !w.exited, "the connection is read until its client closes");
-    assert_eq!((attempts_sent(&w, "r2"), attempts_sent(&w, "r3")), (attempts, 0));
+    assert_eq!((w.attempts_sent("r2"), w.attempts_sent("r3")), (attempts, 0));
     w.run(200);
     assert!(w.exited, "the shutdown time-out ends the wait");
 }
--- a/crates/flaxstand-gateway/tests/random_schedules.rs
+++ b/crates/flaxstand-gateway/tests/random_schedules.rs
@@ -1,6 +1,7 @@
-//! Random orders of events on the core: requests, also pipelined ones up to the limit on buffered input, answers
-//! and late duplicates of them, list updates, connection events, clients that disconnect, and a shutdown. The invariants are checked after each step; a failing schedule prints its
-//! seed. Faults inserted into a recorded trace check the checker itself.
+//! Random orders of events on the core: requests, also pipelined ones up to the limit on buffered input,
+//! answers and late duplicates of them, list updates, connection events, clients that disconnect, and a
+//! shutdown. The invariants are checked after each step; a failing schedule prints its seed. Faults inserted
+//! into a recorded trace check the checker itself.
 
 mod harness;
 
--- a/crates/flaxstand-gateway/tests/recorded.rs
+++ b/crates/flaxstand-gateway/tests/recorded.rs
@@ -4,13 +4,15 @@
 mod harness;
 
 use flaxstand_fixture::{Fixtures, hex, values_of};
-use flaxstand_gateway::core::{Bounds, Config, SavedList, Timeouts, WriteBack};
+use flaxstand_gateway::core::{Config, SavedList, Timeouts, WriteBack};
 use flaxstand_gateway::machine::{ConnId, Control, Machine};
 use flaxstand_gateway::settings::{read_daemon, read_rules};
 use flaxstand_proto::{Code, Entry, Extent, Frame, List, State};
 use flaxstand_storage::faulty::FaultyDisk;
 use flaxstand_write_back::recover;
-use harness::{Harness, PATH, READ, SentFrame, address, config, entry, http_request, ms, platform_config};
+use harness::{
+    Harness, PATH, READ, SentFrame, address, config, entry, http_request, ms, small_platform_config,
+};
 use std::fmt::Write as _;
 
 const SETTINGS: [&str; 2] = ["settings/every-key.kdl", "settings/buffered.kdl"];
@@ -141,11 +143,6 @@
     );
 }
 
-fn small_config() -> Config {
-    let c = platform_config(5000);
-    Config { bounds: Bounds { max_clients: 8, max_node_connections: 6, ..c.bounds }, ..c }
-}
-
 /// The core's output by connection, in the order in which the connections were opened.
 fn transcript(w: &Harness) -> String {
     let mut text = String::new();
@@ -241,11 +238,11 @@
         ("listed", run_list_updates),
     ];
     for (name, run_scenario) in scenarios {
-        let mut w = Harness::new(small_config(), 2);
+        let mut w = Harness::new(small_platform_config(), 2);
         run_scenario(&mut w);
         fixtures().assert_text(&format!("platform/{name}.txt"), &transcript(&w));
     }
-    let mut w = Harness::new(small_config(), 2);
+    let mut w = Harness::new(small_platform_config(), 2);
     run_served(&mut w);
     w.core.control(Control::Stop, w.now);
     w.run(3000);
