--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -5,12 +5,20 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// Writes `record.txt` with the time since the start in milliseconds before each line.
 #[derive(Clone)]
 pub struct Log(Arc<Mutex<File>>, Instant);
@@ -64,12 +72,11 @@
     /// standard output that begins with `ready`.
     pub fn start(root: &Path, arguments: &[&str], log: &Path) -> io::Result<Process> {
         let errors = File::options().create(true).append(true).open(log)?;
-        let mut child = Command::new(root.join("target/release/flaxstand"))
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(errors)
-            .spawn()?;
+        let mut command = Command::new(root.join("target/release/flaxstand"));
+        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(errors);
+        // It ends with this process, however that ends.
+        unsafe { command.pre_exec(|| if prctl(PR_SET_PDEATHSIG, SIGKILL) == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }) };
+        let mut child = command.spawn()?;
         let out = child.stdout.take().expect("piped");
         let process = Process(child);
         let (tell, told) = std::sync::mpsc::channel();
