--- a/crates/flaxstand-cli/tests/common/mod.rs
+++ b/crates/flaxstand-cli/tests/common/mod.rs
@@ -1,4 +1,8 @@
-//! A minimal HTTP reader that several tests share.
+//! What several tests of the program share: an HTTP reader, addresses, the kernel's table of sockets.
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+pub mod kernel_sockets;
+pub mod loopback;
 
 use std::io::Read;
 use std::net::TcpStream;
