Buffers of connections give the memory of large messages back

Cause: Outbox and RequestReader cleared their vectors and kept the capacity: 200 clients with one 512 KiB answer and one 64 KiB request each held 100 MB while all was idle. A body that arrived in pieces grew its vector in steps, to up to twice its length.

Change: an empty buffer keeps 1 KiB at most; once a head tells the length of the body, exactly that is reserved. Readers also tell the memory they take, with the fields of a head that waits for its body, for the bounds to come.

The tests of proto and http pass.

--- a/crates/flaxstand-http/src/message.rs
+++ b/crates/flaxstand-http/src/message.rs
@@ -1,5 +1,10 @@
 //! Complete HTTP messages.
 
+/// Smallest block that allocators hand out, bytes.
+const MIN_ALLOCATION_BYTES: usize = 24;
+/// What allocators keep for each block, bytes.
+const ALLOCATION_OVERHEAD_BYTES: usize = 8;
+
 /// The header fields of a message, in order of arrival.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields(Vec<Field>);
@@ -20,6 +25,14 @@
         Fields(headers.iter().map(field).collect())
     }
 
+    /// Memory that the fields take on the heap, bytes. Many short fields take a multiple of their length in the
+    /// message.
+    pub fn memory_bytes(&self) -> usize {
+        let text = |length: usize| length.max(MIN_ALLOCATION_BYTES) + ALLOCATION_OVERHEAD_BYTES;
+        let texts = self.0.iter().map(|field| text(field.name.len()) + text(field.value.len()));
+        self.0.capacity() * size_of::<Field>() + texts.sum::<usize>()
+    }
+
     /// Returns all values of a field. The name is matched case-insensitively.
     pub fn values<'a>(&'a self, name: &str) -> impl Iterator<Item = &'a [u8]> {
         let is_named = move |field: &&'a Field| field.name.eq_ignore_ascii_case(name);
@@ -63,6 +76,13 @@
     pub keeps_alive: bool,
 }
 
+impl Request {
+    /// Memory that the head takes on the heap, bytes.
+    pub(crate) fn head_memory_bytes(&self) -> usize {
+        self.method.capacity() + self.target.capacity() + self.fields.memory_bytes()
+    }
+}
+
 /// A complete final response; interim (1xx) responses are skipped.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
--- a/crates/flaxstand-http/src/request_reader.rs
+++ b/crates/flaxstand-http/src/request_reader.rs
@@ -5,6 +5,8 @@
 
 /// Maximum length of a method name, bytes: the longest registered one.
 const MAX_METHOD_BYTES: usize = 17;
+/// Size of the buffer that a connection keeps between its requests, bytes.
+const MAX_RETAINED_BYTES: usize = 1024;
 
 /// Reads the requests of one connection, one after another.
 #[derive(Debug, Default)]
@@ -37,6 +39,12 @@
         self.bytes.len()
     }
 
+    /// Memory that the buffered bytes and a head that waits for its body take, bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let head = self.pending.as_ref().map_or(0, |pending| pending.request.head_memory_bytes());
+        self.bytes.len() + head
+    }
+
     /// Whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
@@ -65,6 +73,8 @@
         }
         let Some(end) = self.pending.as_ref().map(|pending| pending.end) else { return Ok(None) };
         if self.bytes.len() < end {
+            // Growing in steps could take twice the length of the request.
+            self.bytes.reserve_exact(end - self.bytes.len());
             return Ok(None);
         }
         // Checks the bytes after the request first: they reveal a Content-Length that is too small.
@@ -73,9 +83,7 @@
         }
         let request = self.pending.take().map(|pending| pending.with_body(&self.bytes));
         self.bytes.drain(..end);
-        if self.bytes.is_empty() && self.bytes.capacity() > MAX_HEAD_BYTES {
-            self.bytes = Vec::new();
-        }
+        self.bytes.shrink_to(MAX_RETAINED_BYTES);
         Ok(request)
     }
 }
--- a/crates/flaxstand-http/src/response_reader.rs
+++ b/crates/flaxstand-http/src/response_reader.rs
@@ -96,6 +96,12 @@
         self.received
     }
 
+    /// Memory that an incomplete response takes, bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let head = self.pending.as_ref().map_or(0, |pending| pending.head.fields.memory_bytes());
+        self.received + head
+    }
+
     /// Whether no bytes were received since the last response.
     pub fn is_empty(&self) -> bool {
         self.received == 0
@@ -189,6 +195,10 @@
             Framing::UntilClose => Body::UntilClose,
         };
         self.unread.drain(..head.length);
+        if let Body::Length(length) = body {
+            // Growing in steps could take twice the length of the body.
+            self.unread.reserve_exact(length.saturating_sub(self.unread.len()));
+        }
         Ok(Some(PendingResponse { head, body }))
     }
 
--- a/crates/flaxstand-proto/src/link.rs
+++ b/crates/flaxstand-proto/src/link.rs
@@ -3,6 +3,9 @@
 use crate::codec::{BodyLimit, FrameError, HEADER_BYTES, MAX_LIST_BODY_BYTES, decode_within, encode};
 use crate::frame::Frame;
 
+/// Size of the buffer that an idle connection keeps in each direction, bytes.
+const MAX_RETAINED_BYTES: usize = 1024;
+
 /// Receive buffer: holds the bytes of an incomplete frame, at most one frame plus one read.
 #[derive(Debug, Default)]
 pub struct Inbox {
@@ -58,6 +61,9 @@
             bytes[at..].to_vec()
         } else {
             joined.drain(..at);
+            if joined.is_empty() {
+                joined.shrink_to(MAX_RETAINED_BYTES);
+            }
             joined
         };
         debug_assert!(self.partial.len() <= HEADER_BYTES + MAX_LIST_BODY_BYTES);
@@ -113,6 +119,7 @@
         self.written += count as u64;
         if self.start == self.bytes.len() {
             self.bytes.clear();
+            self.bytes.shrink_to(MAX_RETAINED_BYTES);
             self.start = 0;
         } else if self.start > (1 << 16) && self.start > self.bytes.len() / 2 {
             self.bytes.drain(..self.start);
