Metrics: memory by what it holds, and how often each limit was reached

On the platform's protocol nothing about clients, stores or limits is written at info.

Change: each connection is charged for what it holds, each request for its content; Footprint has the sums by kind. Once a second a warning has the limits that were reached since (connections, requests, memory by kind, attempts without a connection), at most one line however often; every ten seconds with traffic a line has the counters and the sizes of all stores. The line of an accepted request (debug) has the client's id.

Result: no bound is changed.

--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -216,6 +216,7 @@
     fn reject_at_bound(&mut self, conn: ConnId, client_id: u64, bound: ExceededBound, now: Micros) {
         let ExceededBound { refusal, scope } = bound;
         self.counts.rejected_at_bound += 1;
+        self.limit_counts.requests += u64::from(refusal == Refusal::Held);
         debug!(conn = conn.0, id = client_id, ?refusal, "request rejected: limit reached");
         let retry_after = Micros::from_ms(self.config.site.settings.max_retry_after).0;
         let wait = u32::try_from(retry_after).unwrap_or(u32::MAX);
@@ -225,7 +226,8 @@
 
     fn start_request(&mut self, id: RequestId, pending: PendingRequest, now: Micros) {
         let (class, owner) = (pending.class, pending.owner);
-        debug!(request = id.0, ?owner, class, shard = pending.shard, "request accepted");
+        let client_request_id = pending.forwarded_head.as_ref().map(|head| head.id.as_str());
+        debug!(request = id.0, client_request_id, ?owner, class, shard = pending.shard, "request accepted");
         self.timers.set(pending.expires_at, Timer::Deadline(id));
         self.requests.insert(id, pending);
         if !self.hold_until_ordered(id, HeldRequest::Ordinary) {
@@ -346,11 +348,11 @@
             self.withdraw_unsent_of_request(*id, now);
             if let Some(pending) = self.requests.get_mut(*id) {
                 pending.owner = None;
-                pending.payload = Vec::new();
                 if pending.handler != Handler::Buffer {
                     self.events.push_back(Event::ClientDisconnected(*id));
                 }
             }
+            self.requests.release_content(*id);
             self.remove_if_finished(*id, now);
         }
     }
--- a/crates/flaxstand-gateway/src/core/connection_table.rs
+++ b/crates/flaxstand-gateway/src/core/connection_table.rs
@@ -5,6 +5,7 @@
 use super::agreement::AgreementPeer;
 use super::clients::Client;
 use super::http_connection::HttpServer;
+use super::memory_use::MemoryUse;
 use super::pooled_connection::PooledConnection;
 use super::timers::{Timer, TimerQueue};
 use crate::machine::{Address, Command, ConnId, Micros};
@@ -64,6 +65,8 @@
     pub(super) stage: Stage,
     pub(super) protocol: Protocol,
     pub(super) outbox: Outbox,
+    /// What the connection is charged for in the sums of the table.
+    charged: MemoryUse,
 }
 
 /// All connections, and the commands queued for the driver.
@@ -75,12 +78,10 @@
     /// Connections to nodes.
     upstream: BTreeSet<ConnId>,
     commands: Vec<Command>,
-    /// Bytes of incomplete requests.
-    partial_bytes: usize,
-    /// Bytes of incomplete responses of nodes.
-    response_bytes: usize,
-    /// Bytes of responses not yet written to HTTP clients.
-    unread_bytes: usize,
+    /// Memory that the connections are charged for.
+    memory: MemoryUse,
+    /// Memory of each connection, for each kind of data, that is not charged, bytes.
+    free_bytes: usize,
 }
 
 impl ConnectionTable {
@@ -91,7 +92,8 @@
         if let Peer::Node(_) = peer {
             self.upstream.insert(id);
         }
-        self.conns.insert(id, Connection { peer, stage, protocol, outbox: Outbox::default() });
+        let charged = MemoryUse::default();
+        self.conns.insert(id, Connection { peer, stage, protocol, outbox: Outbox::default(), charged });
         id
     }
 
@@ -179,52 +181,29 @@
         if c.outbox.is_empty() {
             self.commands.push(Command::Flush(conn));
         }
-        let before = c.outbox.len();
         let end_offset = c.outbox.write(add);
-        if let Protocol::HttpServer(_) = c.protocol {
-            self.unread_bytes += c.outbox.len() - before;
-        }
+        self.update_charge(conn);
         end_offset
     }
 
     /// Records that `count` bytes of a connection's output were written.
     pub(super) fn record_written(&mut self, conn: ConnId, count: usize) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
-        let before = c.outbox.len();
         c.outbox.advance(count);
-        if let Protocol::HttpServer(_) = c.protocol {
-            self.unread_bytes -= before - c.outbox.len();
-        }
-    }
-
-    /// Returns the bytes of incomplete requests.
-    pub(super) fn partial_bytes(&self) -> usize {
-        self.partial_bytes
-    }
-
-    /// Adds to the bytes of incomplete requests.
-    pub(super) fn add_partial_bytes(&mut self, bytes: usize) {
-        self.partial_bytes += bytes;
+        self.update_charge(conn);
     }
 
-    /// Subtracts bytes of requests that were completed or discarded.
-    pub(super) fn sub_partial_bytes(&mut self, bytes: usize) {
-        self.partial_bytes -= bytes;
-    }
-
-    /// Returns the bytes of incomplete responses of nodes.
-    pub(super) fn response_bytes(&self) -> usize {
-        self.response_bytes
-    }
-
-    /// Records that a connection's incomplete response changed from `before` to `after` bytes.
-    pub(super) fn record_response_bytes(&mut self, before: usize, after: usize) {
-        self.response_bytes = self.response_bytes - before + after;
+    /// Charges a connection for what it holds now. Called after each change of its buffers.
+    pub(super) fn update_charge(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let charge = MemoryUse::of_connection(c, self.free_bytes);
+        self.memory.replace(c.charged, charge);
+        c.charged = charge;
     }
 
-    /// Returns the bytes of responses not yet written to HTTP clients.
-    pub(super) fn unread_bytes(&self) -> usize {
-        self.unread_bytes
+    /// Returns the memory that all connections are charged for.
+    pub(super) fn memory(&self) -> MemoryUse {
+        self.memory
     }
 
     /// Closes a connection on which no other state depends.
@@ -234,18 +213,11 @@
         }
     }
 
-    /// Removes a connection and updates the byte counts.
+    /// Removes a connection; it is no longer charged.
     pub(super) fn remove(&mut self, conn: ConnId) -> Option<Connection> {
         let removed = self.conns.remove(&conn)?;
         self.upstream.remove(&conn);
-        match &removed.protocol {
-            Protocol::HttpServer(http) => {
-                self.partial_bytes -= http.partial_bytes();
-                self.unread_bytes -= removed.outbox.len();
-            }
-            Protocol::HttpClient(pooled) => self.response_bytes -= pooled.partial_bytes(),
-            Protocol::Frames(_) | Protocol::DiscoveryPoll => {}
-        }
+        self.memory.replace(removed.charged, MemoryUse::default());
         Some(removed)
     }
 
--- a/crates/flaxstand-gateway/src/core/http_connection.rs
+++ b/crates/flaxstand-gateway/src/core/http_connection.rs
@@ -18,6 +18,13 @@
     pub(super) key: Option<String>,
 }
 
+impl ForwardedHead {
+    /// Returns its memory, bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        size_of::<Self>() + self.target.len() + self.id.len() + self.key.as_ref().map_or(0, String::len)
+    }
+}
+
 /// Keep-alive phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionPhase {
@@ -40,13 +47,6 @@
     TooMany,
 }
 
-/// A complete request, and its length in bytes.
-#[derive(Debug)]
-pub(super) struct CompleteRequest {
-    pub(super) request: Request,
-    pub(super) bytes: usize,
-}
-
 /// State of a client's HTTP connection.
 #[derive(Debug)]
 pub(super) struct HttpServer {
@@ -86,9 +86,9 @@
         self.requests
     }
 
-    /// Returns the number of buffered bytes of incomplete or unprocessed requests.
-    pub(super) fn partial_bytes(&self) -> usize {
-        self.reader.len()
+    /// Returns the memory of incomplete or unprocessed requests, bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.reader.memory_bytes()
     }
 
     /// Returns whether part of a request is buffered.
@@ -136,15 +136,14 @@
     ///
     /// # Errors
     /// The input is not a valid request; nothing after it can be parsed.
-    pub(super) fn take_request(&mut self, now: Micros) -> Result<Option<CompleteRequest>, MessageError> {
-        let before = self.reader.len();
+    pub(super) fn take_request(&mut self, now: Micros) -> Result<Option<Request>, MessageError> {
         let Some(request) = self.reader.take()? else { return Ok(None) };
         self.requests += 1;
         self.since = now;
         if !request.keeps_alive {
             self.close_after_response();
         }
-        Ok(Some(CompleteRequest { request, bytes: before - self.reader.len() }))
+        Ok(Some(request))
     }
 
     /// Starts a response. Returns whether the connection stays open after it; not while the process is
@@ -157,21 +156,20 @@
         self.phase == ConnectionPhase::Open
     }
 
-    /// Makes the response to the current request the last one, and discards all further input. Returns how many
-    /// buffered bytes were discarded.
-    pub(super) fn close_after_response(&mut self) -> usize {
+    /// Makes the response to the current request the last one, and discards all further input.
+    pub(super) fn close_after_response(&mut self) {
         self.phase = ConnectionPhase::Closing(MAX_DISCARDED_BYTES);
-        self.discard_buffered()
+        self.discard_buffered();
     }
 
-    /// Discards all further input of the client. Returns how many buffered bytes were discarded.
-    pub(super) fn start_lingering(&mut self, now: Micros) -> usize {
+    /// Discards all further input of the client.
+    pub(super) fn start_lingering(&mut self, now: Micros) {
         self.phase = ConnectionPhase::Lingering(MAX_DISCARDED_BYTES);
         self.since = now;
-        self.discard_buffered()
+        self.discard_buffered();
     }
 
-    fn discard_buffered(&mut self) -> usize {
-        std::mem::take(&mut self.reader).len()
+    fn discard_buffered(&mut self) {
+        self.reader = RequestReader::default();
     }
 }
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -66,6 +66,7 @@
     /// Closes the connection to evict for a new one. Returns whether there was one.
     fn evict_client(&mut self, now: Micros) -> bool {
         let evicted = self.clients.slots.find_evictable(&mut self.connections, now);
+        self.limit_counts.clients += 1;
         if let Some(conn) = evicted {
             self.close(conn, "evicted for a new connection", now);
         }
@@ -78,7 +79,7 @@
         let received = http.receive(bytes, now);
         let is_full = !http.wants_read();
         match received {
-            ReceivedBytes::Buffered => self.http_buffered(conn, bytes.len(), now),
+            ReceivedBytes::Buffered => self.http_buffered(conn, now),
             ReceivedBytes::Discarded => {}
             ReceivedBytes::TooMany => {
                 return self.close(conn, "client sent too many bytes after its last response", now);
@@ -90,9 +91,10 @@
     }
 
     /// Processes buffered input, unless the incomplete requests of all clients exceed their limit.
-    fn http_buffered(&mut self, conn: ConnId, bytes: usize, now: Micros) {
-        self.connections.add_partial_bytes(bytes);
-        if self.connections.partial_bytes() > self.config.bounds.max_partial_request_bytes {
+    fn http_buffered(&mut self, conn: ConnId, now: Micros) {
+        self.connections.update_charge(conn);
+        if self.connections.memory().incomplete_requests > self.config.bounds.max_partial_request_bytes {
+            self.limit_counts.incomplete_requests += 1;
             self.reject_input(conn, 503, "too much is on its way in", now);
         } else {
             self.read_http(conn, now);
@@ -115,15 +117,15 @@
             if http.phase() != ConnectionPhase::Open || !is_answered || !http.has_partial_request() {
                 return;
             }
-            match http.take_request(now) {
-                Ok(Some(complete)) => {
-                    self.connections.sub_partial_bytes(complete.bytes);
-                    self.handle_request(conn, complete.request, now);
-                }
+            let taken = http.take_request(now);
+            let (requests, since) = (http.requests(), http.since());
+            self.connections.update_charge(conn);
+            match taken {
+                Ok(Some(request)) => self.handle_request(conn, request, now),
                 Ok(None) => {
                     // For the first request, the check was scheduled when the connection was opened.
-                    if http.requests() > 0 {
-                        let due = http.since().after(self.config.site.timeouts.greeting_timeout);
+                    if requests > 0 {
+                        let due = since.after(self.config.site.timeouts.greeting_timeout);
                         self.timers.set(due, Timer::StallCheck(conn));
                     }
                     return;
@@ -207,6 +209,7 @@
         }
         match frame {
             Frame::Served { payload, .. } if !self.has_output_capacity(payload.len()) => {
+                self.limit_counts.unread_responses += 1;
                 debug!(
                     conn = conn.0,
                     bytes = payload.len(),
@@ -228,7 +231,7 @@
     /// taken by clients that read large responses slowly or not at all. A response beyond it fails.
     fn has_output_capacity(&self, bytes: usize) -> bool {
         bytes <= MAX_REQUEST_BODY_BYTES
-            || bytes + self.connections.unread_bytes() <= self.config.bounds.max_response_bytes
+            || bytes + self.connections.memory().unread_responses <= self.config.bounds.max_response_bytes
     }
 
     /// Sends the response to a client's current request.
@@ -258,8 +261,10 @@
                 text,
                 "rejecting further input; closing the connection after the response to its request"
             );
-            let discarded = self.http(conn).map_or(0, HttpServer::close_after_response);
-            return self.connections.sub_partial_bytes(discarded);
+            if let Some(http) = self.http(conn) {
+                http.close_after_response();
+            }
+            return self.connections.update_charge(conn);
         }
         debug!(conn = conn.0, status, text, "rejecting a request; closing the connection after the response");
         self.linger(conn, now);
@@ -270,10 +275,10 @@
     /// Stops processing a client's input; further input is discarded until the connection is closed.
     fn linger(&mut self, conn: ConnId, now: Micros) {
         let Some(http) = self.http(conn) else { return };
-        let dropped = http.start_lingering(now);
+        http.start_lingering(now);
         let queued = std::mem::replace(&mut http.queued_at, now);
         self.clients.slots.start_lingering(conn, queued, now);
-        self.connections.sub_partial_bytes(dropped);
+        self.connections.update_charge(conn);
         // The client reads the response to its end and then closes the connection (RFC 9112, 9.6).
         self.connections.command(Command::ShutdownWrite(conn));
         self.timers.set(now.after(LINGER_TIMEOUT), Timer::StallCheck(conn));
--- a/crates/flaxstand-gateway/src/core/metrics.rs
+++ b/crates/flaxstand-gateway/src/core/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the core: counters since the start, and current sizes.
 
+use super::memory_use::MemoryUse;
+
 /// Counters since the start. They never decrease.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -55,4 +57,6 @@
     pub timers: usize,
     /// Bytes of incomplete requests and responses.
     pub partial_bytes: usize,
+    /// Memory of the data of peers.
+    pub memory: MemoryUse,
 }
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -18,6 +18,7 @@
 //! | [`write_back`] | write-back buffer and its write-outs |
 //! | [`evaluation_schedule`] | time of the module's next evaluation |
 //! | [`shutdown`] | phase of a shutdown |
+//! | [`memory_use`], [`resource_report`] | memory by what it holds; the log of it and of limits reached |
 //! | [`endpoint_table`], [`discovery`] | endpoint list; calls to the discovery service, cached list |
 //! | [`agreement`] | agreement of the initiators on rules |
 //!
@@ -55,6 +56,7 @@
 mod evaluation_schedule;
 mod http_connection;
 mod http_server;
+mod memory_use;
 mod metrics;
 mod node_connections;
 mod peer_fault;
@@ -63,6 +65,7 @@
 mod pooled_connection;
 mod request_table;
 mod requests;
+mod resource_report;
 mod send_permit;
 mod shutdown;
 mod timers;
@@ -77,7 +80,9 @@
     WriteBack,
 };
 pub use discovery::{SavedList, SavedListError};
+pub use memory_use::MemoryUse;
 pub use metrics::{Counts, Footprint};
+pub use resource_report::LimitCounts;
 
 use crate::machine::{ArrivalTime, Command, ConnId, Control, Machine, Micros};
 use admission::AdmissionGate;
@@ -96,6 +101,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use request_table::RequestTable;
+use resource_report::ResourceReport;
 use send_permit::EndpointTrust;
 use shutdown::Shutdown;
 use std::collections::VecDeque;
@@ -131,6 +137,8 @@
     evaluation: EvaluationSchedule,
     shutdown: Shutdown,
     counts: Counts,
+    limit_counts: LimitCounts,
+    resource_report: ResourceReport,
 }
 
 impl Core {
@@ -171,6 +179,8 @@
             evaluation: EvaluationSchedule::new(),
             shutdown: Shutdown::default(),
             counts: Counts::default(),
+            limit_counts: LimitCounts::default(),
+            resource_report: ResourceReport::default(),
         };
         if let Some(saved) = saved {
             core.apply_saved_list(saved, now)?;
@@ -193,18 +203,30 @@
         }
     }
 
+    /// Returns how often each limit was reached since the start.
+    pub fn limit_counts(&self) -> LimitCounts {
+        self.limit_counts
+    }
+
     /// Returns the sizes of the core's tables and buffers.
     pub fn footprint(&self) -> Footprint {
+        let memory = self.memory_use();
         Footprint {
             connections: self.connections.len(),
             requests: self.requests.len(),
             client_request_ids: self.requests.client_ids(),
             nodes: self.nodes.len(),
             timers: self.timers.len(),
-            partial_bytes: self.connections.partial_bytes() + self.connections.response_bytes(),
+            partial_bytes: memory.incomplete_requests + memory.incomplete_responses,
+            memory,
         }
     }
 
+    /// Returns the memory that the data of peers takes.
+    fn memory_use(&self) -> MemoryUse {
+        MemoryUse { accepted_requests: self.requests.memory_bytes(), ..self.connections.memory() }
+    }
+
     /// Returns the last revision of the endpoint list received since the process started, if any.
     pub fn list_revision(&self) -> Option<u64> {
         self.discovery.notified_revision()
--- a/crates/flaxstand-gateway/src/core/pending_request.rs
+++ b/crates/flaxstand-gateway/src/core/pending_request.rs
@@ -196,6 +196,19 @@
         }
     }
 
+    /// Returns the memory of the client's data, bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.payload.len() + self.forwarded_head.as_ref().map_or(0, |head| head.memory_bytes())
+    }
+
+    /// Releases what is only needed for further attempts.
+    pub(super) fn release_content(&mut self) {
+        self.payload = Vec::new();
+        if let Some(head) = &mut self.forwarded_head {
+            head.target = String::new();
+        }
+    }
+
     /// Returns the arrival event's data for the module. `class` is the module's class.
     pub(super) fn arrival(&self, id: RequestId, class: usize) -> Arrival {
         Arrival {
--- a/crates/flaxstand-gateway/src/core/pooled_attempts.rs
+++ b/crates/flaxstand-gateway/src/core/pooled_attempts.rs
@@ -47,6 +47,7 @@
         }
         if self.upstream.pooled() >= self.config.bounds.max_node_connections && !self.evict_longest_idle(now)
         {
+            self.limit_counts.node_connections += 1;
             debug!(
                 connections = self.upstream.pooled(),
                 "limit of upstream connections reached and none is idle; not sent"
@@ -175,10 +176,13 @@
             return self.close(conn, "received bytes before the request was written", now);
         }
         let part = pooled.receive(bytes, now);
-        self.connections.record_response_bytes(part.partial_bytes_before, part.partial_bytes_after);
+        self.connections.update_charge(conn);
         match part.response {
             Ok(Some(response)) => self.response_received(conn, &response, now),
-            Ok(None) if self.connections.response_bytes() > self.config.bounds.max_response_bytes => {
+            Ok(None)
+                if self.connections.memory().incomplete_responses > self.config.bounds.max_response_bytes =>
+            {
+                self.limit_counts.incomplete_responses += 1;
                 self.response_invalid(conn, &"limit on incomplete responses of nodes exceeded", now);
             }
             Ok(None) if part.is_first => {
@@ -192,9 +196,8 @@
     /// Handles the orderly end of the peer's stream, which completes a response without a stated length.
     pub(super) fn pooled_finished(&mut self, conn: ConnId, now: Micros) {
         let Some(pooled) = self.pooled_connection(conn) else { return };
-        let before = pooled.partial_bytes();
         let Some(response) = pooled.finish() else { return };
-        self.connections.record_response_bytes(before, 0);
+        self.connections.update_charge(conn);
         self.response_received(conn, &response, now);
     }
 
@@ -364,11 +367,12 @@
         longest.is_some()
     }
 
-    /// Closes connections whose idle time-out has expired, before their nodes do, and drops nodes removed
-    /// longer ago than [`REMOVED_NODE_RETENTION`].
+    /// Closes connections whose idle time-out has expired, before their nodes do, drops nodes removed longer
+    /// ago than [`REMOVED_NODE_RETENTION`], and logs the use of resources.
     pub(super) fn sweep(&mut self, now: Micros) {
         self.close_expired_idle(now);
         self.remove_expired_nodes(now);
+        self.report_resources(now);
         self.timers.set(now.after(SWEEP_INTERVAL), Timer::Sweep);
     }
 
--- a/crates/flaxstand-gateway/src/core/pooled_connection.rs
+++ b/crates/flaxstand-gateway/src/core/pooled_connection.rs
@@ -23,9 +23,6 @@
 /// Result of reading bytes of a response.
 #[derive(Debug)]
 pub(super) struct ReceivedPart {
-    /// Buffered bytes of an incomplete response, before and after.
-    pub(super) partial_bytes_before: usize,
-    pub(super) partial_bytes_after: usize,
     /// These are the first bytes of the response.
     pub(super) is_first: bool,
     /// The response, if complete.
@@ -78,9 +75,9 @@
         self.exchange
     }
 
-    /// Returns the buffered bytes of an incomplete response.
-    pub(super) fn partial_bytes(&self) -> usize {
-        self.reader.len()
+    /// Returns the memory of an incomplete response, bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.reader.memory_bytes()
     }
 
     /// Returns when the response last made progress, or since when the connection has been idle.
@@ -137,13 +134,12 @@
     /// Reads bytes of a response.
     pub(super) fn receive(&mut self, bytes: &[u8], now: Micros) -> ReceivedPart {
         let is_first = self.reader.is_empty();
-        let partial_bytes_before = self.reader.len();
         self.reader.push(bytes);
         let response = self.reader.take();
         if is_first || self.reader.in_body() {
             self.since = now;
         }
-        ReceivedPart { partial_bytes_before, partial_bytes_after: self.reader.len(), is_first, response }
+        ReceivedPart { is_first, response }
     }
 
     /// Handles the end of the peer's stream, which completes a response without a stated length.
--- a/crates/flaxstand-gateway/src/core/request_table.rs
+++ b/crates/flaxstand-gateway/src/core/request_table.rs
@@ -12,6 +12,8 @@
     last_id: u64,
     /// Request ids given by platform clients, of pending requests.
     client_ids: BTreeSet<String>,
+    /// Memory of the client's data of all requests, bytes.
+    memory_bytes: usize,
     /// Volumes referred to by requests since the start.
     volumes: BTreeSet<VolumeId>,
 }
@@ -28,12 +30,14 @@
         if let Some(forwarded_head) = &request.forwarded_head {
             self.client_ids.insert(forwarded_head.id.clone());
         }
+        self.memory_bytes += request.memory_bytes();
         self.pending.insert(id, request);
     }
 
     /// Removes a request in any state.
     pub(super) fn remove(&mut self, id: RequestId) -> Option<PendingRequest> {
         let request = self.pending.remove(&id)?;
+        self.memory_bytes -= request.memory_bytes();
         if let Some(forwarded_head) = &request.forwarded_head {
             self.client_ids.remove(&forwarded_head.id);
         }
@@ -49,6 +53,19 @@
         self.remove(id)
     }
 
+    /// Releases what an answered or abandoned request only needs for further attempts.
+    pub(super) fn release_content(&mut self, id: RequestId) {
+        let Some(request) = self.pending.get_mut(&id) else { return };
+        self.memory_bytes -= request.memory_bytes();
+        request.release_content();
+        self.memory_bytes += request.memory_bytes();
+    }
+
+    /// Returns the memory of the client's data of all requests, bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.memory_bytes
+    }
+
     /// Returns a pending request.
     pub(super) fn get(&self, id: RequestId) -> Option<&PendingRequest> {
         self.pending.get(&id)
--- a/crates/flaxstand-gateway/src/core/requests.rs
+++ b/crates/flaxstand-gateway/src/core/requests.rs
@@ -70,7 +70,7 @@
         let Some(pending) = self.requests.get_mut(id) else { return };
         let Some(owner) = pending.owner.take() else { return };
         pending.final_response = final_response;
-        pending.payload = Vec::new();
+        self.requests.release_content(id);
         let Owner::Client { conn, client_id } = owner else { return self.remove_if_finished(id, now) };
         if let Some(Peer::Client(client)) = self.connections.get_mut(conn).map(|c| &mut c.peer) {
             client.unanswered.remove(&client_id);
