Accepted requests and unread answers have bounds taken from the memory limit

What callers saw: hundreds of clients with whole 64 KiB requests made a process pass its limit of 32 MB (49 MB; 37 MB where nodes read nothing).

Cause: the bounds counted requests on their way in and large answers. A request that was whole left every count while its body lived on, in the request and once more in the buffer of its connection to a node. Answers up to 64 KiB were written to clients that don't read without a look at any bound.

Accepted requests beyond theirs are refused (503), answers beyond theirs fail (500). What a connection holds within 1 KiB is not charged, so that small messages are never refused for the large ones of others. The platform's tests of unread answers set the bound that is now separate; both are as before.

--- a/crates/flaxstand-cli/src/daemon/mod.rs
+++ b/crates/flaxstand-cli/src/daemon/mod.rs
@@ -224,7 +224,7 @@
             .ok()?;
         match read_daemon(&name(&path), &text) {
             Ok(Daemon { config, .. }) => {
-                Some(Reloaded { bounds: config.bounds, list: config.discovery_address })
+                Some(Reloaded { bounds: config.bounds, memory_bounds: None, list: config.discovery_address })
             }
             Err(problems) => {
                 error!(%problems, "cannot reload the settings file: keeping the current settings");
--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -7,7 +7,9 @@
 use crate::daemon::run_to_end;
 use crate::error::CommandError;
 use flaxstand::api::{ListScope, Settings};
-use flaxstand_gateway::core::{BackoffBounds, Bounds, ClassInfo, Config, Core, Policy, Site, Timeouts, Wire};
+use flaxstand_gateway::core::{
+    BackoffBounds, ClassInfo, Config, Core, Policy, ProcessLimits, Site, Timeouts, Wire,
+};
 use flaxstand_gateway::driver::{Driver, Options, Reload, clock};
 use flaxstand_gateway::machine::{Address, Micros, Reloaded};
 use flaxstand_platform::{Configuration, ConfigurationError, Limits};
@@ -19,8 +21,6 @@
 
 /// Environment variable that names the configuration file.
 const CONFIGURATION_VARIABLE: &str = "RELAY_CONFIG";
-/// Descriptors reserved for epoll, signals, the listener, endpoint discovery and the log.
-const RESERVED_DESCRIPTORS: usize = 24;
 /// Maximum time that the discovery service is asked to hold a watch open, ms; half of the configured poll
 /// interval if that is shorter. A change counts as notified 6 s after the service received it: a silent watch
 /// is abandoned 1 s after its hold time, and the remainder leaves time for several failed calls.
@@ -75,18 +75,10 @@
     Configuration::read(&text).map_err(|source| PlatformError::Invalid { path: path.to_owned(), source })
 }
 
-/// Derives bounds from the resource limits of the process. Each connection has one request of bounded size.
-fn bounds(limits: Limits) -> Bounds {
-    let sockets = usize::try_from(limits.sockets).unwrap_or(usize::MAX);
-    let memory = usize::try_from(limits.memory_mb << 20).unwrap_or(usize::MAX);
-    let clients = sockets / 2;
-    Bounds {
-        max_clients: clients,
-        max_node_connections: sockets - clients - RESERVED_DESCRIPTORS,
-        max_partial_request_bytes: memory / 8,
-        max_response_bytes: memory / 4,
-        ..Bounds::default()
-    }
+fn process_limits(limits: Limits) -> ProcessLimits {
+    let size = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+    let memory_bytes = size(limits.memory_mb.saturating_mul(1 << 20));
+    ProcessLimits { memory_bytes, descriptors: size(limits.sockets) }
 }
 
 fn timeouts(configuration: &Configuration, settings: &Settings) -> Timeouts {
@@ -140,7 +132,7 @@
         seed: configuration.seed,
         discovery_address: Address::Tcp(configuration.discovery),
         site: site(configuration)?,
-        bounds: bounds(configuration.limits),
+        bounds: process_limits(configuration.limits).bounds(),
         policy: Policy::Module,
         wire: Wire::Platform,
         consensus: None,
@@ -152,6 +144,7 @@
     let path = std::env::var_os(CONFIGURATION_VARIABLE).map(PathBuf::from).ok_or(PlatformError::NotSet)?;
     let configuration = read(&path)?;
     let mut core = Core::new(config(&configuration)?, None, clock())?;
+    core.set_memory_bounds(process_limits(configuration.limits).memory_bounds());
     core.apply_platform_listing(ListScope::Cached, &configuration.cached_list, clock());
     let options = Options { reload: Some(reload(path)), ..Options::default() };
     let mut driver = Driver::new(core, options).map_err(CommandError::io("cannot start the driver"))?;
@@ -166,7 +159,8 @@
 fn reload(path: PathBuf) -> Reload {
     Box::new(move || match read(&path) {
         Ok(configuration) => Some(Reloaded {
-            bounds: bounds(configuration.limits),
+            bounds: process_limits(configuration.limits).bounds(),
+            memory_bounds: Some(process_limits(configuration.limits).memory_bounds()),
             list: Address::Tcp(configuration.discovery),
         }),
         Err(error) => {
--- a/crates/flaxstand-gateway/src/core/buffered_requests.rs
+++ b/crates/flaxstand-gateway/src/core/buffered_requests.rs
@@ -97,7 +97,7 @@
         now: Micros,
     ) -> Result<(), PeerFault> {
         let Some(ReservedRequest { id, expires_at }) =
-            self.reserve_request(conn, client_id, None, time_left, now)?
+            self.reserve_request(conn, client_id, None, 0, time_left, now)?
         else {
             return Ok(());
         };
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -135,7 +135,8 @@
     ) -> Result<(), PeerFault> {
         self.check_ranges(s)?;
         let volume = Some(VolumeId(s.volume));
-        let Some(reserved) = self.reserve_request(conn, s.id, volume, s.time_left, now)? else {
+        let bytes = s.payload.len() + forwarded_head.as_ref().map_or(0, ForwardedHead::memory_bytes);
+        let Some(reserved) = self.reserve_request(conn, s.id, volume, bytes, s.time_left, now)? else {
             return Ok(());
         };
         let mut pending = PendingRequest::new(conn, s, reserved.expires_at);
@@ -144,6 +145,14 @@
         Ok(())
     }
 
+    /// Returns whether the content of another request fits within the memory for accepted ones. A small one always
+    /// does.
+    fn has_request_memory(&self, bytes: usize) -> bool {
+        let bounds = &self.memory_bounds;
+        let is_small = bytes <= bounds.free_bytes_per_connection;
+        is_small || self.requests.memory_bytes() + bytes <= bounds.max_accepted_request_bytes
+    }
+
     /// Validates the class, plan, units and byte range of a request.
     fn check_ranges(&self, s: &Submit<'_>) -> Result<(), PeerFault> {
         let site = &self.config.site;
@@ -161,7 +170,8 @@
     }
 
     /// Reserves an id for a client's request, or rejects the request and returns `None` if a limit is
-    /// reached. `time_left` is the client's remaining time-out in microseconds.
+    /// reached. `bytes` is the memory of its content, `time_left` the client's remaining time-out in
+    /// microseconds.
     ///
     /// # Errors
     /// The client's request number is in use.
@@ -170,6 +180,7 @@
         conn: ConnId,
         client_id: u64,
         volume: Option<VolumeId>,
+        bytes: usize,
         time_left: u32,
         now: Micros,
     ) -> Result<Option<ReservedRequest>, PeerFault> {
@@ -180,7 +191,7 @@
             return Err(PeerFault::protocol(format!("number {client_id} is in use")));
         }
         self.counts.accepted += 1;
-        if let Some(bound) = self.exceeded_bound(client, volume) {
+        if let Some(bound) = self.exceeded_bound(client, volume, bytes) {
             self.reject_at_bound(conn, client_id, bound, now);
             return Ok(None);
         }
@@ -196,7 +207,12 @@
 
     /// Returns the limit that another request would exceed, if any. Keeps one client, or many volumes, from
     /// taking all capacity.
-    fn exceeded_bound(&self, client: &Client, volume: Option<VolumeId>) -> Option<ExceededBound> {
+    fn exceeded_bound(
+        &self,
+        client: &Client,
+        volume: Option<VolumeId>,
+        bytes: usize,
+    ) -> Option<ExceededBound> {
         let bounds = &self.config.bounds;
         let is_new_volume = volume.is_some_and(|v| !self.requests.knows_volume(v));
         let (refusal, scope) = if matches!(self.shutdown.phase(), Phase::Stopping | Phase::Stopped) {
@@ -207,6 +223,8 @@
             (Refusal::Client, Scope::All)
         } else if is_new_volume && self.requests.volumes() >= bounds.max_volumes {
             (Refusal::Held, Scope::Volume)
+        } else if !self.has_request_memory(bytes) {
+            (Refusal::Held, Scope::Request)
         } else {
             return None;
         };
@@ -216,7 +234,11 @@
     fn reject_at_bound(&mut self, conn: ConnId, client_id: u64, bound: ExceededBound, now: Micros) {
         let ExceededBound { refusal, scope } = bound;
         self.counts.rejected_at_bound += 1;
-        self.limit_counts.requests += u64::from(refusal == Refusal::Held);
+        match (refusal, scope) {
+            (Refusal::Held, Scope::Request) => self.limit_counts.accepted_requests += 1,
+            (Refusal::Held, _) => self.limit_counts.requests += 1,
+            _ => {}
+        }
         debug!(conn = conn.0, id = client_id, ?refusal, "request rejected: limit reached");
         let retry_after = Micros::from_ms(self.config.site.settings.max_retry_after).0;
         let wait = u32::try_from(retry_after).unwrap_or(u32::MAX);
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -57,11 +57,10 @@
     /// Pooled connections to nodes. At the limit the one idle for longest is closed for a new one; if none is
     /// idle, the attempt ends as not sent.
     pub max_node_connections: usize,
-    /// Bytes of incomplete requests of all HTTP clients. The client that exceeds it gets an error response
+    /// Memory of incomplete requests of all HTTP clients. The client that exceeds it gets an error response
     /// and is disconnected.
     pub max_partial_request_bytes: usize,
-    /// Bytes of incomplete responses of all HTTP nodes. The attempt whose response exceeds it fails. The same
-    /// limit applies to responses that HTTP clients have not read; a large response beyond it fails.
+    /// Memory of incomplete responses of all HTTP nodes. The attempt whose response exceeds it fails.
     pub max_response_bytes: usize,
     /// Endpoints: on the frame protocol those ever listed since the process started, on the platform those
     /// listed or recently removed. Further ones are ignored with a warning.
--- a/crates/flaxstand-gateway/src/core/connection_table.rs
+++ b/crates/flaxstand-gateway/src/core/connection_table.rs
@@ -85,6 +85,12 @@
 }
 
 impl ConnectionTable {
+    /// Sets how much each connection may hold of each kind of data without being charged, bytes. Applies to each
+    /// connection from its next change on.
+    pub(super) fn set_free_bytes(&mut self, free_bytes: usize) {
+        self.free_bytes = free_bytes;
+    }
+
     /// Adds a connection that the driver has accepted or will open.
     pub(super) fn open(&mut self, peer: Peer, stage: Stage, protocol: Protocol) -> ConnId {
         self.next_conn += 1;
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -231,7 +231,8 @@
     /// taken by clients that read large responses slowly or not at all. A response beyond it fails.
     fn has_output_capacity(&self, bytes: usize) -> bool {
         bytes <= MAX_REQUEST_BODY_BYTES
-            || bytes + self.connections.memory().unread_responses <= self.config.bounds.max_response_bytes
+            || bytes + self.connections.memory().unread_responses
+                <= self.memory_bounds.max_unread_response_bytes
     }
 
     /// Sends the response to a client's current request.
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -65,6 +65,7 @@
 mod pooled_connection;
 mod request_table;
 mod requests;
+mod resource_bounds;
 mod resource_report;
 mod send_permit;
 mod shutdown;
@@ -82,6 +83,7 @@
 pub use discovery::{SavedList, SavedListError};
 pub use memory_use::MemoryUse;
 pub use metrics::{Counts, Footprint};
+pub use resource_bounds::{MemoryBounds, ProcessLimits};
 pub use resource_report::LimitCounts;
 
 use crate::machine::{ArrivalTime, Command, ConnId, Control, Machine, Micros};
@@ -113,6 +115,7 @@
 /// The initiator's core.
 pub struct Core {
     config: Config,
+    memory_bounds: MemoryBounds,
     policy: DecisionPolicy,
     /// Classes of the module: those of the site, followed by those for write-outs and retries, if any.
     module_classes: Vec<Class>,
@@ -167,6 +170,7 @@
             discovery,
             endpoint_trust: EndpointTrust::default(),
             config,
+            memory_bounds: MemoryBounds::default(),
             connections: ConnectionTable::default(),
             timers: TimerQueue::default(),
             clients: ClientRegistry::default(),
@@ -194,6 +198,12 @@
         Ok(core)
     }
 
+    /// Sets the bounds of the memory that peers can fill.
+    pub fn set_memory_bounds(&mut self, memory_bounds: MemoryBounds) {
+        self.connections.set_free_bytes(memory_bounds.free_bytes_per_connection);
+        self.memory_bounds = memory_bounds;
+    }
+
     /// Returns the counters since the start.
     pub fn counts(&self) -> Counts {
         Counts {
@@ -417,6 +427,9 @@
             Control::Reload(reloaded) => {
                 info!(?reloaded, "settings reloaded: new bounds and discovery address");
                 self.config.bounds = reloaded.bounds;
+                if let Some(memory_bounds) = reloaded.memory_bounds {
+                    self.set_memory_bounds(memory_bounds);
+                }
                 if self.config.discovery_address != reloaded.list {
                     self.config.discovery_address = reloaded.list;
                     self.discovery_moved(now);
--- a/crates/flaxstand-gateway/src/machine.rs
+++ b/crates/flaxstand-gateway/src/machine.rs
@@ -112,6 +112,8 @@
 pub struct Reloaded {
     /// Resource limits.
     pub bounds: crate::core::Bounds,
+    /// Bounds of memory; `None` leaves them unchanged.
+    pub memory_bounds: Option<crate::core::MemoryBounds>,
     /// Address of the endpoint discovery service.
     pub list: Address,
 }
--- a/crates/flaxstand-gateway/tests/list_bounds.rs
+++ b/crates/flaxstand-gateway/tests/list_bounds.rs
@@ -100,7 +100,8 @@
         world.send_bytes(list, first_half);
         world.run(5);
         let visited = world.core.counts().nodes_visited;
-        let reloaded = Reloaded { bounds: Bounds::default(), list: config().discovery_address };
+        let reloaded =
+            Reloaded { bounds: Bounds::default(), memory_bounds: None, list: config().discovery_address };
         world.core.control(Control::Reload(reloaded), world.now);
         world.run(5);
         assert_eq!(world.core.counts().nodes_visited, visited, "{nodes} nodes");
--- a/crates/flaxstand-gateway/tests/list_fleet/hosts.rs
+++ b/crates/flaxstand-gateway/tests/list_fleet/hosts.rs
@@ -128,7 +128,7 @@
                 continue;
             }
             let bounds = self.config(host).bounds;
-            let control = Control::Reload(Reloaded { bounds, list: list.clone() });
+            let control = Control::Reload(Reloaded { bounds, memory_bounds: None, list: list.clone() });
             let incarnation = self.hosts[host].incarnation;
             self.audit.reloaded(host, self.now);
             self.schedule_input(host, incarnation, self.now, Input::Control(control));
--- a/crates/flaxstand-gateway/tests/list_growth.rs
+++ b/crates/flaxstand-gateway/tests/list_growth.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use flaxstand::api::ListScope;
-use flaxstand_gateway::core::{Config, Policy};
+use flaxstand_gateway::core::{Config, MemoryBounds, Policy};
 use flaxstand_gateway::machine::{ConnId, Machine};
 use flaxstand_platform::{Listing, Target, TargetState};
 use flaxstand_proto::*;
@@ -221,9 +221,9 @@
 #[test]
 fn the_limit_on_buffered_answers_is_checked_without_a_walk_over_the_clients() {
     const LARGE_ANSWER: usize = 70_000;
-    let mut c = baseline(platform_config(2500), 1);
-    c.bounds.max_response_bytes = 2 * LARGE_ANSWER;
-    let mut w = Harness::new(c, 0);
+    let mut w = Harness::new(baseline(platform_config(2500), 1), 0);
+    let max_unread_response_bytes = 2 * LARGE_ANSWER;
+    w.core.set_memory_bounds(MemoryBounds { max_unread_response_bytes, ..MemoryBounds::default() });
     w.connect_outcomes.insert("127.0.0.1:10000".parse().unwrap(), ConnectOutcome::Welcomes(0));
     deliver_targets(&mut w, 0..1, TargetState::Up);
     let served = |w: &mut Harness, id: &str| {
@@ -243,7 +243,7 @@
     let clients = ["1", "2", "3"].map(|id| served(&mut w, id));
     assert_eq!(work_since(&w, before).1, 0);
     let sizes = clients.map(|client| w.core.outgoing(client).len() / LARGE_ANSWER);
-    assert_eq!(sizes, [1, 0, 0], "two answers with their heads exceed max_response_bytes");
+    assert_eq!(sizes, [1, 0, 0], "two answers with their heads exceed max_unread_response_bytes");
     // An answer that was read, or whose client disconnected, no longer counts.
     w.blocked.clear();
     w.drain(clients[0]);
--- a/crates/flaxstand-gateway/tests/platform.rs
+++ b/crates/flaxstand-gateway/tests/platform.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 
+use flaxstand_gateway::core::MemoryBounds;
 use flaxstand_gateway::machine::{ConnId, Control, Machine, Reloaded};
 use flaxstand_proto::State;
 use harness::{ConnectOutcome, Harness, PATH, address, http_request, request_text, small_platform_config};
@@ -132,9 +133,9 @@
 
 #[test]
 fn the_total_size_of_unread_large_answers_is_bounded() {
-    let mut c = small_platform_config();
-    c.bounds.max_response_bytes = 1_000_000;
-    let mut w = Harness::new(c, 2);
+    let mut w = Harness::new(small_platform_config(), 2);
+    w.core
+        .set_memory_bounds(MemoryBounds { max_unread_response_bytes: 1_000_000, ..MemoryBounds::default() });
     let answered: Vec<ConnId> = (0..4)
         .map(|n| {
             let (client, link) = w.request_in_flight(&format!("r{n}"), "once");
@@ -354,7 +355,7 @@
     w.connect_outcomes.insert("127.0.0.1:2".parse().unwrap(), ConnectOutcome::Welcomes(0));
     let bounds = small_platform_config().bounds;
     w.answers_polls = true;
-    w.core.control(Control::Reload(Reloaded { bounds, list: new }), w.now);
+    w.core.control(Control::Reload(Reloaded { bounds, memory_bounds: None, list: new }), w.now);
     w.run(5);
     assert!(w.closed.contains(&old));
     let (conn, at) = w.connect_attempts.last().cloned().unwrap();
@@ -368,7 +369,10 @@
     w.answer(link, "200 OK", "ok");
     w.run(5);
     assert_eq!(w.statuses(client), [200]);
-    w.core.control(Control::Reload(Reloaded { bounds, list: "127.0.0.1:2".parse().unwrap() }), w.now);
+    w.core.control(
+        Control::Reload(Reloaded { bounds, memory_bounds: None, list: "127.0.0.1:2".parse().unwrap() }),
+        w.now,
+    );
     w.run(5);
     assert!(!w.closed.contains(&conn), "the connection is kept for the same address");
 }
--- a/crates/flaxstand-gateway/tests/race_conditions.rs
+++ b/crates/flaxstand-gateway/tests/race_conditions.rs
@@ -138,7 +138,7 @@
         w.rejections_left = 2;
         w.answers_polls = true;
         let began = w.now;
-        let reloaded = Reloaded { bounds: platform_config().bounds, list: new.clone() };
+        let reloaded = Reloaded { bounds: platform_config().bounds, memory_bounds: None, list: new.clone() };
         w.core.control(Control::Reload(reloaded), w.now);
         while w.listed_at <= began && w.now < began.after(ms(10_000)) {
             w.run(1);
