Nothing is begun for a client whose close or reset the kernel knows of

Cause: the driver looked at received bytes before the end behind them. A short read ended the turn for that connection, the request was decided on and sent on an idle connection in the same turn, and the close was met in the next one. Events of one turn were handled in the kernel's order, so that an attempt could also begin just before the close was looked at.

Change: the end of a client's connection (also a reset, and one behind unread bytes) is registered for always and handled before all other events of a turn, and before the first read of a new connection. Before the first byte of an attempt is written, the client's socket is asked once more (poll), however the attempt came about: first, retry or hedge, on a new or an idle connection.

--- a/crates/flaxstand-gateway/src/driver/accepting.rs
+++ b/crates/flaxstand-gateway/src/driver/accepting.rs
@@ -135,7 +135,12 @@
                 return None;
             }
         };
-        let interest = epoll::EventFlags::IN;
+        let end = if self.machine.wants_peer_end(conn) {
+            epoll::EventFlags::RDHUP
+        } else {
+            epoll::EventFlags::empty()
+        };
+        let interest = epoll::EventFlags::IN | end;
         if let Err(error) = epoll::add(&self.epoll, &fd, EventSource::Connection(conn).data(), interest) {
             self.machine.closed(conn, &error.to_string(), self.now);
             return None;
--- a/crates/flaxstand-gateway/src/driver/mod.rs
+++ b/crates/flaxstand-gateway/src/driver/mod.rs
@@ -1,9 +1,9 @@
 //! Event loop that runs a machine on epoll, with one thread and no async runtime. The clock is monotonic. It
 //! is read at the start of a turn and after each read from a connection.
 //!
-//! Each turn waits for events or the machine's next wake-up, reads the clock, delivers the events (a bounded
-//! number of bytes per connection, so that none starves the others), settles the machine and executes its
-//! commands.
+//! Each turn waits for events or the machine's next wake-up, reads the clock, delivers the events (first the ends
+//! of clients' connections, then a bounded number of bytes per connection, so that none starves the others),
+//! settles the machine and executes its commands.
 //!
 //! - `accepting`, `listener`: incoming connections
 //! - `socket`: reads and writes of all connections
@@ -160,6 +160,9 @@
             let is_polled = self.wait(next_wake, &mut events)?;
             self.now = clock().max(self.now);
             let mut is_complete = is_polled && events.len() < MAX_EVENTS_PER_TURN;
+            for event in &events {
+                self.handle_departure(EventSource::of(event.data), event.flags);
+            }
             for event in &events {
                 let source = EventSource::of(event.data);
                 is_complete &= self.handle_event(source, event.flags, &mut buffer);
@@ -210,6 +213,16 @@
         }
     }
 
+    /// Reports the end of a connection whose machine wants to know of it before anything else: what other events
+    /// of this turn bring about must not be begun for a peer that has gone.
+    fn handle_departure(&mut self, source: EventSource, flags: epoll::EventFlags) {
+        if let EventSource::Connection(conn) = source
+            && self.machine.wants_peer_end(conn)
+        {
+            self.report_departure(conn, flags);
+        }
+    }
+
     /// Handles an event. Returns false if more connections may be pending than were accepted.
     fn handle_event(&mut self, source: EventSource, flags: epoll::EventFlags, buffer: &mut [u8]) -> bool {
         match source {
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -4,7 +4,7 @@
 use super::timestamps::{self, Received};
 use super::{Driver, clock};
 use crate::machine::{Address, ConnId, Machine};
-use rustix::event::epoll;
+use rustix::event::{PollFd, PollFlags, Timespec, epoll, poll};
 use rustix::fd::OwnedFd;
 use rustix::io::{Errno, read, write};
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
@@ -115,6 +115,21 @@
     }
 }
 
+/// Returns the events by which the kernel tells that the peer of a socket has closed or reset the connection, of
+/// those that have occurred.
+fn departure_of(fd: &OwnedFd) -> epoll::EventFlags {
+    let mut polled = [PollFd::new(fd, PollFlags::RDHUP)];
+    if poll(&mut polled, Some(&Timespec::default())).is_err() {
+        return epoll::EventFlags::empty();
+    }
+    let flag = |polled_flag, flag| {
+        if polled[0].revents().contains(polled_flag) { flag } else { epoll::EventFlags::empty() }
+    };
+    flag(PollFlags::RDHUP, epoll::EventFlags::RDHUP)
+        | flag(PollFlags::HUP, epoll::EventFlags::HUP)
+        | flag(PollFlags::ERR, epoll::EventFlags::ERR)
+}
+
 impl<M: Machine> Driver<M> {
     pub(super) fn connect(&mut self, conn: ConnId, address: &Address) {
         let opened = start_connect(address).and_then(|fd| {
@@ -165,15 +180,35 @@
     /// Reads a connection accepted in this turn: what it sent is not to be taken for later than what others
     /// sent after it.
     pub(super) fn read_accepted(&mut self, conn: ConnId, buffer: &mut [u8]) {
+        self.check_departure(conn);
         self.read(conn, epoll::EventFlags::empty(), buffer);
     }
 
+    /// Reports the end of a connection if the kernel knows of it already.
+    fn check_departure(&mut self, conn: ConnId) {
+        if let Some(socket) = self.sockets.get(&conn) {
+            let flags = departure_of(&socket.fd);
+            self.report_departure(conn, flags);
+        }
+    }
+
+    /// Reports the end of a connection that these events tell of, regardless of bytes that were not read.
+    pub(super) fn report_departure(&mut self, conn: ConnId, flags: epoll::EventFlags) {
+        use epoll::EventFlags as F;
+        let Some(socket) = self.sockets.get(&conn) else { return };
+        if flags.intersects(F::HUP | F::ERR) {
+            self.drop_connection(conn, "connection reset or closed in both directions");
+        } else if flags.contains(F::RDHUP) && !socket.peer_finished && self.machine.wants_peer_end(conn) {
+            self.handle_peer_end(conn, flags);
+        }
+    }
+
     fn read(&mut self, conn: ConnId, flags: epoll::EventFlags, buffer: &mut [u8]) {
         let mut total = 0;
         while total < MAX_READ_PER_TURN {
             let Some(socket) = self.sockets.get_mut(&conn) else { return };
             if socket.peer_finished || !self.machine.wants_read(conn) {
-                return self.check_closed_without_read(conn, flags);
+                return self.report_departure(conn, flags);
             }
             match socket.receive(&mut *buffer) {
                 Ok(Received { count: 0, .. }) => return self.handle_peer_end(conn, flags),
@@ -196,17 +231,6 @@
         }
     }
 
-    /// Closes a connection that is not being read if the connection is closed in both directions, or if the
-    /// peer has ended its stream and the machine requested to be notified of that.
-    fn check_closed_without_read(&mut self, conn: ConnId, flags: epoll::EventFlags) {
-        use epoll::EventFlags as F;
-        if flags.intersects(F::HUP | F::ERR) {
-            self.drop_connection(conn, "connection reset or closed in both directions");
-        } else if flags.contains(F::RDHUP) && self.machine.wants_peer_end(conn) {
-            self.drop_connection(conn, "closed by peer with unread data pending");
-        }
-    }
-
     /// Handles the end of the peer's stream.
     fn handle_peer_end(&mut self, conn: ConnId, flags: epoll::EventFlags) {
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
@@ -252,7 +276,16 @@
                 self.drop_connection(conn, &cause);
                 return false;
             }
-            match write(&socket.fd, pending) {
+            if let Some(client) = self.machine.begins_for(conn)
+                && self.has_departed(client)
+            {
+                self.check_departure(client);
+                if self.machine.begins_for(conn).is_none() {
+                    continue;
+                }
+            }
+            let Some(socket) = self.sockets.get_mut(&conn) else { return false };
+            match write(&socket.fd, self.machine.outgoing(conn)) {
                 Ok(count) => self.machine.written(conn, count, self.now),
                 Err(Errno::AGAIN) => return true,
                 Err(Errno::INTR) => {}
@@ -264,12 +297,22 @@
         }
     }
 
+    /// Returns whether the kernel knows that the peer of a connection has gone.
+    fn has_departed(&self, conn: ConnId) -> bool {
+        use epoll::EventFlags as F;
+        let Some(socket) = self.sockets.get(&conn) else { return false };
+        let ends =
+            if self.machine.wants_peer_end(conn) { F::HUP | F::ERR | F::RDHUP } else { F::HUP | F::ERR };
+        departure_of(&socket.fd).intersects(ends)
+    }
+
     fn update_interest(&mut self, conn: ConnId) {
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
         let mut interest = epoll::EventFlags::empty();
         if !socket.peer_finished && self.machine.wants_read(conn) {
             interest |= epoll::EventFlags::IN;
-        } else if !socket.peer_finished && self.machine.wants_peer_end(conn) {
+        }
+        if !socket.peer_finished && self.machine.wants_peer_end(conn) {
             interest |= epoll::EventFlags::RDHUP;
         }
         if !self.machine.outgoing(conn).is_empty() {
