An id that may have run is refused when it comes again

Cause: ids of requests were kept while the request was pending and forgotten with its last attempt.

Change: executed_ids.rs remembers the ids of requests that were served or may have run, as keyed 64-bit fingerprints in two generations; its bound, a twentieth of memory_mb, is 93,000 ids at 32 MB. Such an id gets 409. A refused id has run nowhere and may come again. After a restart nothing is remembered: there is no disk.

The gateway's test said an id is reusable after its answer, against what is asked now: it checks that it is refused after its answer, and reusable after a refusal.

--- a/crates/flaxstand-cli/tests/peer_limits/departed_clients.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/departed_clients.rs
@@ -53,7 +53,8 @@
 
     /// Sends one more request and waits for its answer: all that came before it has been handled.
     fn settle(&self) {
-        assert_eq!(status_of(&mut self.client(), &request("settle")), Some(200));
+        let id = format!("settle-{}", self.node.received().len());
+        assert_eq!(status_of(&mut self.client(), &request(&id)), Some(200));
     }
 
     fn pause(&self) {
@@ -180,9 +181,15 @@
 #[test]
 fn an_id_that_failed_after_it_may_have_run_does_not_run_again() {
     let scene = Scene::start(Behaviour::Silent);
-    let short = Request { class: "order", ..Request::read("silent", Duration::from_millis(200)) }.bytes();
+    let short = Request { class: "order", ..Request::read("silent", Duration::from_millis(1500)) }.bytes();
     assert_eq!(status_of(&mut scene.client(), &short), Some(500));
+    assert_eq!(scene.node.executions_of("silent"), 1);
     scene.node.set_behaviour(Behaviour::QUICK);
+    let mut attempt = 0;
+    wait_until("the node is used again", || {
+        attempt += 1;
+        status_of(&mut scene.client(), &request(&format!("other-{attempt}"))) == Some(200)
+    });
     let again = status_of(&mut scene.client(), &short);
     assert_eq!(scene.node.executions_of("silent"), 1, "the id ran again, answered {again:?}");
     assert!(again.is_some_and(|status| status >= 400), "{again:?}");
--- a/crates/flaxstand-gateway/src/core/attempts.rs
+++ b/crates/flaxstand-gateway/src/core/attempts.rs
@@ -73,6 +73,9 @@
             bytes = payload.len(),
             "attempt served"
         );
+        if let Some(pending) = self.requests.get_mut(id.request) {
+            pending.has_run = true;
+        }
         if self.requests.is_unanswered(id.request) {
             self.send_served(id.request, shard, payload, now);
         }
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -177,6 +177,11 @@
             self.counts.protocol_faults += 1;
             return self.respond(conn, 409, &[], b"a request with this id is open\n", now);
         }
+        if self.requests.may_have_executed(read.id) {
+            debug!(conn = conn.0, id = read.id, "request id may have been executed; responding with 409");
+            self.limit_counts.repeated_ids += 1;
+            return self.respond(conn, 409, &[], b"a request with this id has run\n", now);
+        }
         let number = self.http(conn).map_or(0, |http| http.requests());
         let submit = self.submit_of(&read, number, &request.body);
         let forwarded_head = ForwardedHead {
--- a/crates/flaxstand-gateway/src/core/metrics.rs
+++ b/crates/flaxstand-gateway/src/core/metrics.rs
@@ -51,6 +51,8 @@
     pub requests: usize,
     /// Client request ids in use.
     pub client_request_ids: usize,
+    /// Client request ids that may have been executed and are remembered.
+    pub executed_ids: usize,
     /// Nodes.
     pub nodes: usize,
     /// Pending timers.
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -12,6 +12,7 @@
 //! | [`client_registry`], [`connection_slots`] | number of clients; which client is evicted for a new one |
 //! | [`unread_responses`] | clients that have not read a response |
 //! | [`request_table`], [`pending_request`] | pending requests, their attempts, client request ids |
+//! | [`executed_ids`] | ids of client requests that may have been executed |
 //! | [`upstream_pool`] | connections to nodes, attempts in flight on them, idle connections |
 //! | [`pooled_connection`], [`http_connection`] | an HTTP/1.1 connection to a node, or from a client |
 //! | [`arrival_order`] | requests held until all that arrived before them are known |
@@ -55,6 +56,7 @@
 mod endpoint_events;
 mod endpoint_table;
 mod evaluation_schedule;
+mod executed_ids;
 mod http_connection;
 mod http_server;
 mod memory_use;
@@ -190,6 +192,7 @@
             limit_counts: LimitCounts::default(),
             resource_report: ResourceReport::default(),
         };
+        core.set_memory_bounds(MemoryBounds::default());
         if let Some(saved) = saved {
             core.apply_saved_list(saved, now)?;
         }
@@ -205,6 +208,7 @@
     /// Sets the bounds of the memory that peers can fill.
     pub fn set_memory_bounds(&mut self, memory_bounds: MemoryBounds) {
         self.connections.set_free_bytes(memory_bounds.free_bytes_per_connection);
+        self.requests.set_max_executed_ids(memory_bounds.max_executed_ids);
         self.memory_bounds = memory_bounds;
     }
 
@@ -229,6 +233,7 @@
             connections: self.connections.len(),
             requests: self.requests.len(),
             client_request_ids: self.requests.client_ids(),
+            executed_ids: self.requests.executed_ids(),
             nodes: self.nodes.len(),
             timers: self.timers.len(),
             partial_bytes: memory.incomplete_requests + memory.incomplete_responses,
--- a/crates/flaxstand-gateway/src/core/pending_request.rs
+++ b/crates/flaxstand-gateway/src/core/pending_request.rs
@@ -80,8 +80,10 @@
     pub(super) original_owner: Owner,
     pub(super) handler: Handler,
     pub(super) final_response: FinalResponse,
-    /// An ended attempt may have been executed, or may still be.
+    /// An ended attempt that was not served may have been executed, or may still be.
     pub(super) may_have_run: bool,
+    /// An attempt was served.
+    pub(super) has_run: bool,
     /// For a read: extent whose buffered writes are overlaid on the node's response.
     pub(super) merge_extent: Option<ExtentId>,
     /// Partial response of a read with `merge_extent`.
@@ -124,6 +126,7 @@
             handler,
             final_response: FinalResponse::None,
             may_have_run: false,
+            has_run: false,
             merge_extent: None,
             streamed: StreamedParts { attempt: AttemptNo(0), bytes: Vec::new() },
             operation: 0,
--- a/crates/flaxstand-gateway/src/core/request_table.rs
+++ b/crates/flaxstand-gateway/src/core/request_table.rs
@@ -1,5 +1,6 @@
 //! Pending requests with their attempts and client request ids.
 
+use super::executed_ids::ExecutedIds;
 use super::pending_request::{AttemptId, HandOver, InFlightAttempt, PendingRequest};
 use crate::machine::ConnId;
 use flaxstand::api::{RequestId, VolumeId};
@@ -12,6 +13,9 @@
     last_id: u64,
     /// Request ids given by platform clients, of pending requests.
     client_ids: BTreeSet<String>,
+    /// Request ids given by platform clients, of requests that may have been executed.
+    executed_ids: ExecutedIds,
+    max_executed_ids: usize,
     /// Memory of the client's data of all requests, bytes.
     memory_bytes: usize,
     /// Volumes referred to by requests since the start.
@@ -40,6 +44,9 @@
         self.memory_bytes -= request.memory_bytes();
         if let Some(forwarded_head) = &request.forwarded_head {
             self.client_ids.remove(&forwarded_head.id);
+            if request.may_have_run || request.has_run {
+                self.executed_ids.insert(&forwarded_head.id, self.max_executed_ids);
+            }
         }
         Some(request)
     }
@@ -117,6 +124,21 @@
         self.client_ids.contains(id)
     }
 
+    /// Returns whether a request of a platform client with this id may have been executed.
+    pub(super) fn may_have_executed(&self, id: &str) -> bool {
+        self.executed_ids.contains(id)
+    }
+
+    /// Sets how many ids of executed requests are remembered.
+    pub(super) fn set_max_executed_ids(&mut self, max_executed_ids: usize) {
+        self.max_executed_ids = max_executed_ids;
+    }
+
+    /// Returns the number of remembered ids of executed requests.
+    pub(super) fn executed_ids(&self) -> usize {
+        self.executed_ids.len()
+    }
+
     /// Returns the number of client request ids in use.
     pub(super) fn client_ids(&self) -> usize {
         self.client_ids.len()
--- a/crates/flaxstand-gateway/src/core/resource_bounds.rs
+++ b/crates/flaxstand-gateway/src/core/resource_bounds.rs
@@ -11,6 +11,7 @@
 //! | responses that clients have not read | 1/12 |
 //! | a response of the discovery service while it is read | 1/20 |
 //! | endpoints | 1/10, at [`ENDPOINT_BYTES`] each |
+//! | ids of executed requests | 1/20, at [`EXECUTED_ID_BYTES`] each |
 //! | buffers of the kernel, and what each connection may hold without being charged | 1/4 |
 //!
 //! The rest is for the program itself.
@@ -26,6 +27,8 @@
 const FREE_BYTES_PER_CONNECTION: usize = 1024;
 /// Memory of a listed endpoint, in the endpoint table and in the decision module.
 const ENDPOINT_BYTES: usize = 1024;
+/// Memory of the id of an executed request, with the free places of its table.
+const EXECUTED_ID_BYTES: usize = 18;
 /// Smallest buffer of the kernel for one direction of a connection.
 const MIN_SOCKET_BUFFER_BYTES: usize = 6 * 1024;
 /// Largest buffer of the kernel for one direction of a connection.
@@ -49,6 +52,8 @@
     pub max_unread_response_bytes: usize,
     /// Length of a response of the platform's discovery service. A longer one fails.
     pub max_list_bytes: usize,
+    /// Ids of requests that may have been executed which are remembered. Beyond it the oldest are forgotten.
+    pub max_executed_ids: usize,
     /// Memory that each HTTP connection may hold of each kind of data without being charged for it, bytes.
     pub free_bytes_per_connection: usize,
     /// Size of the kernel's buffer for each direction of a connection, bytes; `None` for the system's default.
@@ -61,6 +66,7 @@
             max_accepted_request_bytes: 1 << 30,
             max_unread_response_bytes: 64 << 20,
             max_list_bytes: 16 << 20,
+            max_executed_ids: 1 << 20,
             free_bytes_per_connection: 0,
             socket_buffer_bytes: None,
         }
@@ -95,6 +101,7 @@
             max_accepted_request_bytes: self.memory_bytes / 16,
             max_unread_response_bytes: self.memory_bytes / 12,
             max_list_bytes: self.memory_bytes / 20,
+            max_executed_ids: self.memory_bytes / 20 / EXECUTED_ID_BYTES,
             free_bytes_per_connection: FREE_BYTES_PER_CONNECTION,
             socket_buffer_bytes: Some(
                 socket_buffer_bytes.clamp(MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES),
--- a/crates/flaxstand-gateway/tests/client_input.rs
+++ b/crates/flaxstand-gateway/tests/client_input.rs
@@ -54,8 +54,9 @@
     }
 }
 
+/// An id may come again after a refusal, which has run nowhere, and not after its request has run.
 #[test]
-fn a_request_id_in_flight_is_refused_and_reusable_after_its_answer() {
+fn a_request_id_in_flight_or_executed_is_refused_and_reusable_after_a_refusal() {
     let mut w = platform_world();
     let (client, link) = w.request_in_flight("r1", "once");
     let other = w.http_client();
@@ -67,6 +68,13 @@
     w.send_bytes(other, request_text("r1", "once").as_bytes());
     w.run(5);
     assert_eq!(w.statuses(client), [200]);
+    assert_eq!(w.statuses(other), [409, 409], "the id has run");
+    assert_eq!(w.core.pending_requests(), 0);
+    w.send_bytes(other, request_text("r2", "once").replace("shard=0", "shard=77").as_bytes());
+    w.run(2500);
+    assert_eq!(w.statuses(other), [409, 409, 503], "no node has the shard");
+    w.send_bytes(other, request_text("r2", "once").as_bytes());
+    w.run(5);
     assert_eq!(w.core.pending_requests(), 1, "the id is accepted again");
 }
 
