The kernel's buffers and what is read ahead are bounded by the memory limit

What callers saw: 480 clients that sent behind an unanswered request brought a process with 32 MB to 26 to 94 MB.

Cause: sockets had the system's buffers, which grow to megabytes each, and the reader of a client read 72 KiB ahead. While a buffer held requests its vector was shrunk and grown again with each of them: with the small kernel buffers of this change alone resident memory rose to 126 MB with 1.7 MB in use, torn into pieces.

Change: SO_RCVBUF and SO_SNDBUF of each connection are a quarter of memory_mb over all connections and directions, 6 to 256 KiB; 512 connections wait in the backlog at most. Behind a request that is unanswered or waits for its turn 8 KiB are read. A reader gives memory back only once it is empty.

--- a/crates/flaxstand-cli/src/platform.rs
+++ b/crates/flaxstand-cli/src/platform.rs
@@ -146,7 +146,8 @@
     let mut core = Core::new(config(&configuration)?, None, clock())?;
     core.set_memory_bounds(process_limits(configuration.limits).memory_bounds());
     core.apply_platform_listing(ListScope::Cached, &configuration.cached_list, clock());
-    let options = Options { reload: Some(reload(path)), ..Options::default() };
+    let socket_buffer_bytes = process_limits(configuration.limits).memory_bounds().socket_buffer_bytes;
+    let options = Options { reload: Some(reload(path)), socket_buffer_bytes, ..Options::default() };
     let mut driver = Driver::new(core, options).map_err(CommandError::io("cannot start the driver"))?;
     let listen = Address::Tcp(configuration.listen);
     let bound = driver.listen(&listen).map_err(CommandError::io(format!("cannot listen at {listen}")))?;
--- a/crates/flaxstand-gateway/src/core/http_connection.rs
+++ b/crates/flaxstand-gateway/src/core/http_connection.rs
@@ -60,6 +60,8 @@
     pub(super) queued_at: Micros,
     /// Time under which the connection is queued among those with an unread response, if it is.
     pub(super) unread_since: Option<Micros>,
+    /// The next request that the client has already sent is processed in the next turn.
+    pub(super) has_next_request: bool,
     /// Whether the driver was last told to read the connection.
     pub(super) is_read: bool,
     /// Time of the pending check for progress, if there is one.
@@ -89,6 +91,7 @@
             since: now,
             queued_at: now,
             unread_since: None,
+            has_next_request: false,
             is_read: true,
             stall_check_at: None,
             requests: 0,
@@ -146,10 +149,12 @@
     }
 
     /// Returns whether more input can be accepted. Input beyond a full buffer stays with the peer, and while a request
-    /// is unanswered (`is_busy`) all beyond a little read-ahead.
+    /// is unanswered (`is_busy`) or waits for its turn, all beyond a little read-ahead.
     pub(super) fn wants_read(&self, is_busy: bool) -> bool {
         match self.phase {
-            ConnectionPhase::Open if is_busy => self.reader.len() < MAX_READ_AHEAD_BYTES,
+            ConnectionPhase::Open if is_busy || self.has_next_request => {
+                self.reader.len() < MAX_READ_AHEAD_BYTES
+            }
             ConnectionPhase::Open => !self.reader.is_full(),
             ConnectionPhase::Closing(left) => left > 0,
             ConnectionPhase::Lingering(_) => true,
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -104,9 +104,9 @@
     /// Schedules the next request that a client has already sent for the next turn: what others have sent by then,
     /// and the end of this client, come first.
     fn schedule_next_request(&mut self, conn: ConnId, now: Micros) {
-        if self.http(conn).is_some_and(|http| http.has_partial_request()) {
-            self.timers.set(now.after(Micros(1)), Timer::NextRequest(conn));
-        }
+        let Some(http) = self.http(conn).filter(|http| http.has_partial_request()) else { return };
+        http.has_next_request = true;
+        self.timers.set(now.after(Micros(1)), Timer::NextRequest(conn));
     }
 
     /// Processes the next request that a client has already sent.
@@ -138,6 +138,7 @@
         if http.phase() != ConnectionPhase::Open || !is_answered || !http.has_partial_request() {
             return;
         }
+        http.has_next_request = false;
         let taken = http.take_request(now);
         self.connections.update_charge(conn);
         match taken {
--- a/crates/flaxstand-gateway/src/driver/listener.rs
+++ b/crates/flaxstand-gateway/src/driver/listener.rs
@@ -1,6 +1,6 @@
 //! Listening sockets: TCP, or Unix sockets, whose file is removed when the listener is dropped.
 
-use super::timestamps;
+use super::{socket_buffers, timestamps};
 use crate::machine::Address;
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::Errno;
@@ -12,6 +12,8 @@
 
 /// Maximum number of pending connections that the system queues.
 const BACKLOG: i32 = 4096;
+/// The same where memory is limited: pending connections hold what their peers send.
+const LIMITED_BACKLOG: i32 = 512;
 
 /// A listening socket.
 pub(super) enum Listener {
@@ -21,16 +23,23 @@
 
 impl Listener {
     /// Binds and listens. Returns the bound address; for port 0 it contains the port chosen by the system.
-    pub(super) fn bind(address: &Address) -> io::Result<(Listener, Address)> {
+    ///
+    /// `socket_buffer_bytes`: the size of the kernel's buffers of accepted TCP connections.
+    pub(super) fn bind(
+        address: &Address,
+        socket_buffer_bytes: Option<usize>,
+    ) -> io::Result<(Listener, Address)> {
         match address {
-            Address::Tcp(address) => Self::bind_tcp(*address),
+            Address::Tcp(address) => Self::bind_tcp(*address, socket_buffer_bytes),
             Address::Unix(path) => Ok((Self::bind_unix(path)?, address.clone())),
         }
     }
 
-    fn bind_tcp(address: SocketAddr) -> io::Result<(Listener, Address)> {
+    fn bind_tcp(address: SocketAddr, socket_buffer_bytes: Option<usize>) -> io::Result<(Listener, Address)> {
         let listener = TcpListener::bind(address)?;
-        net::listen(&listener, BACKLOG)?;
+        socket_buffers::limit(&listener, socket_buffer_bytes);
+        let backlog = if socket_buffer_bytes.is_some() { LIMITED_BACKLOG } else { BACKLOG };
+        net::listen(&listener, backlog)?;
         listener.set_nonblocking(true)?;
         let bound = Address::Tcp(listener.local_addr()?);
         Ok((Listener::Tcp(listener), bound))
--- a/crates/flaxstand-gateway/src/driver/mod.rs
+++ b/crates/flaxstand-gateway/src/driver/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! - `accepting`, `listener`: incoming connections
 //! - `socket`: reads and writes of all connections
+//! - `socket_buffers`: sizes of the kernel's buffers
 //! - `timestamps`: when received bytes arrived
 //! - `commands`: execution of the machine's commands
 //! - `storage_thread`, `state_files`: storage of batches and files
@@ -20,6 +21,7 @@
 mod listener;
 mod signals;
 mod socket;
+mod socket_buffers;
 mod state_files;
 mod storage_thread;
 mod timestamps;
@@ -77,6 +79,8 @@
     pub consensus_log: Option<Box<dyn Storage>>,
     /// File that `SaveReplicatedState` replaces.
     pub replicated_state: Option<PathBuf>,
+    /// Size of the kernel's buffer for each direction of a TCP connection, bytes; `None` for the system's default.
+    pub socket_buffer_bytes: Option<usize>,
     /// Called on SIGHUP; the reloaded settings are passed to the machine.
     pub reload: Option<Reload>,
 }
@@ -140,7 +144,7 @@
     /// # Errors
     /// The address is in use or not available.
     pub fn listen(&mut self, address: &Address) -> io::Result<Address> {
-        let (listener, bound) = Listener::bind(address)?;
+        let (listener, bound) = Listener::bind(address, self.options.socket_buffer_bytes)?;
         let source = EventSource::Listener(self.listeners.len());
         epoll::add(&self.epoll, listener.fd(), source.data(), epoll::EventFlags::IN)?;
         self.listeners.push(listener);
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -2,7 +2,7 @@
 
 use super::event_source::EventSource;
 use super::timestamps::{self, Received};
-use super::{Driver, clock};
+use super::{Driver, clock, socket_buffers};
 use crate::machine::{Address, ConnId, Machine};
 use rustix::event::{PollFd, PollFlags, Timespec, epoll, poll};
 use rustix::fd::OwnedFd;
@@ -79,13 +79,14 @@
 }
 
 /// Starts a non-blocking connect.
-fn start_connect(address: &Address) -> Result<OwnedFd, Errno> {
+fn start_connect(address: &Address, socket_buffer_bytes: Option<usize>) -> Result<OwnedFd, Errno> {
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
     let (fd, started) = match address {
         Address::Tcp(at) => {
             let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
             let fd = net::socket_with(family, SocketType::STREAM, flags, None)?;
             sockopt::set_tcp_nodelay(&fd, true)?;
+            socket_buffers::limit(&fd, socket_buffer_bytes);
             let started = net::connect(&fd, at);
             (fd, started)
         }
@@ -132,7 +133,7 @@
 
 impl<M: Machine> Driver<M> {
     pub(super) fn connect(&mut self, conn: ConnId, address: &Address) {
-        let opened = start_connect(address).and_then(|fd| {
+        let opened = start_connect(address, self.options.socket_buffer_bytes).and_then(|fd| {
             let interest = epoll::EventFlags::OUT;
             epoll::add(&self.epoll, &fd, EventSource::Connection(conn).data(), interest)?;
             Ok(Socket::connecting(fd, interest))
--- a/crates/flaxstand-http/src/request_reader.rs
+++ b/crates/flaxstand-http/src/request_reader.rs
@@ -83,7 +83,9 @@
         }
         let request = self.pending.take().map(|pending| pending.with_body(&self.bytes));
         self.bytes.drain(..end);
-        self.bytes.shrink_to(MAX_RETAINED_BYTES);
+        if self.bytes.is_empty() {
+            self.bytes.shrink_to(MAX_RETAINED_BYTES);
+        }
         Ok(request)
     }
 }
