An evicted connection is closed before the next one is accepted

Cause: up to 64 connections were accepted in a turn, each with one evicted for it, and the evicted ones were closed at the end of the turn: with all client connections in use up to 64 descriptors more than the bounds allow were open, beyond limits.sockets. The test of descriptors samples them every 10 ms and did not see it.

Change: commands are executed after each accepted connection, unless the turn has taken so long that the machine has to be settled first; then accepting goes on in the next turn.

Result: found by reading. a_crowd_of_connections_stays_within_the_descriptors passes before and after; driver and race tests pass.

--- a/crates/flaxstand-gateway/src/driver/accepting.rs
+++ b/crates/flaxstand-gateway/src/driver/accepting.rs
@@ -62,12 +62,14 @@
     pub(super) count: usize,
     /// Connections that the machine took.
     pub(super) conns: Vec<ConnId>,
+    /// Accepting ended before its limit, since the turn has taken too long.
+    is_cut_short: bool,
 }
 
 impl Accepted {
     /// Returns whether more connections may be pending.
     pub(super) fn is_limited(&self) -> bool {
-        self.count == MAX_ACCEPTS_PER_TURN
+        self.is_cut_short || self.count == MAX_ACCEPTS_PER_TURN
     }
 }
 
@@ -93,6 +95,12 @@
                 Ok(fd) => {
                     accepted.count += 1;
                     accepted.conns.extend(self.register_accepted(fd, index));
+                    // The connection that was evicted for this one is closed before the next one is accepted, so that
+                    // both together never take more descriptors than there are.
+                    if !self.execute_pending() {
+                        accepted.is_cut_short = true;
+                        break;
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) => {
--- a/crates/flaxstand-gateway/src/driver/mod.rs
+++ b/crates/flaxstand-gateway/src/driver/mod.rs
@@ -217,6 +217,18 @@
         }
     }
 
+    /// Executes the commands that the machine has queued so far in this turn. Returns false if the turn has taken so
+    /// long that the machine has to be settled first.
+    fn execute_pending(&mut self) -> bool {
+        if clock().since(self.now) > LONG_TURN {
+            return false;
+        }
+        for command in self.machine.take_commands() {
+            self.execute(command);
+        }
+        true
+    }
+
     /// Reports the end of a connection whose machine wants to know of it before anything else: what other events
     /// of this turn bring about must not be begun for a peer that has gone.
     fn handle_departure(&mut self, source: EventSource, flags: epoll::EventFlags) {
