Volumes, unserved items and arrivals of the past are bounded in the module

What callers saw: while a client used ever new names, memory grew without end (2.8 to 6.0 MB in 2.5 s), and each evaluation looked at every name ever used.

Cause: the module kept the quota of each volume for ever, refilled all of them in each evaluation, and recorded every unserved item and every arrival of the budget's span; the core kept a second set of all volumes, up to a million, and then refused new ones for good.

Change: beyond 4,096 volumes, those without a request whose quota is as a new volume's would be are removed; at most 4,096 unserved items and 32,768 arrivals are kept, the budget counts them by a search. The core asks the module which volumes it tracks, and keeps no set of its own; its bound is 1/48 of memory_mb (7,281 at 32 MB) and is left again once volumes rest.

--- a/crates/flaxstand-cli/tests/peer_limits/initiator.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/initiator.rs
@@ -128,7 +128,6 @@
         let memory_kib = sampled_kib.max(peak_resident_kib(self.process.id()));
         let limit_kib = self.deployment.memory_mb * 1024;
         let descriptors = self.peaks.descriptors.load(Ordering::Relaxed);
-        println!("{}", self.log());
         println!("peak memory {memory_kib} KiB of {limit_kib}, peak descriptors {descriptors}");
         assert!(memory_kib <= limit_kib, "{memory_kib} KiB used, the limit is {limit_kib} KiB");
         assert!(descriptors <= self.deployment.sockets, "{descriptors} descriptors");
--- a/crates/flaxstand-gateway/src/core/buffered_requests.rs
+++ b/crates/flaxstand-gateway/src/core/buffered_requests.rs
@@ -11,7 +11,7 @@
 use super::write_back::{OrderingRequest, WriteBackCoordinator};
 use super::write_back_status::status_json;
 use crate::machine::{Command, ConnId, Micros};
-use flaxstand::api::{Event, RequestId, VolumeId};
+use flaxstand::api::{Event, RequestId};
 use flaxstand_proto::{Frame, Refusal, Scope, Submit};
 use flaxstand_write_back::merge::MAX_EXTENT_BYTES;
 use flaxstand_write_back::writeout::Urgency;
@@ -205,7 +205,6 @@
         let class = write_back.start_write_out(id, request_id, write.class, urgency);
         let deadline = Micros::from_ms(self.module_classes[class].deadline);
         let expires_at = until.map_or(now.after(deadline), |until| now.after(deadline).min(until));
-        self.requests.add_volume(VolumeId(write.extent_id.volume));
         let operation = write.operation;
         debug!(request = request_id.0, attempt = id.0, level = ?urgency, operation, "write-out started");
         let request = PendingRequest::write_out(id, write, expires_at);
--- a/crates/flaxstand-gateway/src/core/clients.rs
+++ b/crates/flaxstand-gateway/src/core/clients.rs
@@ -202,7 +202,6 @@
             self.reject_at_bound(conn, client_id, bound, now);
             return Ok(None);
         }
-        volume.into_iter().for_each(|volume| self.requests.add_volume(volume));
         let id = self.requests.next_id();
         if let Some(Connection { peer: Peer::Client(client), .. }) = self.connections.get_mut(conn) {
             client.unanswered.insert(client_id, id);
@@ -221,14 +220,14 @@
         bytes: usize,
     ) -> Option<ExceededBound> {
         let bounds = &self.config.bounds;
-        let is_new_volume = volume.is_some_and(|v| !self.requests.knows_volume(v));
+        let is_new_volume = volume.is_some_and(|v| !self.policy.tracks_volume(v));
         let (refusal, scope) = if matches!(self.shutdown.phase(), Phase::Stopping | Phase::Stopped) {
             (Refusal::Stopping, Scope::All)
         } else if self.requests.len() >= bounds.max_requests {
             (Refusal::Held, Scope::All)
         } else if client.unanswered.len() >= bounds.max_requests_per_client {
             (Refusal::Client, Scope::All)
-        } else if is_new_volume && self.requests.volumes() >= bounds.max_volumes {
+        } else if is_new_volume && self.policy.tracked_volumes() >= bounds.max_volumes {
             (Refusal::Held, Scope::Volume)
         } else if !self.has_request_memory(bytes) {
             (Refusal::Held, Scope::Request)
--- a/crates/flaxstand-gateway/src/core/config.rs
+++ b/crates/flaxstand-gateway/src/core/config.rs
@@ -65,7 +65,8 @@
     /// Endpoints: on the frame protocol those ever listed since the process started, on the platform those
     /// listed or recently removed. Further ones are ignored with a warning.
     pub max_endpoints: usize,
-    /// Volumes used since the process started. Requests for further ones are rejected.
+    /// Volumes that have requests, or whose quotas are not as those of new ones. Requests for further ones are
+    /// rejected.
     pub max_volumes: usize,
     /// Rate and burst of client connections. Further ones get a Retry-After and are closed.
     pub connection_rate: ConnectionRateLimit,
--- a/crates/flaxstand-gateway/src/core/decision_policy.rs
+++ b/crates/flaxstand-gateway/src/core/decision_policy.rs
@@ -5,7 +5,7 @@
 use super::write_out_classes::with_write_out_classes;
 use super::{Config, Policy};
 use crate::machine::Micros;
-use flaxstand::api::{Action, Event, Settings};
+use flaxstand::api::{Action, Event, Settings, VolumeId};
 use flaxstand::scheduler::Scheduler;
 
 /// The decision module or a baseline.
@@ -37,6 +37,22 @@
         }
     }
 
+    /// Returns whether another request of this volume adds no state that outlives the request.
+    pub(super) fn tracks_volume(&self, volume: VolumeId) -> bool {
+        match self {
+            DecisionPolicy::Scheduler(scheduler) => scheduler.tracks_volume(volume),
+            DecisionPolicy::Baseline(_) => true,
+        }
+    }
+
+    /// Returns the number of volumes with state.
+    pub(super) fn tracked_volumes(&self) -> usize {
+        match self {
+            DecisionPolicy::Scheduler(scheduler) => scheduler.tracked_volumes(),
+            DecisionPolicy::Baseline(_) => 0,
+        }
+    }
+
     /// Returns the time in ms until which requests may be sent according to the current endpoint list. For
     /// baselines it never expires.
     pub(super) fn endpoints_trusted_until(&self) -> f64 {
--- a/crates/flaxstand-gateway/src/core/metrics.rs
+++ b/crates/flaxstand-gateway/src/core/metrics.rs
@@ -53,6 +53,8 @@
     pub client_request_ids: usize,
     /// Client request ids that may have been executed and are remembered.
     pub executed_ids: usize,
+    /// Volumes whose quotas are kept.
+    pub volumes: usize,
     /// Nodes.
     pub nodes: usize,
     /// Pending timers.
--- a/crates/flaxstand-gateway/src/core/mod.rs
+++ b/crates/flaxstand-gateway/src/core/mod.rs
@@ -234,6 +234,7 @@
             requests: self.requests.len(),
             client_request_ids: self.requests.client_ids(),
             executed_ids: self.requests.executed_ids(),
+            volumes: self.policy.tracked_volumes(),
             nodes: self.nodes.len(),
             timers: self.timers.len(),
             partial_bytes: memory.incomplete_requests + memory.incomplete_responses,
--- a/crates/flaxstand-gateway/src/core/request_table.rs
+++ b/crates/flaxstand-gateway/src/core/request_table.rs
@@ -3,7 +3,7 @@
 use super::executed_ids::ExecutedIds;
 use super::pending_request::{AttemptId, HandOver, InFlightAttempt, PendingRequest};
 use crate::machine::ConnId;
-use flaxstand::api::{RequestId, VolumeId};
+use flaxstand::api::RequestId;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// All requests, from their arrival until they are answered and have no attempt in flight.
@@ -18,8 +18,6 @@
     max_executed_ids: usize,
     /// Memory of the client's data of all requests, bytes.
     memory_bytes: usize,
-    /// Volumes referred to by requests since the start.
-    volumes: BTreeSet<VolumeId>,
 }
 
 impl RequestTable {
@@ -143,19 +141,4 @@
     pub(super) fn client_ids(&self) -> usize {
         self.client_ids.len()
     }
-
-    /// Returns whether an earlier request referred to this volume.
-    pub(super) fn knows_volume(&self, volume: VolumeId) -> bool {
-        self.volumes.contains(&volume)
-    }
-
-    /// Returns the number of volumes referred to by requests.
-    pub(super) fn volumes(&self) -> usize {
-        self.volumes.len()
-    }
-
-    /// Adds a volume that a request refers to.
-    pub(super) fn add_volume(&mut self, volume: VolumeId) {
-        self.volumes.insert(volume);
-    }
 }
--- a/crates/flaxstand-gateway/src/core/resource_bounds.rs
+++ b/crates/flaxstand-gateway/src/core/resource_bounds.rs
@@ -8,10 +8,11 @@
 //! | incomplete requests of clients | 1/20 |
 //! | accepted requests, and their copies that are being sent | 1/16 each |
 //! | incomplete responses of nodes | 1/12 |
-//! | responses that clients have not read | 1/12 |
+//! | responses that clients have not read | 1/14 |
 //! | a response of the discovery service while it is read | 1/20 |
 //! | endpoints | 1/10, at [`ENDPOINT_BYTES`] each |
-//! | ids of executed requests | 1/20, at [`EXECUTED_ID_BYTES`] each |
+//! | ids of executed requests | 1/24, at [`EXECUTED_ID_BYTES`] each |
+//! | volumes | 1/48, at [`VOLUME_BYTES`] each |
 //! | buffers of the kernel, and what each connection may hold without being charged | 1/4 |
 //!
 //! The rest is for the program itself.
@@ -27,6 +28,8 @@
 const FREE_BYTES_PER_CONNECTION: usize = 1024;
 /// Memory of a listed endpoint, in the endpoint table and in the decision module.
 const ENDPOINT_BYTES: usize = 1024;
+/// Memory of a volume's quota in the decision module.
+const VOLUME_BYTES: usize = 96;
 /// Memory of the id of an executed request, with the free places of its table.
 const EXECUTED_ID_BYTES: usize = 18;
 /// Smallest buffer of the kernel for one direction of a connection.
@@ -89,6 +92,7 @@
             max_node_connections: connections - max_clients,
             max_partial_request_bytes: self.memory_bytes / 20,
             max_response_bytes: self.memory_bytes / 12,
+            max_volumes: self.memory_bytes / 48 / VOLUME_BYTES,
             max_endpoints: (self.memory_bytes / 10 / ENDPOINT_BYTES).min(flaxstand_proto::MAX_LIST_ENTRIES),
             ..Bounds::default()
         }
@@ -99,9 +103,9 @@
         let socket_buffer_bytes = self.memory_bytes / 4 / (2 * self.connections().max(1));
         MemoryBounds {
             max_accepted_request_bytes: self.memory_bytes / 16,
-            max_unread_response_bytes: self.memory_bytes / 12,
+            max_unread_response_bytes: self.memory_bytes / 14,
             max_list_bytes: self.memory_bytes / 20,
-            max_executed_ids: self.memory_bytes / 20 / EXECUTED_ID_BYTES,
+            max_executed_ids: self.memory_bytes / 24 / EXECUTED_ID_BYTES,
             free_bytes_per_connection: FREE_BYTES_PER_CONNECTION,
             socket_buffer_bytes: Some(
                 socket_buffer_bytes.clamp(MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES),
--- a/crates/flaxstand-gateway/tests/resource_bounds.rs
+++ b/crates/flaxstand-gateway/tests/resource_bounds.rs
@@ -29,6 +29,7 @@
             m.max_unread_response_bytes,
             m.max_list_bytes,
             m.max_executed_ids * 18,
+            b.max_volumes * 96,
             b.max_endpoints * 1024,
             // Input and output of each connection, and the content of each client's request.
             (2 * connections + b.max_clients) * m.free_bytes_per_connection,
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,6 +10,11 @@
 /// Rates are per second, times are in milliseconds.
 const MILLIS_PER_SECOND: Millis = 1000.0;
 
+/// Recent units beyond the reserve that no longer weigh on a decision.
+const NEGLIGIBLE_UNITS: f64 = 0.01;
+/// Number of volumes up to which all quotas are kept.
+const MAX_IDLE_VOLUMES: usize = 4096;
+
 /// The quota of one volume at this initiator.
 pub(crate) struct VolumeQuota {
     pub(crate) plan: PlanId,
@@ -47,6 +52,18 @@
         self.refilled_at = now;
     }
 
+    /// Returns whether it is as that of a new volume would be now: reserve and tokens are as full, and
+    /// nothing was sent beyond the reserve recently.
+    fn is_as_new(&self, settings: &Settings, started_at: Millis, now: Millis) -> bool {
+        if self.recent_over_reserve.get(now) > NEGLIGIBLE_UNITS {
+            return false;
+        }
+        let mut new = VolumeQuota::new(self.plan, settings, started_at);
+        new.initiators = self.initiators;
+        new.refill(settings, now);
+        self.reserve >= new.reserve && self.limit_tokens >= new.limit_tokens
+    }
+
     /// Returns the tokens in the bucket at `at`, units, if nothing is sent until then.
     fn tokens_at(&self, settings: &Settings, at: Millis) -> f64 {
         let plan = &settings.plans[self.plan.0];
@@ -89,8 +106,8 @@
     }
 }
 
-/// The quotas of all volumes. A quota is created when the first request of a volume arrives, and is never
-/// removed.
+/// The quotas of volumes. A quota is created when the first request of a volume arrives. With many volumes,
+/// those without a request whose quota is as that of a new volume are removed.
 #[derive(Default)]
 pub(crate) struct VolumeQuotas(BTreeMap<VolumeId, VolumeQuota>);
 
@@ -103,9 +120,21 @@
         quota.initiators = quota.initiators.max(f64::from(arrival.volume_initiators));
     }
 
-    /// Returns the quota of a volume. A request of this volume must have been registered.
+    /// Returns the quota of a volume. A request of this volume must have been registered and be unfinished.
     pub(crate) fn get(&self, volume: VolumeId) -> &VolumeQuota {
-        self.0.get(&volume).expect("volume is registered when its first request arrives and is never removed")
+        self.0
+            .get(&volume)
+            .expect("volume is registered when its first request arrives and kept with its last")
+    }
+
+    /// Returns whether a volume has a quota.
+    pub(crate) fn contains(&self, volume: VolumeId) -> bool {
+        self.0.contains_key(&volume)
+    }
+
+    /// Returns the number of volumes with a quota.
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
     }
 
     /// Consumes the units of a request when its first attempt is sent.
@@ -115,7 +144,19 @@
         }
     }
 
-    pub(crate) fn refill(&mut self, settings: &Settings, now: Millis) {
+    /// Refills all quotas. Beyond [`MAX_IDLE_VOLUMES`], removes those that are as the quotas of new volumes.
+    /// `has_request` returns whether a volume has an unfinished request.
+    pub(crate) fn refill(
+        &mut self,
+        has_request: impl Fn(VolumeId) -> bool,
+        settings: &Settings,
+        started_at: Millis,
+        now: Millis,
+    ) {
         self.0.values_mut().for_each(|quota| quota.refill(settings, now));
+        if self.0.len() > MAX_IDLE_VOLUMES {
+            self.0
+                .retain(|volume, quota| has_request(*volume) || !quota.is_as_new(settings, started_at, now));
+        }
     }
 }
--- a/src/request_table.rs
+++ b/src/request_table.rs
@@ -1,6 +1,8 @@
 //! All requests without a final response, or with attempts in flight. Requests end only here.
 
-use crate::api::{Action, Arrival, AttemptEnd, Class, Millis, NodeId, Outcome, RequestId, Settings};
+use crate::api::{
+    Action, Arrival, AttemptEnd, Class, Millis, NodeId, Outcome, RequestId, Settings, VolumeId,
+};
 use crate::deadlines::{deadlines_of, final_response, is_due_after_attempt};
 use crate::key_order::KeyOrder;
 use crate::request::{Attempt, Execution, Request};
@@ -11,6 +13,8 @@
 #[derive(Default)]
 pub(crate) struct RequestTable {
     requests: BTreeMap<RequestId, Request>,
+    /// Number of requests by volume.
+    volumes: BTreeMap<VolumeId, usize>,
     key_order: KeyOrder,
     unserved_items: UnservedItems,
 }
@@ -21,6 +25,11 @@
         self.requests.get(&id)
     }
 
+    /// Returns whether a volume has a request.
+    pub(crate) fn has_volume(&self, volume: VolumeId) -> bool {
+        self.volumes.contains_key(&volume)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
@@ -60,6 +69,7 @@
         let is_client_retry =
             arrival.key.is_some_and(|key| self.unserved_items.take_retry(arrival.volume, key, now));
         let deadlines = deadlines_of(&arrival, class, service_time, now);
+        *self.volumes.entry(arrival.volume).or_default() += 1;
         self.requests.insert(arrival.id, Request::new(arrival, deadlines, is_client_retry));
     }
 
@@ -159,7 +169,14 @@
         if let (true, Some(key)) = (in_order, request.arrival.key) {
             self.key_order.remove(key, id);
         }
+        let volume = request.arrival.volume;
         self.requests.remove(&id);
+        if let Some(count) = self.volumes.get_mut(&volume) {
+            *count -= 1;
+            if *count == 0 {
+                self.volumes.remove(&volume);
+            }
+        }
     }
 
     /// Removes expired keys and items.
--- a/src/retries.rs
+++ b/src/retries.rs
@@ -9,6 +9,10 @@
 
 /// Time after its deadline within which a client with an unserved request is expected to retry, ms.
 const CLIENT_RETRY_TIMEOUT: Millis = 2000.0;
+/// Maximum number of items with an unserved request that are kept.
+const MAX_UNSERVED_ITEMS: usize = 4096;
+/// Maximum number of arrivals that count towards the retry budget.
+const MAX_COUNTED_ARRIVALS: usize = 32_768;
 
 /// Returns the time until which the first byte of another attempt may be written: the client is waiting and
 /// nodes deduplicate. A margin of one tick is subtracted from the end of the deduplication window.
@@ -70,7 +74,11 @@
 }
 
 impl RetryWindow {
+    /// Records an arrival. At most [`MAX_COUNTED_ARRIVALS`] are counted, which allows fewer retries.
     pub(crate) fn record_arrival(&mut self, now: Millis) {
+        if self.arrivals.len() >= MAX_COUNTED_ARRIVALS {
+            self.arrivals.pop_front();
+        }
         self.arrivals.push_back(now);
     }
 
@@ -87,8 +95,8 @@
     /// side.
     pub(crate) fn allows_retry(&self, budget: Option<RetryBudget>, tick: Millis, now: Millis) -> bool {
         let Some(budget) = budget else { return true };
-        let within = self.arrivals.iter().filter(|at| now - **at < budget.span - tick);
-        let arrivals = within.count() as f64;
+        let outside = self.arrivals.partition_point(|at| now - *at >= budget.span - tick);
+        let arrivals = (self.arrivals.len() - outside) as f64;
         let within = self.retries.iter().filter(|retry| now - retry.at <= budget.span + tick);
         let retries = within.count() as f64;
         retries + 1.0 <= budget.floor + budget.ratio * arrivals
@@ -108,8 +116,12 @@
 pub(crate) struct UnservedItems(BTreeMap<(VolumeId, Key), Millis>);
 
 impl UnservedItems {
+    /// Records an unserved request. At most [`MAX_UNSERVED_ITEMS`] are kept; a retry for a further one counts
+    /// as a first request.
     pub(crate) fn record(&mut self, volume: VolumeId, key: Key, expires_at: Millis) {
-        self.0.insert((volume, key), expires_at);
+        if self.0.len() < MAX_UNSERVED_ITEMS || self.0.contains_key(&(volume, key)) {
+            self.0.insert((volume, key), expires_at);
+        }
     }
 
     /// Returns whether a request for this item is a retry by a client. Only the first such request is.
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -6,6 +6,7 @@
 use crate::admission::VolumeQuotas;
 use crate::api::{
     Action, Arrival, AttemptEnd, Event, ListScope, Millis, NodeEntry, NodeId, Outcome, RequestId, Settings,
+    VolumeId,
 };
 use crate::deadlines::ExpiryInputs;
 use crate::dispatch::Dispatch;
@@ -82,6 +83,16 @@
         self.endpoint_freshness.trusted_until()
     }
 
+    /// Returns whether the quota of a volume is kept: it has a request, or differs from a new volume.
+    pub fn tracks_volume(&self, volume: VolumeId) -> bool {
+        self.quotas.contains(volume)
+    }
+
+    /// Returns the number of volumes whose quotas are kept.
+    pub fn tracked_volumes(&self) -> usize {
+        self.quotas.len()
+    }
+
     /// Returns the number of node visits since the start, by look-up or iteration. A measure of work for
     /// tests.
     pub fn nodes_visited(&self) -> u64 {
@@ -146,7 +157,8 @@
             actions.push(Action::PollList);
         }
         self.refresh_estimates(now);
-        self.quotas.refill(&self.settings, now);
+        let has_request = |volume| self.requests.has_volume(volume);
+        self.quotas.refill(has_request, &self.settings, self.fleet.started_at, now);
         self.requests.prune(now);
         self.end_expired_requests(now, actions);
         self.place_requests(now);
