Lists of the discovery service are bounded in length, entries and texts

What callers saw: one long list brought a process with 32 MB to 37 MB (names of 100 kB) or 96 MB (very many entries).

Cause: a response might have 16 MiB and 32,768 nodes whatever memory_mb says, every entry was kept while the list was read, and a name might be as long as the list. Each node beyond the bound was logged.

Entries beyond count as unreadable without a name, so that a list of changes is followed by a whole one. On the platform 16 left-out nodes are logged, then their number.

--- a/crates/flaxstand-cli/tests/peer_limits/memory.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/memory.rs
@@ -277,6 +277,13 @@
     list + "]}"
 }
 
+/// Lengths of lists: beyond any bound, and just within that of the length.
+const LIST_BYTES: [usize; 2] = [15 << 20, 1_600_000];
+
+fn play_lists(entry: impl Fn(usize) -> String) {
+    LIST_BYTES.into_iter().for_each(|max_bytes| play_list(&entry, max_bytes));
+}
+
 fn play_list(entry: impl Fn(usize) -> String, max_bytes: usize) {
     let scene = Scene::start(Deployment::default(), 1, Behaviour::QUICK);
     let listener = std::net::TcpListener::bind(scene.initiator.discovery_address()).unwrap();
@@ -290,26 +297,25 @@
 #[test]
 fn a_list_of_very_many_short_entries_stays_within_the_memory_limit() {
     let address = LoopbackHost::claim().port(9000);
-    play_list(|number| format!(r#"{{"uid":"x{number}","endpoint":"{address}","state":"up"}}"#), 15 << 20);
+    play_lists(|number| {
+        format!(r#"{{"uid":"x{number}","endpoint":"{address}","pod_group":999,"state":"up"}}"#)
+    });
 }
 
 #[test]
 fn a_list_with_very_long_names_stays_within_the_memory_limit() {
     let address = LoopbackHost::claim().port(9000);
     let long = "n".repeat(100_000);
-    play_list(
-        |number| {
-            format!(
-                r#"{{"uid":"{long}{number}","endpoint":"{address}","az":"{long}","pod_group":999,"state":"up"}}"#
-            )
-        },
-        15 << 20,
-    );
+    play_lists(|number| {
+        format!(
+            r#"{{"uid":"{long}{number}","endpoint":"{address}","az":"{long}","pod_group":999,"state":"up"}}"#
+        )
+    });
 }
 
 #[test]
 fn a_list_of_unreadable_entries_stays_within_the_memory_limit() {
-    play_list(|number| format!(r#"{{"uid":"u{number}"}}"#), 15 << 20);
+    play_lists(|number| format!(r#"{{"uid":"u{number}"}}"#));
 }
 
 /// Lists of the largest fleet that the pages name have to be taken with the least memory.
--- a/crates/flaxstand-gateway/src/core/discovery/mod.rs
+++ b/crates/flaxstand-gateway/src/core/discovery/mod.rs
@@ -53,6 +53,8 @@
     pub(super) rng: &'a mut Pcg64Mcg,
     /// Configuration of the core.
     pub(super) config: &'a Config,
+    /// Maximum length of a response of the platform's service, bytes.
+    pub(super) max_list_bytes: usize,
     /// Time of the current turn.
     pub(super) now: Micros,
 }
--- a/crates/flaxstand-gateway/src/core/discovery/platform_poll.rs
+++ b/crates/flaxstand-gateway/src/core/discovery/platform_poll.rs
@@ -15,7 +15,7 @@
 use crate::machine::{ConnId, Micros};
 use flaxstand::api::{DiscoveryCall, Event, NotificationTerms};
 use flaxstand_http::{Response, ResponseReader, write_request};
-use flaxstand_platform::{LongPoll, ParsedListing, list_request_target, parse_listing};
+use flaxstand_platform::{LongPoll, ParsedListing, list_request_target, parse_bounded_listing};
 use rand_core::RngCore as _;
 use std::collections::VecDeque;
 use tracing::warn;
@@ -24,8 +24,9 @@
 const MIN_WAIT_FRACTION: f64 = 0.6;
 /// Maximum number of service moves whose times are stored. Beyond it the latest replaces the one before it.
 const MAX_STORED_MOVES: usize = 16;
-/// Maximum size of a response, bytes: 32,768 endpoints of about 500 bytes each.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum number of entries that are read of a list, as a multiple of the endpoints that may be listed. A list of
+/// changes may also remove each of them.
+const MAX_ENTRIES_PER_ENDPOINT: usize = 2;
 
 /// State of the polls: history and the call in flight.
 #[derive(Debug)]
@@ -39,7 +40,7 @@
     connect_deadline: Option<Micros>,
     /// Progress of the response that is arriving.
     progress: Option<ResponseProgress>,
-    /// Reads the responses of the current connection.
+    /// Reads the responses of the current connection; replaced for each connection.
     reader: ResponseReader,
 }
 
@@ -51,7 +52,7 @@
             notified_from: VecDeque::new(),
             connect_deadline: None,
             progress: None,
-            reader: ResponseReader::with_body_limit(MAX_RESPONSE_BYTES),
+            reader: ResponseReader::with_body_limit(0),
         }
     }
 }
@@ -86,7 +87,7 @@
         self.record_call_start(Micros(0), context);
         let deadline = context.now.after(self.response_timeout());
         self.poll.connect_deadline = Some(deadline);
-        self.poll.reader = ResponseReader::with_body_limit(MAX_RESPONSE_BYTES);
+        self.poll.reader = ResponseReader::with_body_limit(context.max_list_bytes);
         deadline
     }
 
@@ -201,7 +202,8 @@
             self.fail_poll(conn, outcome, "status other than 200", context);
             return None;
         }
-        let listing = match parse_listing(&response.body) {
+        let max_entries = context.config.bounds.max_endpoints.saturating_mul(MAX_ENTRIES_PER_ENDPOINT);
+        let listing = match parse_bounded_listing(&response.body, max_entries) {
             Ok(listing) => listing,
             Err(cause) => {
                 warn!(%cause, "malformed endpoint list from discovery; closing the connection");
--- a/crates/flaxstand-gateway/src/core/endpoint_events.rs
+++ b/crates/flaxstand-gateway/src/core/endpoint_events.rs
@@ -24,6 +24,7 @@
             events: &mut self.events,
             rng: &mut self.rng,
             config: &self.config,
+            max_list_bytes: self.memory_bounds.max_list_bytes,
             now,
         };
         (&mut self.discovery, context)
--- a/crates/flaxstand-gateway/src/core/endpoint_table/apply.rs
+++ b/crates/flaxstand-gateway/src/core/endpoint_table/apply.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeSet;
 use tracing::{debug, warn};
 
+/// Maximum number of nodes of the platform beyond the bound that are logged one by one for an update.
+const MAX_LOGGED_LEFT_OUT: usize = 16;
+
 /// The effects of an update.
 #[derive(Debug, Default)]
 pub(in crate::core) struct AppliedUpdate {
@@ -34,6 +37,7 @@
         now: Micros,
     ) -> AppliedUpdate {
         let mut applied = AppliedUpdate::default();
+        self.left_out = 0;
         for entry in update.entries {
             let Some(AppliedEntry { entry, is_moved }) = self.apply_entry(entry, max_endpoints, now) else {
                 continue;
@@ -43,6 +47,9 @@
             }
             applied.entries.push(entry);
         }
+        if self.left_out > MAX_LOGGED_LEFT_OUT {
+            warn!(nodes = self.left_out, bound = max_endpoints, "listed nodes beyond the bound are left out");
+        }
         applied.touched = applied.entries.iter().map(|entry| entry.node).collect();
         if update.scope != ListScope::Changes {
             let mut absent = self.remove_absent(&applied.touched, now);
@@ -136,8 +143,12 @@
         max_endpoints: usize,
     ) -> Option<NodeId> {
         if self.len() >= max_endpoints {
-            // The message is parsed by the measurement of list lags.
-            warn!(node = %entry.name, bound = max_endpoints, "a listed node beyond the bound is left out");
+            self.left_out += 1;
+            let is_named_by_number = matches!(entry.name, EndpointName::Number(_));
+            if is_named_by_number || self.left_out <= MAX_LOGGED_LEFT_OUT {
+                // The message is parsed by the measurement of list lags.
+                warn!(node = %entry.name, bound = max_endpoints, "a listed node beyond the bound is left out");
+            }
             return None;
         }
         Some(self.insert(entry.name.clone(), address.clone()))
--- a/crates/flaxstand-gateway/src/core/endpoint_table/mod.rs
+++ b/crates/flaxstand-gateway/src/core/endpoint_table/mod.rs
@@ -88,6 +88,8 @@
     serving: usize,
     /// Endpoints that are no longer listed, by time of removal.
     removed: BTreeSet<(Micros, NodeId)>,
+    /// Nodes of the last update that were left out, since the table is full.
+    left_out: usize,
     visited: Cell<u64>,
 }
 
--- a/crates/flaxstand-platform/src/discovery.rs
+++ b/crates/flaxstand-platform/src/discovery.rs
@@ -4,7 +4,8 @@
 mod scanner;
 
 pub use listing::{
-    InvalidEntry, ListingError, ListingErrorKind, MAX_REPORTED_ENTRIES, ParsedListing, parse_listing,
+    InvalidEntry, ListingError, ListingErrorKind, MAX_REPORTED_ENTRIES, ParsedListing, parse_bounded_listing,
+    parse_listing,
 };
 
 use serde::Deserialize;
--- a/crates/flaxstand-platform/src/discovery/listing.rs
+++ b/crates/flaxstand-platform/src/discovery/listing.rs
@@ -10,6 +10,9 @@
 /// Maximum length of an error message, bytes; longer ones are truncated.
 const MAX_CAUSE_BYTES: usize = 200;
 
+/// Maximum length of a name, a zone and an address of a target, bytes.
+const MAX_TEXT_BYTES: usize = 255;
+
 /// Bytes between two entries, ignoring white space.
 const ENTRY_BOUNDARY: &[u8] = b"},{";
 
@@ -91,12 +94,20 @@
 /// The text is not a JSON object with `rev`, `all` and an array `targets`, or the boundaries of an entry are
 /// ambiguous.
 pub fn parse_listing(bytes: &[u8]) -> Result<ParsedListing, ListingError> {
+    parse_bounded_listing(bytes, usize::MAX)
+}
+
+/// Parses a list like [`parse_listing`]. Entries after the first `max_entries` count as invalid ones without a `uid`.
+///
+/// # Errors
+/// As for [`parse_listing`].
+pub fn parse_bounded_listing(bytes: &[u8], max_entries: usize) -> Result<ParsedListing, ListingError> {
     let mut scanner = Scanner::new(bytes);
     scanner.expect(b'{', "an object")?;
     let mut envelope = Envelope::default();
     let mut is_closed = scanner.accept(b'}');
     while !is_closed {
-        envelope.read_member(&mut scanner)?;
+        envelope.read_member(&mut scanner, max_entries)?;
         is_closed = scanner.accept(b'}');
         if !is_closed {
             scanner.expect(b',', "a comma or the end of the object")?;
@@ -128,7 +139,7 @@
 
 impl Envelope {
     /// Parses a key and its value. Unknown keys are skipped, as when [`Listing`] is deserialised.
-    fn read_member(&mut self, scanner: &mut Scanner<'_>) -> Result<(), ListingError> {
+    fn read_member(&mut self, scanner: &mut Scanner<'_>, max_entries: usize) -> Result<(), ListingError> {
         let key_span = scanner.string("a key")?;
         let key: String = parse(scanner, key_span)?;
         scanner.expect(b':', "a colon")?;
@@ -139,7 +150,7 @@
             TARGETS if self.entries.is_some() => duplicate(TARGETS),
             REVISION => parse_value(scanner).map(|revision| self.revision = Some(revision)),
             IS_ALL => parse_value(scanner).map(|is_full| self.is_full = Some(is_full)),
-            TARGETS => Entries::read(scanner).map(|entries| self.entries = Some(entries)),
+            TARGETS => Entries::read(scanner, max_entries).map(|entries| self.entries = Some(entries)),
             _ => parse_value(scanner).map(|IgnoredAny| ()),
         }
     }
@@ -170,16 +181,18 @@
 }
 
 impl Entries {
-    /// Parses the array of entries.
-    fn read(scanner: &mut Scanner<'_>) -> Result<Self, ListingError> {
+    /// Parses the array of entries and keeps the first `max_entries`.
+    fn read(scanner: &mut Scanner<'_>, max_entries: usize) -> Result<Self, ListingError> {
         scanner.expect(b'[', "an array of targets")?;
         let mut entries = Entries::default();
         let mut is_closed = scanner.accept(b']');
         let mut index = 0;
         while !is_closed {
-            match scanner.object() {
-                Some(target) => entries.targets.push(target),
-                None => entries.skip_invalid(scanner, index)?,
+            if index < max_entries {
+                entries.read_entry(scanner, index)?;
+            } else {
+                scanner.value()?;
+                entries.omit(index, max_entries);
             }
             index += 1;
             is_closed = scanner.accept(b']');
@@ -190,6 +203,28 @@
         Ok(entries)
     }
 
+    /// Counts an entry that is not read, since the list has too many.
+    fn omit(&mut self, index: usize, max_entries: usize) {
+        if index == max_entries && self.invalid_entries.len() < MAX_REPORTED_ENTRIES {
+            let cause = format!("expected at most {max_entries} entries");
+            self.invalid_entries.push(InvalidEntry { index, uid: None, cause });
+        }
+        self.invalid_count += 1;
+        self.unnamed_count += 1;
+    }
+
+    fn read_entry(&mut self, scanner: &mut Scanner<'_>, index: usize) -> Result<(), ListingError> {
+        let start = scanner.clone();
+        match scanner.object::<Target>() {
+            Some(target) if has_valid_lengths(&target) => self.targets.push(target),
+            _ => {
+                *scanner = start;
+                self.skip_invalid(scanner, index)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Skips an invalid entry and records its `uid` values and its error.
     fn skip_invalid(&mut self, scanner: &mut Scanner<'_>, index: usize) -> Result<(), ListingError> {
         let entry = scanner.value()?;
@@ -214,8 +249,15 @@
     if entry.first() != Some(&b'{') {
         return "expected an object".to_owned();
     }
-    let error = serde_json::from_slice::<Target>(entry).err();
-    error.map_or_else(String::new, |error| truncated(&error.to_string()))
+    match serde_json::from_slice::<Target>(entry) {
+        Ok(_) => format!("expected texts of at most {MAX_TEXT_BYTES} bytes"),
+        Err(error) => truncated(&error.to_string()),
+    }
+}
+
+/// Whether the texts of a target have allowed lengths.
+fn has_valid_lengths(target: &Target) -> bool {
+    [&target.uid, &target.zone, &target.address].iter().all(|text| text.len() <= MAX_TEXT_BYTES)
 }
 
 /// Whether an invalid entry may include other entries that are valid.
@@ -253,7 +295,7 @@
             is_string && read_string(value.bytes).as_deref() == Some(UID) && scanner.accept(b':');
         if is_uid_key && scanner.peek() == Some(b'"') {
             let uid = scanner.value().ok().and_then(|uid| read_string(uid.bytes));
-            uids.extend(uid);
+            uids.extend(uid.filter(|uid| uid.len() <= MAX_TEXT_BYTES));
         }
     }
     uids
--- a/crates/flaxstand-platform/src/lib.rs
+++ b/crates/flaxstand-platform/src/lib.rs
@@ -18,7 +18,7 @@
 pub use configuration::{Configuration, ConfigurationError, Limits};
 pub use discovery::{
     InvalidEntry, Listing, ListingError, ListingErrorKind, LongPoll, MAX_REPORTED_ENTRIES, ParsedListing,
-    Target, TargetState, list_request_target, parse_listing,
+    Target, TargetState, list_request_target, parse_bounded_listing, parse_listing,
 };
 pub use request::{BadRequest, ClientRequest, RequestLimits};
 pub use settings::{NOTIFIED_AFTER_MOVE_MS, NOTIFIED_WITHIN_MS, Params, ParamsError};
--- a/crates/flaxstand-platform/tests/discovery.rs
+++ b/crates/flaxstand-platform/tests/discovery.rs
@@ -2,7 +2,7 @@
 
 use flaxstand_platform::{
     Listing, ListingErrorKind, LongPoll, MAX_REPORTED_ENTRIES, ParsedListing, Target, TargetState,
-    list_request_target, parse_listing,
+    list_request_target, parse_bounded_listing, parse_listing,
 };
 use proptest::prelude::*;
 
@@ -443,3 +443,20 @@
         let _ = parse_listing(&[prefix.as_slice(), &bytes, b"]}"].concat());
     }
 }
+
+/// Guards against a list whose entries take a multiple of its length, and against names without a bound.
+#[test]
+fn entries_beyond_the_bound_and_long_texts_are_invalid() {
+    let entry = |uid: &str| format!(r#"{{"uid":"{uid}","endpoint":"10.0.0.1:1","state":"up"}}"#);
+    let entries = ["a", "b", "c", "d"].map(entry).join(",");
+    let text = format!(r#"{{"rev":1,"all":true,"targets":[{entries}]}}"#);
+    let read = parse_bounded_listing(text.as_bytes(), 3).unwrap();
+    assert_eq!((read.listing.targets.len(), read.invalid_count, read.unnamed_count), (3, 1, 1));
+    assert_eq!(read.invalid_entries[0].index, 3);
+
+    let long = "n".repeat(256);
+    let text = format!(r#"{{"rev":1,"all":true,"targets":[{},{}]}}"#, entry(&long), entry("a"));
+    let read = parse_listing(text.as_bytes()).unwrap();
+    assert_eq!((read.listing.targets.len(), read.invalid_count, read.unnamed_count), (1, 1, 1));
+    assert!(read.invalid_uids.is_empty());
+}
