Only connections that take memory beyond their own part are rejected for it

Cause: the limit on incomplete requests, and the one on incomplete responses, hit whoever sent next, also one whose few bytes are not charged. And a head that had become complete, with fields that take more memory than its bytes, was looked at only with the next bytes.

Change: a connection is rejected only if it has a part in the charged memory; the limit is checked again after a head is complete.

--- a/crates/flaxstand-gateway/src/core/connection_table.rs
+++ b/crates/flaxstand-gateway/src/core/connection_table.rs
@@ -207,6 +207,11 @@
         c.charged = charge;
     }
 
+    /// Returns the memory that a connection is charged for.
+    pub(super) fn charge_of(&self, conn: ConnId) -> MemoryUse {
+        self.conns.get(&conn).map(|c| c.charged).unwrap_or_default()
+    }
+
     /// Returns the memory that all connections are charged for.
     pub(super) fn memory(&self) -> MemoryUse {
         self.memory
--- a/crates/flaxstand-gateway/src/core/http_server.rs
+++ b/crates/flaxstand-gateway/src/core/http_server.rs
@@ -118,14 +118,25 @@
     /// Processes buffered input, unless the incomplete requests of all clients exceed their limit.
     fn http_buffered(&mut self, conn: ConnId, now: Micros) {
         self.connections.update_charge(conn);
-        if self.connections.memory().incomplete_requests > self.config.bounds.max_partial_request_bytes {
-            self.limit_counts.incomplete_requests += 1;
-            self.reject_input(conn, 503, "too much is on its way in", now);
+        if self.exceeds_input_memory(conn) {
+            self.reject_excess_input(conn, now);
         } else {
             self.read_http(conn, now);
         }
     }
 
+    /// Returns whether the incomplete requests of all clients exceed their limit and this client has a part in it.
+    fn exceeds_input_memory(&self, conn: ConnId) -> bool {
+        let used = self.connections.memory().incomplete_requests;
+        used > self.config.bounds.max_partial_request_bytes
+            && self.connections.charge_of(conn).incomplete_requests > 0
+    }
+
+    fn reject_excess_input(&mut self, conn: ConnId, now: Micros) {
+        self.limit_counts.incomplete_requests += 1;
+        self.reject_input(conn, 503, "too much is on its way in", now);
+    }
+
     /// Processes the next request, unless one is unanswered or its response is not yet written.
     fn read_http(&mut self, conn: ConnId, now: Micros) {
         let Some(Connection {
@@ -143,6 +154,8 @@
         self.connections.update_charge(conn);
         match taken {
             Ok(Some(request)) => self.handle_request(conn, request, now),
+            // A complete head takes more memory than its bytes.
+            Ok(None) if self.exceeds_input_memory(conn) => self.reject_excess_input(conn, now),
             Ok(None) => self.schedule_stall_check(conn),
             Err(fault) => self.reject_input(conn, fault.status(), &fault.to_string(), now),
         }
--- a/crates/flaxstand-gateway/src/core/pooled_attempts.rs
+++ b/crates/flaxstand-gateway/src/core/pooled_attempts.rs
@@ -179,9 +179,7 @@
         self.connections.update_charge(conn);
         match part.response {
             Ok(Some(response)) => self.response_received(conn, &response, now),
-            Ok(None)
-                if self.connections.memory().incomplete_responses > self.config.bounds.max_response_bytes =>
-            {
+            Ok(None) if self.exceeds_response_memory(conn) => {
                 self.limit_counts.incomplete_responses += 1;
                 self.response_invalid(conn, &"limit on incomplete responses of nodes exceeded", now);
             }
@@ -193,6 +191,13 @@
         }
     }
 
+    /// Returns whether the incomplete responses of all nodes exceed their limit and this one has a part in it.
+    fn exceeds_response_memory(&self, conn: ConnId) -> bool {
+        let used = self.connections.memory().incomplete_responses;
+        used > self.config.bounds.max_response_bytes
+            && self.connections.charge_of(conn).incomplete_responses > 0
+    }
+
     /// Handles the orderly end of the peer's stream, which completes a response without a stated length.
     pub(super) fn pooled_finished(&mut self, conn: ConnId, now: Micros) {
         let Some(pooled) = self.pooled_connection(conn) else { return };
