Output of a connection is charged with what its buffer takes, and written in parts

Cause: an answer that a client had read in part was charged with the rest, but its buffer had its whole length until the last byte; and a write handed the kernel up to 64 KiB beyond the size of its buffer.

Change: an outbox gives back what was written once that is half of it, and is charged with its capacity; one call writes as much as the kernel's buffer is to hold, the rest follows when the peer has read. The tests also print the part of memory in the kernel.

--- a/crates/flaxstand-cli/tests/peer_limits/initiator.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/initiator.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Default)]
 struct Peaks {
     memory_kib: AtomicU64,
+    kernel_kib: AtomicU64,
     descriptors: AtomicU64,
     is_stopped: AtomicBool,
 }
@@ -128,7 +129,11 @@
         let memory_kib = sampled_kib.max(peak_resident_kib(self.process.id()));
         let limit_kib = self.deployment.memory_mb * 1024;
         let descriptors = self.peaks.descriptors.load(Ordering::Relaxed);
-        println!("peak memory {memory_kib} KiB of {limit_kib}, peak descriptors {descriptors}");
+        let kernel_kib = self.peaks.kernel_kib.load(Ordering::Relaxed);
+        println!(
+            "peak memory {memory_kib} KiB of {limit_kib}, of it {kernel_kib} or less in the kernel, \
+             peak descriptors {descriptors}"
+        );
         assert!(memory_kib <= limit_kib, "{memory_kib} KiB used, the limit is {limit_kib} KiB");
         assert!(descriptors <= self.deployment.sockets, "{descriptors} descriptors");
     }
@@ -140,6 +145,7 @@
             while !peaks.is_stopped.load(Ordering::Relaxed) {
                 let memory = resident_kib(pid) + kernel_kib(at, &upstream);
                 peaks.memory_kib.fetch_max(memory, Ordering::Relaxed);
+                peaks.kernel_kib.fetch_max(kernel_kib(at, &upstream), Ordering::Relaxed);
                 peaks.descriptors.fetch_max(open_descriptors(pid), Ordering::Relaxed);
                 std::thread::sleep(SAMPLE_INTERVAL);
             }
--- a/crates/flaxstand-gateway/src/core/memory_use.rs
+++ b/crates/flaxstand-gateway/src/core/memory_use.rs
@@ -26,12 +26,12 @@
         match &connection.protocol {
             Protocol::HttpServer(http) => MemoryUse {
                 incomplete_requests: beyond(http.memory_bytes()),
-                unread_responses: beyond(connection.outbox.len()),
+                unread_responses: beyond(connection.outbox.memory_bytes()),
                 ..MemoryUse::default()
             },
             Protocol::HttpClient(pooled) => MemoryUse {
                 incomplete_responses: beyond(pooled.memory_bytes()),
-                outgoing_requests: beyond(connection.outbox.len()),
+                outgoing_requests: beyond(connection.outbox.memory_bytes()),
                 ..MemoryUse::default()
             },
             Protocol::Frames(_) | Protocol::DiscoveryPoll => MemoryUse::default(),
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -258,8 +258,10 @@
         }
     }
 
-    /// Writes pending output. Returns false if the connection is not open or failed.
+    /// Writes pending output, at most as much as the kernel's buffer is to hold: the kernel itself would take more
+    /// than that at once. Returns false if the connection is not open or failed.
     fn write_pending(&mut self, conn: ConnId) -> bool {
+        let mut left = self.options.socket_buffer_bytes.unwrap_or(usize::MAX);
         loop {
             let Some(socket) = self.sockets.get_mut(&conn).filter(|socket| !socket.is_connecting) else {
                 return false;
@@ -286,8 +288,15 @@
                 }
             }
             let Some(socket) = self.sockets.get_mut(&conn) else { return false };
-            match write(&socket.fd, self.machine.outgoing(conn)) {
-                Ok(count) => self.machine.written(conn, count, self.now),
+            let pending = self.machine.outgoing(conn);
+            match write(&socket.fd, &pending[..pending.len().min(left)]) {
+                Ok(count) => {
+                    left -= count;
+                    self.machine.written(conn, count, self.now);
+                    if left == 0 && !self.machine.outgoing(conn).is_empty() {
+                        return true;
+                    }
+                }
                 Err(Errno::AGAIN) => return true,
                 Err(Errno::INTR) => {}
                 Err(error) => {
--- a/crates/flaxstand-proto/src/link.rs
+++ b/crates/flaxstand-proto/src/link.rs
@@ -101,6 +101,11 @@
         self.bytes.len() - self.start
     }
 
+    /// Memory that the buffer takes, with bytes that were written and not removed yet.
+    pub fn memory_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Whether all bytes are written.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -121,8 +126,9 @@
             self.bytes.clear();
             self.bytes.shrink_to(MAX_RETAINED_BYTES);
             self.start = 0;
-        } else if self.start > (1 << 16) && self.start > self.bytes.len() / 2 {
+        } else if self.start > MAX_RETAINED_BYTES && self.start > self.bytes.len() / 2 {
             self.bytes.drain(..self.start);
+            self.bytes.shrink_to_fit();
             self.start = 0;
         }
     }
