--- a/crates/flaxstand-cli/tests/peer_limits/initiator.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/initiator.rs
@@ -138,6 +138,22 @@
         assert!(descriptors <= self.deployment.sockets, "{descriptors} descriptors");
     }
 
+    /// Waits until the process exits; returns false if it has not at this time.
+    pub fn exits_by(&mut self, time: Instant) -> bool {
+        while Instant::now() < time {
+            if self.process.try_wait().unwrap().is_some() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        false
+    }
+
+    /// Kills the process outright, if it has not exited.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+    }
+
     fn start_sampling(&self) {
         let (peaks, pid) = (self.peaks.clone(), self.process.id());
         let (at, upstream) = (self.at, self.upstream.clone());
--- a/crates/flaxstand-cli/tests/peer_limits/main.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/main.rs
@@ -9,3 +9,4 @@
 mod isolation;
 mod memory;
 mod node;
+mod soak;
