--- a/crates/flaxstand-cli/tests/platform_races.rs
+++ b/crates/flaxstand-cli/tests/platform_races.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use common::loopback::LoopbackHost;
 use common::read_message;
 use flaxstand_fixture::RecordedArrivals;
 use rustix::process::{Pid, Resource, Rlimit, Signal, WaitOptions, kill_process, prlimit, waitpid};
@@ -68,6 +69,8 @@
     node_requests: Receiver<ReceivedRequest>,
     discovery: SocketAddr,
     folder: PathBuf,
+    /// Keeps the addresses from other tests.
+    _host: LoopbackHost,
 }
 
 impl Harness {
@@ -77,10 +80,9 @@
     }
     /// Starts the process with further classes, in JSON, each after a comma.
     fn start_with_classes(name: &str, classes: &str) -> Harness {
-        let node_listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let endpoint = node_listener.local_addr().unwrap();
-        let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let (at, discovery) = (free(), free());
+        let host = LoopbackHost::claim();
+        let (endpoint, at, discovery) = (host.port(7000), host.port(8000), host.port(8500));
+        let node_listener = TcpListener::bind(endpoint).unwrap();
         let configuration = format!(
             r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":64,"sockets":128}},
@@ -101,7 +103,8 @@
         command.args(["run", "--platform"]).env("RELAY_CONFIG", file);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
         let process = command.spawn().unwrap();
-        let harness = Harness { process, at, node_requests: serve(node_listener), discovery, folder };
+        let node_requests = serve(node_listener);
+        let harness = Harness { process, at, node_requests, discovery, folder, _host: host };
         wait_until("the process listens", || TcpStream::connect(at).is_ok());
         harness
     }
