Tests of limits run one initiator at a time

Cause: tests of one program run side by side; crowds and clients at full speed of one would delay the usual client of another, which has a deadline of 0.3 s.

Change: a lock is held while an initiator of this test program runs.

--- a/crates/flaxstand-cli/tests/peer_limits/initiator.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/initiator.rs
@@ -8,8 +8,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Port at which the initiator listens.
@@ -50,8 +50,12 @@
     is_stopped: AtomicBool,
 }
 
-/// A running initiator.
+/// Held while an initiator runs: crowds and clients at full speed of one test would delay the peers of another.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// A running initiator, the only one of this test program.
 pub struct Initiator {
+    _running: MutexGuard<'static, ()>,
     process: Child,
     at: SocketAddr,
     discovery: SocketAddr,
@@ -64,6 +68,8 @@
 impl Initiator {
     /// Starts an initiator whose configuration lists these nodes, and waits until it is ready.
     pub fn start(host: &LoopbackHost, nodes: &[Node], deployment: Deployment) -> Initiator {
+        // The lock guards nothing, so that a test that failed while it held it is no obstacle.
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
         let (at, discovery) = (host.port(CLIENT_PORT), host.port(DISCOVERY_PORT));
         let folder =
             std::env::temp_dir().join(format!("flaxstand-limits-{}-{}", at.ip(), std::process::id()));
@@ -80,7 +86,8 @@
         let mut upstream: Vec<SocketAddr> = nodes.iter().map(Node::address).collect();
         upstream.push(discovery);
         let peaks = Arc::default();
-        let initiator = Initiator { process, at, discovery, upstream, folder, deployment, peaks };
+        let initiator =
+            Initiator { _running: running, process, at, discovery, upstream, folder, deployment, peaks };
         let started = Instant::now();
         while TcpStream::connect(at).is_err() {
             assert!(started.elapsed() < START_TIMEOUT, "the initiator does not listen");
