The flood of the isolation tests does not take the processors of the process

Cause: isolation::refused_requests_under_ever_new_names failed beside three busy processes: 32 writers filled megabytes of their own kernel's buffers, the test used 4.5 s of processor time in its first second, and the process waited 0.69 s for a processor and had 0.14 s (/proc/PID/schedstat).

Change: a connection of the flood is at most 1,024 requests ahead of its answers.

--- a/crates/flaxstand-cli/tests/peer_limits/isolation.rs
+++ b/crates/flaxstand-cli/tests/peer_limits/isolation.rs
@@ -26,6 +26,12 @@
 /// Connections of a peer whose requests are decided on one by one, so that one connection alone is slow.
 const CONNECTIONS_OF_A_PEER: u64 = 32;
 
+/// Requests of a connection that may be written and not answered yet: many more than the process reads ahead. Without
+/// a limit the flood fills megabytes of its own kernel's buffers first, and takes the processors for it.
+const MAX_REQUESTS_AHEAD: u64 = 1024;
+/// Interval at which a connection that is that far ahead looks for answers.
+const AHEAD_INTERVAL: Duration = Duration::from_micros(200);
+
 /// Floods an address, on each connection after the other, until it is stopped.
 struct Flood {
     is_stopped: Arc<AtomicBool>,
@@ -58,11 +64,19 @@
     while !is_stopped.load(Ordering::Relaxed) {
         let Ok(mut stream) = TcpStream::connect(at) else { return };
         let Ok(reader) = stream.try_clone() else { return };
-        let answered = answered.clone();
-        std::thread::spawn(move || count_answers(reader, &answered));
-        while !is_stopped.load(Ordering::Relaxed) {
+        let progress = Arc::new(Progress::default());
+        let (answered, of_reader) = (answered.clone(), progress.clone());
+        std::thread::spawn(move || count_answers(reader, &answered, &of_reader));
+        let mut written = 0;
+        while !is_stopped.load(Ordering::Relaxed) && !progress.is_ended.load(Ordering::Relaxed) {
+            if written > progress.answered.load(Ordering::Relaxed) + MAX_REQUESTS_AHEAD {
+                std::thread::sleep(AHEAD_INTERVAL);
+                continue;
+            }
             let Some(number) = numbers.next() else { return };
-            if stream.write_all(&batch(number)).is_err() {
+            let bytes = batch(number);
+            written += bytes.windows(4).filter(|window| window == b"\r\n\r\n").count() as u64;
+            if stream.write_all(&bytes).is_err() {
                 break;
             }
         }
@@ -76,15 +90,24 @@
     }
 }
 
-fn count_answers(mut stream: TcpStream, answered: &AtomicU64) {
+/// What the reader of a connection has seen.
+#[derive(Default)]
+struct Progress {
+    answered: AtomicU64,
+    is_ended: AtomicBool,
+}
+
+fn count_answers(mut stream: TcpStream, answered: &AtomicU64, progress: &Progress) {
     let mut chunk = vec![0; 64 * 1024];
     while let Ok(count) = stream.read(&mut chunk) {
         if count == 0 {
-            return;
+            break;
         }
         let starts = chunk[..count].windows(9).filter(|window| window == b"HTTP/1.1 ").count();
         answered.fetch_add(starts as u64, Ordering::Relaxed);
+        progress.answered.fetch_add(starts as u64, Ordering::Relaxed);
     }
+    progress.is_ended.store(true, Ordering::Relaxed);
 }
 
 /// Runs a flood beside a usual client, and checks that client's service and the process's memory.
