A client is looked at once before an attempt, and tests read one table of sockets

Cause: before the first byte of an attempt the driver polled the client's socket to see whether it had gone, and then once more to report it; and platform_races read /proc/net/tcp by itself beside the new shared reader.

Change: check_departure alone polls and reports, has_departed is gone; platform_races uses kernel_sockets. Behaviour and assertions are the same.

--- a/crates/flaxstand-cli/tests/platform_races.rs
+++ b/crates/flaxstand-cli/tests/platform_races.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use common::kernel_sockets::kernel_sockets;
 use common::loopback::LoopbackHost;
 use common::read_message;
 use flaxstand_fixture::RecordedArrivals;
@@ -152,17 +153,9 @@
     /// Returns the TCP state and the number of unread bytes of the process's side of a connection, from the
     /// kernel's table; `None` if there is no such connection.
     fn kernel_state(&self, local: SocketAddr, remote: SocketAddr) -> Option<(String, u64)> {
-        let hex = |at: SocketAddr| {
-            let SocketAddr::V4(at) = at else { panic!("IPv4") };
-            format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port())
-        };
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        table.lines().skip(1).find_map(|line| {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            let found = fields[1] == hex(local) && fields[2] == hex(remote);
-            let unread = u64::from_str_radix(fields[4].split(':').nth(1)?, 16).ok()?;
-            found.then(|| (fields[3].to_owned(), unread))
-        })
+        let sockets = kernel_sockets();
+        let own = sockets.into_iter().find(|socket| socket.is_local(local) && socket.is_remote(remote))?;
+        Some((own.state, own.unread))
     }
     fn wait_for_exit(&mut self) -> Option<i32> {
         let started = Instant::now();
--- a/crates/flaxstand-gateway/src/driver/socket.rs
+++ b/crates/flaxstand-gateway/src/driver/socket.rs
@@ -279,9 +279,7 @@
                 self.drop_connection(conn, &cause);
                 return false;
             }
-            if let Some(client) = self.machine.begins_for(conn)
-                && self.has_departed(client)
-            {
+            if let Some(client) = self.machine.begins_for(conn) {
                 self.check_departure(client);
                 if self.machine.begins_for(conn).is_none() {
                     continue;
@@ -307,15 +305,6 @@
         }
     }
 
-    /// Returns whether the kernel knows that the peer of a connection has gone.
-    fn has_departed(&self, conn: ConnId) -> bool {
-        use epoll::EventFlags as F;
-        let Some(socket) = self.sockets.get(&conn) else { return false };
-        let ends =
-            if self.machine.wants_peer_end(conn) { F::HUP | F::ERR | F::RDHUP } else { F::HUP | F::ERR };
-        departure_of(&socket.fd).intersects(ends)
-    }
-
     fn update_interest(&mut self, conn: ConnId) {
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
         let mut interest = epoll::EventFlags::empty();
